Lay out the workspace and the types that its processes share

Cause: an empty repository. Ruled out: one schema library for settings and another for messages; pydantic validates both, and a NamedTuple travels as a compact CBOR array.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGES := packages/lycheeslip_common packages/lycheeslip packages/lycheeslip_agent packages/lycheeslip_standins
+CODE := packages tests benchmarks
+
+.PHONY: setup test lint format demo
+
+setup: $(VENV)/.ready
+
+$(VENV)/.ready: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q --disable-pip-version-check -c constraints.txt -r requirements-dev.txt
+	$(BIN)/pip install -q --disable-pip-version-check --no-build-isolation -c constraints.txt $(PACKAGES:%=-e %)
+	touch $@
+
+test: setup
+	$(BIN)/python -m pytest
+
+lint: setup
+	$(BIN)/black --check -q $(CODE)
+	$(BIN)/ruff check -q $(CODE)
+	$(BIN)/mypy --no-error-summary $(PACKAGES)
+
+format: setup
+	$(BIN)/black -q $(CODE)
+	$(BIN)/ruff check -q --fix $(CODE)
+
+demo: setup
+	$(BIN)/python -m lycheeslip_standins.demo
--- /dev/null
+++ b/packages/lycheeslip/lycheeslip/__init__.py
@@ -0,0 +1,1 @@
+"""Entry process and command line of lycheeslip."""
--- /dev/null
+++ b/packages/lycheeslip/lycheeslip/commands/__init__.py
@@ -0,0 +1,1 @@
+"""What the command line does, one module a command."""
--- /dev/null
+++ b/packages/lycheeslip/lycheeslip/config/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' configuration file: schema, checks and differences."""
--- /dev/null
+++ b/packages/lycheeslip/lycheeslip/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry process: sessions, job records, planner and HTTP interface."""
--- /dev/null
+++ b/packages/lycheeslip/lycheeslip/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Scheduling decisions as pure functions; nothing here does I/O or reads a clock."""
--- /dev/null
+++ b/packages/lycheeslip_agent/lycheeslip_agent/__init__.py
@@ -0,0 +1,1 @@
+"""Process beside each backend server: the only authority over its slots and accelerators."""
--- /dev/null
+++ b/packages/lycheeslip_common/lycheeslip_common/__init__.py
@@ -0,0 +1,1 @@
+"""Types, protocols and helpers shared by the processes of lycheeslip."""
--- /dev/null
+++ b/packages/lycheeslip_common/lycheeslip_common/config/__init__.py
@@ -0,0 +1,1 @@
+"""Process settings: schema and loader."""
--- /dev/null
+++ b/packages/lycheeslip_common/lycheeslip_common/store/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's key-value service: outcomes and client."""
--- /dev/null
+++ b/packages/lycheeslip_common/lycheeslip_common/structure/__init__.py
@@ -0,0 +1,1 @@
+"""Data that the processes exchange: jobs, the fleet and verdicts."""
--- /dev/null
+++ b/packages/lycheeslip_common/lycheeslip_common/structure/fleet.py
@@ -0,0 +1,76 @@
+"""Workers and entries as they describe themselves to each other."""
+
+from enum import StrEnum
+from typing import NamedTuple
+
+from lycheeslip_common.structure.jobs import JobKind
+
+__all__ = ["EntryInfo", "Grant", "GrantState", "WorkerInfo", "WorkerState"]
+
+
+class GrantState(StrEnum):
+    """Progress of one member of an attempt on its worker."""
+
+    RESERVED = "reserved"
+    PREPARED = "prepared"
+    RUNNING = "running"
+    FINISHED = "finished"
+
+
+class Grant(NamedTuple):
+    """Resources of one worker that an agent has given to one member of an attempt."""
+
+    job_id: str
+    epoch: int
+    attempt: int
+    member: int
+    owner: str
+    account: str
+    kind: JobKind
+    accelerators: tuple[int, ...]
+    processors: int
+    memory_mb: int
+    interruptible: bool
+    state: GrantState
+    members: int = 1
+    started_at_ms: int = 0
+    throttled: bool = False
+
+
+class WorkerInfo(NamedTuple):
+    """What an agent announces about its worker; `address` is the agent's own listener."""
+
+    worker_id: str
+    region: str
+    zone: str
+    rack: str
+    address: str
+    accelerators: int
+    processors: int
+    memory_mb: int
+    slots: int
+
+
+class WorkerState(NamedTuple):
+    """The whole state of one worker; a higher `sequence` replaces a lower one."""
+
+    info: WorkerInfo
+    incarnation: str
+    sequence: int
+    leaving: bool
+    grants: tuple[Grant, ...]
+    directive_version: int = 0
+
+    def busy_accelerators(self) -> set[int]:
+        """Return the indices of the accelerators that are given out."""
+        return {index for grant in self.grants for index in grant.accelerators}
+
+
+class EntryInfo(NamedTuple):
+    """A live entry, as kept under `entries/<entry_id>` in the store."""
+
+    entry_id: str
+    region: str
+    zone: str
+    http_address: str
+    session_address: str
--- /dev/null
+++ b/packages/lycheeslip_common/lycheeslip_common/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Clocks, logs, metrics and retry delays."""
--- /dev/null
+++ b/packages/lycheeslip_common/lycheeslip_common/utils/clock.py
@@ -0,0 +1,17 @@
+"""Clocks in milliseconds; promises rest on the monotonic one only."""
+
+import time
+
+__all__ = ["monotonic_ms", "wall_ms"]
+
+NANOSECONDS_PER_MILLISECOND = 1_000_000
+
+
+def monotonic_ms() -> int:
+    """Return this machine's monotonic clock, shared by all of its processes."""
+    return time.monotonic_ns() // NANOSECONDS_PER_MILLISECOND
+
+
+def wall_ms() -> int:
+    """Return wall-clock milliseconds since the epoch, for calendars, job deadlines and logs."""
+    return time.time_ns() // NANOSECONDS_PER_MILLISECOND
--- /dev/null
+++ b/packages/lycheeslip_common/lycheeslip_common/wire/__init__.py
@@ -0,0 +1,1 @@
+"""The protocol between entries and agents: messages, codec and sessions."""
