Read and check the settings of entries and agents

Cause: every process needs its addresses, zone and store from YAML, with all faults of a file reported at once by line and key. Ruled out: YAML 1.1 scalars, which turn 22:00 into 1320 and yes into true; aliases, which let a short file expand without bound.

--- a/packages/lycheeslip_common/lycheeslip_common/config/__init__.py
+++ b/packages/lycheeslip_common/lycheeslip_common/config/__init__.py
@@ -1,1 +1,21 @@
-"""Process settings: schema and loader."""
+"""Settings of the processes, and YAML that remembers its lines."""
+
+from lycheeslip_common.config.settings import (
+    AgentSettings,
+    EntrySettings,
+    EntryTimes,
+    SettingsError,
+    load_settings,
+)
+from lycheeslip_common.config.validation import ProblemsError
+from lycheeslip_common.config.yaml_lines import Problem
+
+__all__ = [
+    "AgentSettings",
+    "EntrySettings",
+    "EntryTimes",
+    "Problem",
+    "ProblemsError",
+    "SettingsError",
+    "load_settings",
+]
--- /dev/null
+++ b/packages/lycheeslip_common/lycheeslip_common/config/validation.py
@@ -0,0 +1,144 @@
+"""Validates a YAML document against a declared NamedTuple and reports all problems by line."""
+
+import types
+from collections.abc import Mapping
+from difflib import get_close_matches
+from typing import Annotated, Any, TypeVar, Union, get_args, get_origin, get_type_hints
+
+from pydantic import BeforeValidator, Field, TypeAdapter, ValidationError
+from pydantic_core import ErrorDetails, PydanticCustomError
+
+from lycheeslip_common.config.yaml_lines import Document, Path, Problem
+
+__all__ = ["Count", "ProblemsError", "Section", "Switch", "refusal", "validate_document"]
+
+T = TypeVar("T")
+
+MAX_SHOWN_VALUE_CHARACTERS = 40
+
+Count = Annotated[int, Field(strict=True)]
+"""A whole number; text and true/false are refused."""
+
+Switch = Annotated[bool, Field(strict=True)]
+"""true or false; `yes`, `on` and 1 are refused."""
+
+
+class ProblemsError(Exception):
+    """A file was refused; `problems` holds every reason that was found."""
+
+    def __init__(self, problems: tuple[Problem, ...]) -> None:
+        """Keep `problems` and join them, one a line, as the message."""
+        super().__init__("\n".join(str(problem) for problem in problems))
+        self.problems = problems
+
+
+def refusal(message: str) -> PydanticCustomError:
+    """Return the error that a validator raises to refuse a value with `message`."""
+    return PydanticCustomError("refused", message.replace("{", "{{").replace("}", "}}"))
+
+
+def _require_mapping(value: object) -> object:
+    if value is None:
+        return {}
+    if isinstance(value, list | str | int | float):
+        raise refusal("must be a mapping of keys to values")
+    return value
+
+
+Section = Annotated[T, BeforeValidator(_require_mapping)]
+"""A nested mapping; an empty one may be left blank."""
+
+
+def validate_document(document: Document, declaration: type[T]) -> tuple[T | None, list[Problem]]:
+    """Return the validated value, or None, with all problems in the order of their lines."""
+    problems = list(document.problems)
+    if document.value is None and problems:
+        return None, problems
+    if not isinstance(document.value, Mapping):
+        return None, [document.problem_at((), "the file must be a mapping of keys to values")]
+    try:
+        value = TypeAdapter(declaration).validate_python(document.value)
+    except ValidationError as error:
+        problems += [_describe(item, declaration, document) for item in error.errors()]
+        return None, sorted(problems, key=lambda problem: problem.line)
+    return value, problems
+
+
+def _describe(error: ErrorDetails, declaration: object, document: Document) -> Problem:
+    path = tuple(str(part) for part in error["loc"] if part != "[key]")
+    return document.problem_at(path, _message(error, declaration, path))
+
+
+def _message(error: ErrorDetails, declaration: object, path: Path) -> str:
+    match error["type"]:
+        case "unexpected_keyword_argument" | "extra_forbidden":
+            return _unknown_key(path, _keys_at(declaration, path[:-1]))
+        case "missing_argument" | "missing":
+            return "is required"
+        case "refused":
+            return error["msg"]
+        case "bool_type":
+            message = "must be true or false"
+        case "int_type" | "int_from_float":
+            message = "must be a whole number"
+        case "float_type" | "float_parsing":
+            message = "must be a number"
+        case "string_type":
+            message = "must be text (put it in quotes)"
+        case "tuple_type":
+            message = "must be a list"
+        case _:
+            message = error["msg"][:1].lower() + error["msg"][1:]
+    return f"{message}, got {_shown(error['input'])}"
+
+
+def _shown(value: object) -> str:
+    text = repr(value)
+    if len(text) <= MAX_SHOWN_VALUE_CHARACTERS:
+        return text
+    return text[: MAX_SHOWN_VALUE_CHARACTERS - 3] + "..."
+
+
+def _unknown_key(path: Path, known: list[str]) -> str:
+    close = get_close_matches(path[-1], known, n=1)
+    hint = f"; did you mean {close[0]!r}?" if close else f"; known keys: {', '.join(known)}"
+    return f"unknown key {path[-1]!r}{hint}"
+
+
+def _keys_at(declaration: object, path: Path) -> list[str]:
+    for part in path:
+        declaration = _child(_plain(declaration), part)
+    plain = _plain(declaration)
+    if not hasattr(plain, "_fields"):
+        return []
+    return [_key_of(name, hint) for name, hint in _hints(plain).items()]
+
+
+def _child(plain: Any, part: str) -> object:
+    if get_origin(plain) is dict:
+        return get_args(plain)[1]
+    if get_origin(plain) is tuple:
+        return get_args(plain)[0]
+    for name, hint in _hints(plain).items():
+        if _key_of(name, hint) == part:
+            return hint
+    return object
+
+
+def _plain(declaration: Any) -> Any:
+    while get_origin(declaration) is Annotated:
+        declaration = get_args(declaration)[0]
+    if get_origin(declaration) in (Union, types.UnionType):
+        return _plain(get_args(declaration)[0])
+    return declaration
+
+
+def _hints(plain: Any) -> dict[str, Any]:
+    return get_type_hints(plain, include_extras=True) if hasattr(plain, "_fields") else {}
+
+
+def _key_of(name: str, hint: Any) -> str:
+    for item in getattr(hint, "__metadata__", ()):
+        if getattr(item, "alias", None):
+            return item.alias
+    return name
