--- /dev/null
+++ b/packages/lycheeslip/lycheeslip/config/units.py
@@ -0,0 +1,105 @@
+"""Values with units, as operators write them in the configuration."""
+
+import re
+from typing import Annotated
+
+from lycheeslip_common.config.validation import refusal
+from pydantic import AfterValidator, BeforeValidator, Field
+
+__all__ = [
+    "DurationMs",
+    "MemoryMb",
+    "MinuteOfDay",
+    "UtcOffsetMinutes",
+    "between_durations",
+    "format_duration",
+]
+
+MILLISECONDS_BY_UNIT = {"ms": 1, "s": 1_000, "m": 60_000, "h": 3_600_000, "d": 86_400_000}
+MEGABYTES_BY_UNIT = {"MB": 1, "GB": 1_024, "TB": 1_024 * 1_024}
+MINUTES_PER_HOUR = 60
+MINUTES_PER_DAY = 24 * MINUTES_PER_HOUR
+MIN_UTC_OFFSET_MINUTES = -12 * MINUTES_PER_HOUR
+MAX_UTC_OFFSET_MINUTES = 14 * MINUTES_PER_HOUR
+MAX_SHOWN_CHARACTERS = 40
+
+
+def _quantity(value: object, scale_by_unit: dict[str, int], example: str) -> int:
+    if isinstance(value, int) and not isinstance(value, bool):
+        raise refusal(f"needs a unit, such as {example}; got {value}")
+    match = re.fullmatch(r"([0-9]{1,12})\s?([A-Za-z]+)", value) if isinstance(value, str) else None
+    if match is None:
+        shown = repr(value)[:MAX_SHOWN_CHARACTERS]
+        raise refusal(f"must be a whole number with a unit, such as {example}; got {shown}")
+    number, unit = match.groups()
+    if unit not in scale_by_unit:
+        known = ", ".join(scale_by_unit)
+        raise refusal(f"unknown unit {unit[:MAX_SHOWN_CHARACTERS]!r}; known units: {known}")
+    return int(number) * scale_by_unit[unit]
+
+
+def _parse_duration(value: object) -> int:
+    return _quantity(value, MILLISECONDS_BY_UNIT, "800ms, 10s, 5m, 12h or 1d")
+
+
+def _parse_memory(value: object) -> int:
+    return _quantity(value, MEGABYTES_BY_UNIT, "512MB or 16GB")
+
+
+def _parse_minute_of_day(value: object) -> int:
+    match = re.fullmatch(r"([0-9]{2}):([0-9]{2})", value) if isinstance(value, str) else None
+    if match is None:
+        shown = repr(value)[:MAX_SHOWN_CHARACTERS]
+        raise refusal(f'must be a local time such as "22:00"; got {shown}')
+    hours, minutes = int(match[1]), int(match[2])
+    total = hours * MINUTES_PER_HOUR + minutes
+    if minutes >= MINUTES_PER_HOUR or total > MINUTES_PER_DAY:
+        raise refusal(f"must lie between 00:00 and 24:00; got {value}")
+    return total
+
+
+def _parse_utc_offset(value: object) -> int:
+    pattern = r"([+-])([0-9]{2}):([0-9]{2})"
+    match = re.fullmatch(pattern, value) if isinstance(value, str) else None
+    if match is None:
+        shown = repr(value)[:MAX_SHOWN_CHARACTERS]
+        raise refusal(f'must be an offset from UTC such as "+05:30"; got {shown}')
+    size = int(match[2]) * MINUTES_PER_HOUR + int(match[3])
+    minutes = -size if match[1] == "-" else size
+    in_range = MIN_UTC_OFFSET_MINUTES <= minutes <= MAX_UTC_OFFSET_MINUTES
+    if int(match[3]) >= MINUTES_PER_HOUR or not in_range:
+        raise refusal(f"must lie between -12:00 and +14:00; got {value}")
+    return minutes
+
+
+def between_durations(least: str, most: str) -> AfterValidator:
+    """Return a validator that refuses a duration outside of `least` to `most`."""
+    least_ms, most_ms = _parse_duration(least), _parse_duration(most)
+
+    def check(value: int) -> int:
+        if not least_ms <= value <= most_ms:
+            raise refusal(f"must lie between {least} and {most}; got {format_duration(value)}")
+        return value
+
+    return AfterValidator(check)
+
+
+def format_duration(milliseconds: int) -> str:
+    """Return a duration in the largest unit that divides it."""
+    for unit, scale in reversed(MILLISECONDS_BY_UNIT.items()):
+        if milliseconds and milliseconds % scale == 0:
+            return f"{milliseconds // scale}{unit}"
+    return f"{milliseconds}ms"
+
+
+DurationMs = Annotated[int, BeforeValidator(_parse_duration)]
+"""A duration such as 800ms, 10s, 5m, 12h or 1d."""
+
+MemoryMb = Annotated[int, Field(le=64 * 1_024 * 1_024), BeforeValidator(_parse_memory)]
+"""An amount of memory such as 512MB or 16GB (1GB is 1024MB)."""
+
+MinuteOfDay = Annotated[int, BeforeValidator(_parse_minute_of_day)]
+"""A local time of day such as "22:00"; "24:00" ends a day."""
+
+UtcOffsetMinutes = Annotated[int, BeforeValidator(_parse_utc_offset)]
+"""An offset from UTC such as "+05:30"."""
--- a/packages/lycheeslip_common/lycheeslip_common/config/validation.py
+++ b/packages/lycheeslip_common/lycheeslip_common/config/validation.py
@@ -59,11 +59,18 @@
     try:
         value = TypeAdapter(declaration).validate_python(document.value)
     except ValidationError as error:
-        problems += [_describe(item, declaration, document) for item in error.errors()]
+        problems += [_describe(item, declaration, document) for item in _innermost(error)]
         return None, sorted(problems, key=lambda problem: problem.line)
     return value, problems
 
 
+def _innermost(error: ValidationError) -> list[ErrorDetails]:
+    """Return the errors without those that only follow from one further inside."""
+    items = error.errors()
+    outer = {item["loc"][:length] for item in items for length in range(len(item["loc"]))}
+    return [item for item in items if item["loc"] not in outer]
+
+
 def _describe(error: ErrorDetails, declaration: object, document: Document) -> Problem:
     path = tuple(str(part) for part in error["loc"] if part != "[key]")
     return document.problem_at(path, _message(error, declaration, path))
