--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measured comparison of scheduling policies on real processes."""
--- /dev/null
+++ b/packages/lycheeslip/lycheeslip/policy/fits.py
@@ -0,0 +1,99 @@
+"""Whether any hardware, live or declared, could ever hold a job."""
+
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+from lycheeslip_common.structure.fleet import WorkerState
+from lycheeslip_common.structure.jobs import Adjacency, JobSpec, Shape
+
+from lycheeslip.config.model import FleetConfig, Zone
+
+__all__ = ["can_ever_fit"]
+
+DECLARED_SLOTS = 8
+"""Slots of a worker that is declared but has never announced itself."""
+
+
+class _Hardware(NamedTuple):
+    """Whole resources of a worker; None where they aren't declared."""
+
+    rack: tuple[str, str]
+    region: str
+    accelerators: int
+    slots: int
+    processors: int | None
+    memory_mb: int | None
+
+
+def can_ever_fit(spec: JobSpec, workers: Mapping[str, WorkerState], config: FleetConfig) -> str:
+    """Return "" if some live or declared hardware could hold the job, else the reason.
+
+    Zones out of service count, since operators may bring them back. With nothing live
+    and nothing declared nothing can be said, and the answer is "".
+    """
+    live = [_live(worker) for worker in workers.values()]
+    declared = [hardware for zone in config.zones_by_id.values() for hardware in _declared(zone)]
+    known = live + declared
+    if not known or _gang_fits(spec.shape, live) or _gang_fits(spec.shape, declared):
+        return ""
+    return _reason(spec.shape, known)
+
+
+def _live(worker: WorkerState) -> _Hardware:
+    info = worker.info
+    return _Hardware(
+        (info.zone, info.rack),
+        info.region,
+        info.accelerators,
+        info.slots,
+        info.processors,
+        info.memory_mb,
+    )
+
+
+def _declared(zone: Zone) -> Iterable[_Hardware]:
+    if not zone.accelerators or not zone.accelerators_per_worker:
+        return
+    per_rack = zone.workers_per_rack or 1
+    for number in range(zone.accelerators // zone.accelerators_per_worker):
+        rack = (zone.zone_id, f"declared-{number // per_rack}")
+        per_worker = zone.accelerators_per_worker
+        yield _Hardware(rack, "", per_worker, DECLARED_SLOTS, None, None)
+
+
+def _members(shape: Shape, hardware: _Hardware) -> int:
+    limits = [hardware.slots]
+    if shape.accelerators:
+        limits.append(hardware.accelerators // shape.accelerators)
+    if shape.processors and hardware.processors is not None:
+        limits.append(hardware.processors // shape.processors)
+    if shape.memory_mb and hardware.memory_mb is not None:
+        limits.append(hardware.memory_mb // shape.memory_mb)
+    return min(limits)
+
+
+def _gang_fits(shape: Shape, hardware: Iterable[_Hardware]) -> bool:
+    members_by_group: dict[object, int] = {}
+    for number, item in enumerate(hardware):
+        group = _group(shape, item, number)
+        members_by_group[group] = members_by_group.get(group, 0) + _members(shape, item)
+    return max(members_by_group.values(), default=0) >= shape.members
+
+
+def _group(shape: Shape, hardware: _Hardware, number: int) -> object:
+    match shape.adjacency:
+        case Adjacency.SAME_WORKER:
+            return number
+        case Adjacency.SAME_RACK:
+            return hardware.rack
+        case Adjacency.ANY:
+            return hardware.region
+
+
+def _reason(shape: Shape, known: list[_Hardware]) -> str:
+    if not any(_members(shape, item) for item in known):
+        return (
+            f"no worker has {shape.accelerators} accelerators, {shape.processors} processors"
+            f" and {shape.memory_mb} MB for one member"
+        )
+    return f"no set of workers ({shape.adjacency}) holds {shape.members} members at once"
--- /dev/null
+++ b/packages/lycheeslip/tests/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the scheduling decisions."""
--- /dev/null
+++ b/packages/lycheeslip/tests/policy/fits_tests.py
@@ -0,0 +1,34 @@
+import pytest
+from lycheeslip.policy.fits import can_ever_fit
+
+from .builders import Zone, config, fleet, spec
+
+DECLARED = Zone("a", accelerators=32, accelerators_per_worker=8, workers_per_rack=2)
+
+
+@pytest.mark.parametrize(
+    ("demand", "fits"),
+    [
+        ({"accelerators": 8}, True),
+        ({"accelerators": 9}, False),
+        ({"processors": 61}, False),
+        ({"members": 9, "adjacency": "same_worker"}, False),
+        ({"members": 3, "accelerators": 8, "adjacency": "same_rack"}, True),
+        ({"members": 4, "accelerators": 8, "adjacency": "same_rack"}, False),
+        ({"members": 10, "accelerators": 8}, True),
+        ({"members": 11, "accelerators": 8}, False),
+    ],
+)
+def test_live_hardware(demand, fits):
+    assert (can_ever_fit(spec(**demand), fleet(), config()) == "") is fits
+
+
+def test_declared_hardware_counts_while_it_is_away_or_out_of_service():
+    job = spec(members=2, accelerators=8, adjacency="same_rack")
+    away = config([DECLARED._replace(in_service=False)])
+    assert can_ever_fit(job, {}, away) == ""
+    assert can_ever_fit(spec(members=3, accelerators=8, adjacency="same_rack"), {}, away)
+
+
+def test_nothing_known_is_no_reason():
+    assert can_ever_fit(spec(accelerators=64), {}, config()) == ""
