--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 PACKAGES := packages/lycheeslip_common packages/lycheeslip packages/lycheeslip_agent packages/lycheeslip_standins
-CODE := packages tests benchmarks
+CODE := packages $(wildcard tests benchmarks)
 
 .PHONY: setup test lint format demo
 
