Add a checker that judges the promises by recorded facts

What lycheeslip says of itself can't prove its promises, so the checker reads the logs of backend servers, what callers received and what operators were told. Each promise is one pure function that gives the number of cases, the violations and the worst figure against its bound.

A request to bring a zone back ends the time in which starts are forbidden when it is sent, since it may take effect before its answer arrives; a removal without an acceptance binds nobody.

--- /dev/null
+++ b/packages/lycheeslip_standins/lycheeslip_standins/checker.py
@@ -0,0 +1,284 @@
+"""Judges the promises by what backend servers, callers and operators recorded.
+
+Every function is pure and returns a `Finding`; nothing here asks lycheeslip about itself.
+"""
+
+from collections import defaultdict
+from collections.abc import Iterable, Sequence
+from typing import NamedTuple
+
+from lycheeslip_standins.checker_facts import (
+    BackendEvent,
+    CallerRecord,
+    ConfigView,
+    GuaranteeDemand,
+    Leaving,
+    ZoneChange,
+)
+from lycheeslip_standins.checker_gangs import longest_partial_run_ms
+
+__all__ = [
+    "Finding",
+    "Violation",
+    "judge_answers",
+    "judge_at_most_once",
+    "judge_configuration",
+    "judge_cut_off",
+    "judge_gangs",
+    "judge_guarantees",
+    "judge_leaving",
+    "judge_not_run",
+    "judge_one_verdict",
+    "judge_zones",
+]
+
+STARTED = "started"
+FINISHED = "finished"
+ANSWERED = "answered"
+FOREVER_MS = 1 << 62
+
+
+class Violation(NamedTuple):
+    """A broken promise: what it concerns and what was seen."""
+
+    subject: str
+    detail: str
+
+
+class Finding(NamedTuple):
+    """Judgement of one promise over `cases`; `worst` is the largest figure seen."""
+
+    promise: str
+    cases: int
+    violations: tuple[Violation, ...]
+    worst: int
+    bound: int
+    unit: str
+
+
+class _Window(NamedTuple):
+    place: str
+    from_ms: int
+    until_ms: int
+
+
+def judge_at_most_once(events: Iterable[BackendEvent], records: Iterable[CallerRecord]) -> Finding:
+    """Check that no member of a request that is not repeatable started more than once."""
+    starts_by_member: dict[tuple[str, int], int] = defaultdict(int)
+    for event in events:
+        if event.event == STARTED:
+            starts_by_member[event.job_id, event.member] += 1
+    once_only = {record.job_id for record in records if not record.repeatable}
+    starts = {key: n for key, n in starts_by_member.items() if key[0] in once_only}
+    violations = [
+        Violation(job_id, f"member {member} started {count} times")
+        for (job_id, member), count in starts.items()
+        if count > 1
+    ]
+    worst = max(starts.values(), default=0)
+    return Finding(
+        "not repeatable: at most once", len(once_only), tuple(violations), worst, 1, "starts"
+    )
+
+
+def judge_not_run(events: Iterable[BackendEvent], records: Iterable[CallerRecord]) -> Finding:
+    """Check that nothing started, before or after, of a request refused as not run."""
+    started = {event.job_id for event in events if event.event == STARTED}
+    refused = {
+        record.job_id
+        for record in records
+        if any(not verdict.may_have_run for verdict in record.verdicts)
+    }
+    violations = [
+        Violation(job_id, "refused as not run, but it started") for job_id in refused & started
+    ]
+    return Finding("not run is true", len(refused), tuple(violations), len(violations), 0, "starts")
+
+
+def judge_zones(
+    events: Iterable[BackendEvent], changes: Sequence[ZoneChange], bound_ms: int
+) -> Finding:
+    """Check that nothing started in a zone `bound_ms` after its removal was accepted.
+
+    A request to bring the zone back ends the window when it is sent, since it may take
+    effect before its answer arrives.
+    """
+    windows = []
+    for change in changes:
+        if change.in_service or not change.accepted_ms:
+            continue
+        returns = [
+            other.asked_ms
+            for other in changes
+            if other.zone == change.zone and other.in_service and other.asked_ms > change.asked_ms
+        ]
+        windows.append(_Window(change.zone, change.accepted_ms, min(returns, default=FOREVER_MS)))
+    starts = [(e.zone, e.job_id, e.monotonic_ms) for e in events if e.event == STARTED]
+    return _judge_windows("no start in a zone taken out", starts, windows, bound_ms)
+
+
+def judge_leaving(
+    events: Iterable[BackendEvent], leavings: Iterable[Leaving], bound_ms: int
+) -> Finding:
+    """Check that nothing started at a backend server `bound_ms` after it began to leave."""
+    windows = [_Window(leaving.backend, leaving.told_ms, FOREVER_MS) for leaving in leavings]
+    starts = [(e.backend, e.job_id, e.monotonic_ms) for e in events if e.event == STARTED]
+    return _judge_windows("no new work when leaving", starts, windows, bound_ms)
+
+
+def judge_gangs(events: Iterable[BackendEvent], until_ms: int, bound_ms: int) -> Finding:
+    """Check that no gang ran with only part of its members for longer than `bound_ms`."""
+    events_by_attempt: dict[tuple[str, int], list[BackendEvent]] = defaultdict(list)
+    for event in events:
+        if event.members > 1:
+            events_by_attempt[event.job_id, event.attempt].append(event)
+    partial_ms = {
+        attempt: longest_partial_run_ms(gang, until_ms)
+        for attempt, gang in events_by_attempt.items()
+    }
+    violations = [
+        Violation(f"{job_id}.{attempt}", f"ran {length_ms} ms with part of its members")
+        for (job_id, attempt), length_ms in partial_ms.items()
+        if length_ms > bound_ms
+    ]
+    worst = max(partial_ms.values(), default=0)
+    return Finding("no partial gang", len(partial_ms), tuple(violations), worst, bound_ms, "ms")
+
+
+def judge_answers(events: Iterable[BackendEvent], records: Iterable[CallerRecord]) -> Finding:
+    """Check that each answer is whole, of the caller's own request, and was computed."""
+    finished = {event.job_id for event in events if event.event == FINISHED}
+    violations = []
+    answers = 0
+    for record in records:
+        for answer in record.answers:
+            answers += 1
+            if answer.job_id != record.job_id:
+                violations.append(Violation(record.job_id, f"got the answer of {answer.job_id}"))
+            if answer.digest != record.expected_digest:
+                violations.append(Violation(record.job_id, "the answer has another digest"))
+        claims = record.answers or any(verdict.tag == ANSWERED for verdict in record.verdicts)
+        if claims and record.job_id not in finished:
+            violations.append(Violation(record.job_id, "answered, but no task finished"))
+    return Finding(
+        "whole answer, right caller", answers, tuple(violations), len(violations), 0, "answers"
+    )
+
+
+def judge_one_verdict(records: Iterable[CallerRecord]) -> Finding:
+    """Check that each accepted request came to exactly one verdict."""
+    accepted = [record for record in records if record.accepted]
+    violations = []
+    for record in accepted:
+        verdicts = set(record.verdicts)
+        if not verdicts:
+            violations.append(Violation(record.job_id, "accepted and unanswered"))
+        if len(verdicts) > 1:
+            tags = sorted(verdict.tag for verdict in verdicts)
+            violations.append(Violation(record.job_id, f"several verdicts: {', '.join(tags)}"))
+    return Finding(
+        "exactly one true answer",
+        len(accepted),
+        tuple(violations),
+        len(violations),
+        0,
+        "requests",
+    )
+
+
+def judge_cut_off(records: Iterable[CallerRecord]) -> Finding:
+    """Check that no request in progress was cut off, where processes left gracefully."""
+    records = list(records)
+    violations = [
+        Violation(record.job_id, f"{record.cut_off} connections cut off")
+        for record in records
+        if record.cut_off
+    ]
+    return Finding(
+        "graceful shutdown cuts off nothing",
+        len(records),
+        tuple(violations),
+        len(violations),
+        0,
+        "requests",
+    )
+
+
+def judge_configuration(
+    accepted_ms_by_revision: dict[int, int], views: Sequence[ConfigView], bound_ms: int
+) -> Finding:
+    """Check that processes never go back and follow each revision within `bound_ms`."""
+    violations = []
+    worst_ms = 0
+    newest_by_process: dict[str, int] = {}
+    for view in sorted(views, key=lambda view: view.seen_ms):
+        newest = newest_by_process.get(view.process, 0)
+        if view.revision < newest:
+            detail = f"revision {view.revision} in force after {newest}"
+            violations.append(Violation(view.process, detail))
+        newest_by_process[view.process] = max(newest, view.revision)
+        for revision, accepted_ms in accepted_ms_by_revision.items():
+            lag_ms = view.seen_ms - accepted_ms
+            if view.revision >= revision or lag_ms <= 0:
+                continue
+            worst_ms = max(worst_ms, lag_ms)
+            if lag_ms > bound_ms:
+                detail = f"revision {revision} not in force {lag_ms} ms after it was accepted"
+                violations.append(Violation(view.process, detail))
+    return Finding(
+        "configuration in force, never reverts",
+        len(accepted_ms_by_revision),
+        tuple(violations),
+        worst_ms,
+        bound_ms,
+        "ms",
+    )
+
+
+def judge_guarantees(
+    events: Iterable[BackendEvent], demands: Iterable[GuaranteeDemand], bound_ms: int
+) -> Finding:
+    """Check that each guaranteed gang ran whole within `bound_ms` of being asked for."""
+    started_ms_by_member: dict[tuple[str, int], int] = {}
+    for event in events:
+        if event.event == STARTED:
+            started_ms_by_member.setdefault((event.job_id, event.member), event.monotonic_ms)
+    demands = list(demands)
+    violations = []
+    worst_ms = 0
+    for demand in demands:
+        members = [(demand.job_id, member) for member in range(demand.members)]
+        if not all(member in started_ms_by_member for member in members):
+            violations.append(Violation(demand.job_id, "did not start"))
+            continue
+        waited_ms = max(started_ms_by_member[member] for member in members) - demand.asked_ms
+        worst_ms = max(worst_ms, waited_ms)
+        if waited_ms > bound_ms:
+            violations.append(Violation(demand.job_id, f"started after {waited_ms} ms"))
+    return Finding(
+        "guaranteed shape reclaimable",
+        len(demands),
+        tuple(violations),
+        worst_ms,
+        bound_ms,
+        "ms",
+    )
+
+
+def _judge_windows(
+    promise: str,
+    starts: Sequence[tuple[str, str, int]],
+    windows: Sequence[_Window],
+    bound_ms: int,
+) -> Finding:
+    violations = []
+    worst_ms = 0
+    for window in windows:
+        for place, job_id, started_ms in starts:
+            if place != window.place or not window.from_ms < started_ms < window.until_ms:
+                continue
+            late_ms = started_ms - window.from_ms
+            worst_ms = max(worst_ms, late_ms)
+            if late_ms > bound_ms:
+                violations.append(Violation(job_id, f"started in {place} {late_ms} ms later"))
+    return Finding(promise, len(windows), tuple(violations), worst_ms, bound_ms, "ms")
