--- /dev/null
+++ b/packages/lycheeslip/lycheeslip/app.py
@@ -0,0 +1,162 @@
+"""Composition root of the entry process: wires its parts and runs them until it is told to stop."""
+
+import asyncio
+import importlib
+import signal
+from collections.abc import Awaitable, Callable
+
+import uvloop
+from aiohttp import web
+from lycheeslip_common.config.settings import EntrySettings
+from lycheeslip_common.store import Store
+from lycheeslip_common.structure.fleet import EntryInfo
+from lycheeslip_common.utils.logs import configure_logs, log_event, log_warning
+from lycheeslip_common.utils.metrics import Metrics
+from lycheeslip_common.wire.session import Session, SessionError, listen
+
+from lycheeslip.entry.agent_sessions import AgentSessions
+from lycheeslip.entry.attempts import Attempts
+from lycheeslip.entry.blackboard import Blackboard
+from lycheeslip.entry.config_apply import ConfigApply
+from lycheeslip.entry.job_store import JobStore
+from lycheeslip.entry.membership import Membership
+from lycheeslip.entry.outcomes import Outcomes
+from lycheeslip.entry.peers import Peers
+from lycheeslip.entry.planner import Planner
+from lycheeslip.entry.recovery import Recovery
+from lycheeslip.entry.router import Router
+from lycheeslip.entry.store_sync import StoreSync
+from lycheeslip.entry.upkeep import Upkeep
+from lycheeslip.http.access import make_middleware
+from lycheeslip.http.job_handlers import JobHandlers
+from lycheeslip.http.operator_handlers import OperatorHandlers
+from lycheeslip.http.submission import MAX_BODY_BYTES
+
+__all__ = ["EntryApp", "run_entry"]
+
+Controller = Callable[[], Awaitable[None]]
+
+
+class EntryApp:
+    """One entry; `start` and `stop` also serve to embed it in another program."""
+
+    def __init__(self, settings: EntrySettings) -> None:
+        """Wire the parts that `settings` describe; nothing runs before `start`."""
+        self._settings = settings
+        times = settings.times
+        metrics = Metrics(settings.statsd_address)
+        info = EntryInfo(
+            settings.node_id,
+            settings.region,
+            settings.zone,
+            settings.http_address,
+            settings.session_address,
+        )
+        self.board = Blackboard(info, metrics)
+        self._store = Store(settings.store_addresses, metrics)
+        self._router = Router(self.board)
+        jobs = JobStore(self.board, self._store)
+        outcomes = Outcomes(self.board, self._router, jobs)
+        self._sync = StoreSync(self.board, self._store, times.confirm_every_ms)
+        self._membership = Membership(self.board, self._store, times.entry_lease_s)
+        self._agents = AgentSessions(self.board, self._router, outcomes)
+        self._peers = Peers(self.board, self._router, outcomes, settings.fleet_key)
+        attempts = Attempts(self.board, self._router, jobs)
+        plan = importlib.import_module(settings.policy_module).plan
+        self._planner = Planner(self.board, self._router, attempts, plan, times.plan_every_ms)
+        self._recovery = Recovery(
+            self.board, self._router, jobs, attempts, times.worker_lost_after_ms
+        )
+        self._upkeep = Upkeep(self.board, self._store, jobs, self._agents, times.permit_ms)
+        config_apply = ConfigApply(self.board, self._store, self._sync, times.permit_ms)
+        self._web = web.Application(
+            client_max_size=MAX_BODY_BYTES, middlewares=[make_middleware(self.board)]
+        )
+        JobHandlers(self.board, jobs, outcomes).add_routes(self._web)
+        OperatorHandlers(self.board, self._router, config_apply).add_routes(self._web)
+        self._runner = web.AppRunner(self._web, access_log=None, handle_signals=False)
+        self._tasks: list[asyncio.Task[None]] = []
+        self.failed = asyncio.Event()
+
+    async def start(self) -> None:
+        """Start listening and run the controllers."""
+        settings = self._settings
+        self._sessions = await listen(
+            settings.session_address,
+            settings.fleet_key,
+            settings.node_id,
+            self._serve_session,
+            self.board.live_entries,
+            self.board.metrics,
+        )
+        await self._runner.setup()
+        host, _, port = settings.http_address.rpartition(":")
+        await web.TCPSite(self._runner, host.strip("[]"), int(port)).start()
+        controllers: tuple[Controller, ...] = (
+            self._sync.run,
+            self._sync.confirm,
+            self._membership.run,
+            self._peers.run,
+            self._planner.run,
+            self._recovery.run,
+            self._upkeep.keep_permits,
+            self._upkeep.keep_homes,
+            self._upkeep.keep_retention,
+        )
+        self._tasks = [asyncio.create_task(self._supervise(part)) for part in controllers]
+        log_event("entry_started", entry=settings.node_id, http=settings.http_address)
+
+    async def stop(self) -> None:
+        """Leave gracefully: finish open requests, give up the lease, end the sessions."""
+        self.board.leaving = True
+        await self._membership.leave()
+        wait_s = self._settings.times.shutdown_wait_ms / 1000
+        self._runner.shutdown_timeout = wait_s  # type: ignore[attr-defined]
+        await self._runner.cleanup()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._sessions.close()
+        await self._sessions.wait_closed()
+        await self._store.close()
+        log_event("entry_stopped", entry=self._settings.node_id)
+
+    async def _serve_session(self, session: Session) -> None:
+        match session.role:
+            case "agent":
+                await self._agents.serve(session)
+            case "entry":
+                await self._peers.serve(session)
+            case role:
+                raise SessionError(f"unknown role {role!r}")
+
+    async def _supervise(self, controller: Controller) -> None:
+        """Run a controller; a fault in one ends the process, whose instance is replaced."""
+        try:
+            await controller()
+        except asyncio.CancelledError:
+            raise
+        except Exception as error:
+            log_warning("controller_failed", controller=controller.__qualname__, error=repr(error))
+            self.failed.set()
+
+
+def run_entry(settings: EntrySettings) -> int:
+    """Run an entry until SIGTERM or SIGINT; returns the exit code."""
+    configure_logs(settings.log_level)
+    return uvloop.run(_run(settings))
+
+
+async def _run(settings: EntrySettings) -> int:
+    entry = EntryApp(settings)
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for signal_number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signal_number, stopping.set)
+    await entry.start()
+    waits = [asyncio.create_task(event.wait()) for event in (stopping, entry.failed)]
+    await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+    for wait in waits:
+        wait.cancel()
+    await entry.stop()
+    return 1 if entry.failed.is_set() else 0
--- /dev/null
+++ b/packages/lycheeslip/lycheeslip/entry/agent_sessions.py
@@ -0,0 +1,134 @@
+"""Sessions with agents: liveness, permits, directives and what agents report."""
+
+from lycheeslip_common.structure.fleet import EntryInfo, WorkerState
+from lycheeslip_common.utils.clock import monotonic_ms
+from lycheeslip_common.utils.logs import log_event, log_warning
+from lycheeslip_common.wire.messages import (
+    AttemptReport,
+    Directive,
+    FenceReply,
+    Message,
+    Ping,
+    Pong,
+    PrepareReply,
+    ReserveReply,
+    WorkerGone,
+    WorkerUpdate,
+)
+from lycheeslip_common.wire.session import Session, SessionError
+
+from lycheeslip.entry.blackboard import Blackboard
+from lycheeslip.entry.outcomes import Outcomes
+from lycheeslip.entry.router import Router
+from lycheeslip.entry.workers import note_gone, note_update
+
+__all__ = ["AgentSessions", "make_directive"]
+
+
+def make_directive(board: Blackboard, state: WorkerState) -> Directive:
+    """Return what the configuration and the home map in force mean for one worker."""
+    config = board.config
+    zone = config.zones_by_id.get(state.info.zone)
+    in_service = zone.in_service if zone is not None else not config.zones_by_id
+    no_homes = ("",) * state.info.accelerators
+    return Directive(
+        config_revision=config.revision,
+        version=board.homes.version,
+        zone_in_service=in_service,
+        homes=board.homes.homes.get(state.info.worker_id, no_homes),
+        lease_ms=config.limits.task_lease_ms,
+        gang_lease_ms=config.limits.gang_lease_ms,
+    )
+
+
+class AgentSessions:
+    """Serves the agents whose home entry this is."""
+
+    def __init__(self, board: Blackboard, router: Router, outcomes: Outcomes) -> None:
+        """Serve agents through `router` and hand their reports to `outcomes`."""
+        self._board = board
+        self._router = router
+        self._outcomes = outcomes
+        self._sent_directive_by_worker: dict[str, Directive] = {}
+        self._entries_sent_by_worker: dict[str, tuple[EntryInfo, ...]] = {}
+
+    async def serve(self, session: Session) -> None:
+        """Serve one agent until its session ends."""
+        worker_id = session.node_id
+        previous = self._router.sessions_by_worker.get(worker_id)
+        self._router.sessions_by_worker[worker_id] = session
+        self._sent_directive_by_worker.pop(worker_id, None)
+        self._entries_sent_by_worker[worker_id] = session.entries
+        if previous is not None:
+            await previous.close()
+        log_event("agent_session_opened", worker=worker_id)
+        try:
+            while True:
+                await self._handle(session, await session.receive())
+        finally:
+            await self._end(session)
+
+    async def push_directives(self) -> None:
+        """Send each agent whose directive has changed the new one."""
+        for worker_id, session in list(self._router.sessions_by_worker.items()):
+            view = self._board.workers_by_id.get(worker_id)
+            if view is not None:
+                await self._push(session, view.state)
+
+    async def _push(self, session: Session, state: WorkerState) -> None:
+        directive = make_directive(self._board, state)
+        worker_id = state.info.worker_id
+        if self._sent_directive_by_worker.get(worker_id) == directive:
+            return
+        self._sent_directive_by_worker[worker_id] = directive
+        try:
+            await session.send(directive)
+        except SessionError:
+            self._sent_directive_by_worker.pop(worker_id, None)
+
+    async def _handle(self, session: Session, message: Message) -> None:
+        match message:
+            case Ping():
+                await session.send(self._pong(session.node_id, message))
+            case WorkerUpdate():
+                await self._updated(session, message.state)
+            case ReserveReply() | PrepareReply() | FenceReply():
+                await self._router.take_reply(message)
+            case AttemptReport():
+                await self._outcomes.take(message)
+            case _:
+                self._board.metrics.count("session.unexpected_message")
+                log_warning("unexpected_message", worker=session.node_id, kind=type(message))
+
+    async def _updated(self, session: Session, state: WorkerState) -> None:
+        if state.info.worker_id != session.node_id:
+            raise SessionError(f"{session.node_id} spoke for {state.info.worker_id}")
+        own_id = self._board.info.entry_id
+        if note_update(self._board, state, own_id):
+            await self._router.to_all_peers(WorkerUpdate(state, own_id))
+        await self._push(session, state)
+
+    def _pong(self, worker_id: str, ping: Ping) -> Pong:
+        remaining = max(0, self._board.permit_until_ms - monotonic_ms())
+        entries = self._board.live_entries()
+        changed = entries != self._entries_sent_by_worker.get(worker_id)
+        self._entries_sent_by_worker[worker_id] = entries
+        return Pong(
+            echo_ms=ping.sent_ms,
+            config_revision=self._board.config.revision,
+            permit_remaining_ms=remaining,
+            entries=entries if changed else (),
+        )
+
+    async def _end(self, session: Session) -> None:
+        worker_id = session.node_id
+        if self._router.sessions_by_worker.get(worker_id) is not session:
+            return
+        del self._router.sessions_by_worker[worker_id]
+        view = self._board.workers_by_id.get(worker_id)
+        if view is None:
+            return
+        own_id = self._board.info.entry_id
+        incarnation = view.state.incarnation
+        note_gone(self._board, worker_id, incarnation, own_id)
+        await self._router.to_all_peers(WorkerGone(worker_id, incarnation, own_id))
--- /dev/null
+++ b/packages/lycheeslip/lycheeslip/entry/config_apply.py
@@ -0,0 +1,153 @@
+"""Applies a configuration as a whole and reports it accepted only once it is in force."""
+
+import asyncio
+import secrets
+from dataclasses import dataclass
+
+from lycheeslip_common.store import Store
+from lycheeslip_common.store.outcomes import (
+    Conflict,
+    KeyValue,
+    ReadResult,
+    Unreachable,
+    Written,
+)
+from lycheeslip_common.utils.clock import monotonic_ms, wall_ms
+from lycheeslip_common.utils.logs import log_event
+
+from lycheeslip.config.loader import ConfigError, parse_config
+from lycheeslip.entry.blackboard import Blackboard
+from lycheeslip.entry.records import (
+    CONFIG_KEY,
+    HISTORY_PREFIX,
+    StoredConfig,
+    decode_config,
+    encode_config,
+    history_key,
+)
+from lycheeslip.entry.store_sync import StoreSync
+
+__all__ = ["Applied", "ConfigApply", "Invalid", "RevisionConflict"]
+
+CONFIRM_POLL_S = 0.05
+WRITER_BYTES = 8
+
+
+@dataclass(frozen=True, slots=True)
+class Applied:
+    """The configuration is in force; `confirmed_by` names the entries that have said so."""
+
+    revision: int
+    confirmed_by: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class RevisionConflict:
+    """Somebody else applied a configuration first; nothing changed."""
+
+    expected: int
+    current: int
+
+
+@dataclass(frozen=True, slots=True)
+class Invalid:
+    """The file is refused; nothing changed."""
+
+    error: ConfigError
+
+
+class ConfigApply:
+    """Writes configurations and keeps their history."""
+
+    def __init__(self, board: Blackboard, store: Store, sync: StoreSync, permit_ms: int) -> None:
+        """Wait at most `permit_ms` for peers, after which their old permits have ended."""
+        self._board = board
+        self._store = store
+        self._sync = sync
+        self._permit_ms = permit_ms
+
+    async def apply(
+        self, text: str, expected_revision: int
+    ) -> Applied | RevisionConflict | Invalid | Unreachable:
+        """Put `text` in force if revision `expected_revision` still is."""
+        revision = expected_revision + 1
+        try:
+            parse_config(text, revision=revision)
+        except ConfigError as error:
+            return Invalid(error)
+        current = await self._store.read(CONFIG_KEY)
+        if isinstance(current, Unreachable):
+            return Unreachable(False, current.detail)
+        known = decode_config(current.items[0].value)["revision"] if current.items else 0
+        if known != expected_revision:
+            return RevisionConflict(expected_revision, known)
+        stored = StoredConfig(
+            revision=revision,
+            text=text,
+            applied_at_ms=wall_ms(),
+            writer=secrets.token_hex(WRITER_BYTES),
+        )
+        mod_revision = current.items[0].mod_revision if current.items else 0
+        outcome = await self._write(stored, mod_revision)
+        match outcome:
+            case Written(written_at):
+                item = KeyValue(CONFIG_KEY, encode_config(stored), written_at)
+                self._sync.apply_item(item)
+                confirmed_by = await self._wait_for_peers(revision)
+                log_event("config_applied", revision=revision, confirmed_by=confirmed_by)
+                return Applied(revision, confirmed_by)
+            case Conflict(KeyValue(value=value)):
+                return RevisionConflict(expected_revision, decode_config(value)["revision"])
+            case Conflict():
+                return RevisionConflict(expected_revision, 0)
+            case Unreachable():
+                return outcome
+
+    async def history(self) -> list[StoredConfig] | Unreachable:
+        """Return the configurations that were applied, oldest first."""
+        outcome = await self._store.read_prefix(HISTORY_PREFIX)
+        if isinstance(outcome, Unreachable):
+            return outcome
+        return [decode_config(item.value) for item in outcome.items]
+
+    async def _write(
+        self, stored: StoredConfig, mod_revision: int
+    ) -> Written | Conflict | Unreachable:
+        value = encode_config(stored)
+        outcome = await self._store.write_if(CONFIG_KEY, value, mod_revision)
+        if isinstance(outcome, Unreachable) and outcome.may_have_run:
+            outcome = await self._resolve_lost_answer(stored, outcome)
+        if isinstance(outcome, Written):
+            await self._store.write_if(history_key(stored["revision"]), value, 0)
+        return outcome
+
+    async def _resolve_lost_answer(
+        self, stored: StoredConfig, lost: Unreachable
+    ) -> Written | Conflict | Unreachable:
+        self._board.metrics.count("retry.store.lost_answer")
+        read = await self._store.read(CONFIG_KEY)
+        if not isinstance(read, ReadResult):
+            return lost
+        if not read.items:
+            return Conflict(None)
+        current = read.items[0]
+        if decode_config(current.value)["writer"] == stored["writer"]:
+            return Written(current.mod_revision)
+        return Conflict(current)
+
+    async def _wait_for_peers(self, revision: int) -> tuple[str, ...]:
+        """Wait until every leased entry confirms `revision`, or all older permits have ended."""
+        own_id = self._board.info.entry_id
+        until_ms = monotonic_ms() + self._permit_ms
+        while monotonic_ms() < until_ms:
+            if self._confirmed(revision) >= self._board.entries_by_id.keys() - {own_id}:
+                break
+            await asyncio.sleep(CONFIRM_POLL_S)
+        return tuple(sorted(self._confirmed(revision) | {own_id}))
+
+    def _confirmed(self, revision: int) -> set[str]:
+        return {
+            peer
+            for peer, status in self._board.peers_by_id.items()
+            if status.config_revision >= revision
+        }
--- /dev/null
+++ b/packages/lycheeslip/lycheeslip/entry/job_store.py
@@ -0,0 +1,192 @@
+"""Writes job records: each change is a compare-and-swap that survives a lost answer."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from lycheeslip_common.store import Store
+from lycheeslip_common.store.outcomes import (
+    Conflict,
+    KeyValue,
+    ReadResult,
+    Unreachable,
+    Written,
+)
+from lycheeslip_common.structure.jobs import JobRecord
+
+from lycheeslip.entry.blackboard import Blackboard
+from lycheeslip.entry.records import (
+    ANSWER_CHUNK_BYTES,
+    answer_key,
+    decode_job,
+    encode_job,
+    job_key,
+)
+
+__all__ = ["Created", "Declined", "Existing", "JobStore", "Transition", "Updated"]
+
+MAX_CONFLICTS = 8
+
+Transition = Callable[[JobRecord], JobRecord | None]
+
+
+@dataclass(frozen=True, slots=True)
+class Created:
+    """The record is in the store."""
+
+    record: JobRecord
+
+
+@dataclass(frozen=True, slots=True)
+class Existing:
+    """A record with this job id was there before."""
+
+    record: JobRecord
+
+
+@dataclass(frozen=True, slots=True)
+class Updated:
+    """The transition took effect."""
+
+    record: JobRecord
+
+
+@dataclass(frozen=True, slots=True)
+class Declined:
+    """The record's state rules the transition out, or the job is not known."""
+
+
+class JobStore:
+    """Creates, changes and reads job records and answers."""
+
+    def __init__(self, board: Blackboard, store: Store) -> None:
+        """Write through `store` and keep `board` in step."""
+        self._board = board
+        self._store = store
+
+    def keep_in_memory(self, record: JobRecord) -> None:
+        """Know a job that is never recorded, for a caller that waits on its connection."""
+        self._board.put_job(record, 0)
+
+    async def create(self, record: JobRecord) -> Created | Existing | Unreachable:
+        """Record a new job; Unreachable says whether the record may be there."""
+        key = job_key(record["job_id"])
+        outcome = await self._store.write_if(key, encode_job(record), 0)
+        match outcome:
+            case Written(revision):
+                self._board.put_job(record, revision)
+                return Created(record)
+            case Conflict(KeyValue() as current):
+                return self._existing(current, record)
+            case Conflict():
+                return Unreachable(False, "the record vanished during the write")
+            case Unreachable(may_have_run=True):
+                return await self._create_after_lost_answer(record, outcome)
+        return outcome
+
+    async def update(self, job_id: str, transition: Transition) -> Updated | Declined | Unreachable:
+        """Apply `transition` to the newest record, again after each conflict."""
+        for _ in range(MAX_CONFLICTS):
+            job = self._board.jobs_by_id.get(job_id)
+            changed = transition(job.record) if job is not None else None
+            if job is None or changed is None:
+                return Declined()
+            if not job.is_recorded:
+                self._board.put_job(changed, 0)
+                return Updated(changed)
+            outcome = await self._write(job_id, changed, job.mod_revision)
+            if outcome is not None:
+                return outcome
+        return Unreachable(False, "too many conflicts")
+
+    async def write_answer(self, job_id: str, attempt: int, answer: bytes) -> int | Unreachable:
+        """Store an answer in chunks and return their number."""
+        chunks = range(0, len(answer), ANSWER_CHUNK_BYTES)
+        for index, start in enumerate(chunks):
+            chunk = answer[start : start + ANSWER_CHUNK_BYTES]
+            outcome = await self._store.write_if(answer_key(job_id, attempt, index), chunk, 0)
+            if isinstance(outcome, Unreachable):
+                return outcome
+        return len(chunks)
+
+    async def read_answer_chunk(
+        self, job_id: str, attempt: int, index: int
+    ) -> bytes | Unreachable | None:
+        """Return one chunk of an answer, None if it is gone."""
+        outcome = await self._store.read(answer_key(job_id, attempt, index))
+        match outcome:
+            case ReadResult(items, _):
+                return items[0].value if items else None
+            case Unreachable():
+                return outcome
+
+    async def forget(self, job_id: str) -> None:
+        """Delete a finished job with its answer."""
+        job = self._board.jobs_by_id.get(job_id)
+        if job is None:
+            return
+        if job.is_recorded:
+            await self._delete(job.record, job.mod_revision)
+        self._board.remove_job(job_id)
+
+    async def _delete(self, record: JobRecord, mod_revision: int) -> None:
+        job_id = record["job_id"]
+        for index in range(record["answer_chunks"]):
+            key = answer_key(job_id, record["attempt"], index)
+            chunk = await self._store.read(key)
+            if isinstance(chunk, ReadResult) and chunk.items:
+                await self._store.delete_if(key, chunk.items[0].mod_revision)
+        await self._store.delete_if(job_key(job_id), mod_revision)
+
+    async def _write(
+        self, job_id: str, changed: JobRecord, mod_revision: int
+    ) -> Updated | Declined | Unreachable | None:
+        """Return the outcome of one compare-and-swap, None to try again on a newer record."""
+        outcome = await self._store.write_if(job_key(job_id), encode_job(changed), mod_revision)
+        if isinstance(outcome, Unreachable) and outcome.may_have_run:
+            outcome = await self._resolve_lost_answer(job_id, changed, outcome)
+        match outcome:
+            case Written(revision):
+                self._board.put_job(changed, revision)
+                return Updated(changed)
+            case Conflict(KeyValue() as current):
+                self._board.put_job(decode_job(current.value), current.mod_revision)
+                return None
+            case Conflict():
+                self._board.remove_job(job_id)
+                return Declined()
+            case Unreachable():
+                return outcome
+
+    async def _resolve_lost_answer(
+        self, job_id: str, changed: JobRecord, lost: Unreachable
+    ) -> Written | Conflict | Unreachable:
+        """Read the record back to learn whether a write without an answer took effect."""
+        self._board.metrics.count("retry.store.lost_answer")
+        outcome = await self._store.read(job_key(job_id))
+        if isinstance(outcome, Unreachable):
+            return lost
+        if not outcome.items:
+            return Conflict(None)
+        current = outcome.items[0]
+        if decode_job(current.value)["writer"] == changed["writer"]:
+            return Written(current.mod_revision)
+        return Conflict(current)
+
+    async def _create_after_lost_answer(
+        self, record: JobRecord, lost: Unreachable
+    ) -> Created | Existing | Unreachable:
+        outcome = await self._resolve_lost_answer(record["job_id"], record, lost)
+        match outcome:
+            case Written(revision):
+                self._board.put_job(record, revision)
+                return Created(record)
+            case Conflict(KeyValue() as current):
+                return self._existing(current, record)
+        return lost
+
+    def _existing(self, current: KeyValue, record: JobRecord) -> Created | Existing:
+        stored = decode_job(current.value)
+        self._board.put_job(stored, current.mod_revision)
+        if stored["writer"] == record["writer"]:
+            return Created(stored)
+        return Existing(stored)
--- /dev/null
+++ b/packages/lycheeslip/lycheeslip/entry/lifecycle.py
@@ -0,0 +1,248 @@
+"""Transitions of a job record, as pure functions.
+
+A transition returns the new record, or None where the record's state rules it out. The
+store's compare-and-swap makes each of them happen at most once.
+"""
+
+import secrets
+from hashlib import sha256
+
+from lycheeslip_common.structure.jobs import (
+    AttemptSummary,
+    JobRecord,
+    JobSpec,
+    JobState,
+    MemberPlacement,
+)
+from lycheeslip_common.structure.verdicts import (
+    Answered,
+    Cancelled,
+    CannotRun,
+    Failed,
+    Refused,
+    Unknown,
+    Verdict,
+    to_stored,
+)
+from lycheeslip_common.wire.messages import AttemptReport, ReportState
+
+from lycheeslip.config.model import Limits
+
+__all__ = [
+    "FAULTY_JOB_WORKERS",
+    "after_loss",
+    "after_report",
+    "back_to_pending",
+    "expire",
+    "finish",
+    "mark_running",
+    "new_record",
+    "request_cancel",
+    "start_intent",
+    "take_over",
+]
+
+FAULTY_JOB_WORKERS = 3
+WRITER_BYTES = 8
+FAILED_OUTCOME = "task_failed"
+
+
+def _changed(record: JobRecord, **fields: object) -> JobRecord:
+    changed: JobRecord = {**record, **fields, "writer": secrets.token_hex(WRITER_BYTES)}  # type: ignore[typeddict-item]
+    return changed
+
+
+def new_record(job_id: str, spec: JobSpec, body_digest: str, owner: str, now_ms: int) -> JobRecord:
+    """Return the first record of an accepted job."""
+    return JobRecord(
+        job_id=job_id,
+        spec=spec,
+        body_digest=body_digest,
+        accepted_at_ms=now_ms,
+        state=JobState.PENDING,
+        epoch=1,
+        attempt=0,
+        owner=owner,
+        placement=(),
+        attempts=(),
+        cancel_requested=False,
+        checkpoint="",
+        started_at_ms=0,
+        done_at_ms=0,
+        verdict=None,
+        answer_digest="",
+        answer_length=0,
+        answer_chunks=0,
+        writer=secrets.token_hex(WRITER_BYTES),
+    )
+
+
+def start_intent(
+    record: JobRecord, owner: str, placement: tuple[MemberPlacement, ...]
+) -> JobRecord | None:
+    """Record that the next attempt may start on `placement`, before any agent is asked to."""
+    if record["state"] is not JobState.PENDING or record["cancel_requested"]:
+        return None
+    return _changed(
+        record,
+        state=JobState.STARTED,
+        attempt=record["attempt"] + 1,
+        owner=owner,
+        placement=placement,
+        started_at_ms=0,
+    )
+
+
+def mark_running(record: JobRecord, attempt: int, now_ms: int) -> JobRecord | None:
+    """Note when the current attempt began to run."""
+    if not _is_current(record, attempt) or record["started_at_ms"]:
+        return None
+    return _changed(record, started_at_ms=now_ms)
+
+
+def take_over(record: JobRecord, owner: str) -> JobRecord | None:
+    """Make `owner` responsible for the job under a higher epoch."""
+    if record["state"] is JobState.DONE:
+        return None
+    return _changed(record, owner=owner, epoch=record["epoch"] + 1)
+
+
+def request_cancel(record: JobRecord, now_ms: int) -> JobRecord | None:
+    """Cancel a waiting job at once; ask for the end of a started one."""
+    if record["state"] is JobState.DONE or record["cancel_requested"]:
+        return None
+    if record["state"] is JobState.PENDING:
+        may_have_run = any(summary.started_at_ms for summary in record["attempts"])
+        return finish(record, Cancelled(may_have_run), now_ms)
+    return _changed(record, cancel_requested=True)
+
+
+def finish(record: JobRecord, verdict: Verdict, now_ms: int) -> JobRecord | None:
+    """End the job with `verdict`."""
+    if record["state"] is JobState.DONE:
+        return None
+    return _changed(record, state=JobState.DONE, verdict=to_stored(verdict), done_at_ms=now_ms)
+
+
+def back_to_pending(
+    record: JobRecord, attempt: int, outcome: str, now_ms: int, ran: bool, checkpoint: str = ""
+) -> JobRecord | None:
+    """Let the job wait for another attempt; a cancelled job ends instead."""
+    if not _is_current(record, attempt):
+        return None
+    ended = _with_summary(record, outcome, now_ms, ran)
+    if record["cancel_requested"]:
+        return finish(ended, Cancelled(_has_run(ended)), now_ms)
+    return _changed(
+        ended,
+        state=JobState.PENDING,
+        placement=(),
+        started_at_ms=0,
+        checkpoint=checkpoint or record["checkpoint"],
+    )
+
+
+def after_report(
+    record: JobRecord, report: AttemptReport, limits: Limits, now_ms: int, chunks: int
+) -> JobRecord | None:
+    """Return the record after an attempt's outcome; None if it isn't the current attempt's."""
+    attempt = report.ref.attempt
+    if not _is_current(record, attempt):
+        return None
+    match report.state:
+        case ReportState.RUNNING:
+            return mark_running(record, attempt, now_ms)
+        case ReportState.ANSWERED:
+            return _answered(record, report, now_ms, chunks)
+        case ReportState.NOT_STARTED:
+            return back_to_pending(record, attempt, "not_started", now_ms, ran=False)
+        case ReportState.INTERRUPTED:
+            return _interrupted(record, report, now_ms)
+        case ReportState.TASK_FAILED:
+            return _task_failed(record, report, limits, now_ms)
+        case ReportState.LOST:
+            return after_loss(record, attempt, limits, now_ms, report.reason)
+
+
+def after_loss(
+    record: JobRecord, attempt: int, limits: Limits, now_ms: int, reason: str
+) -> JobRecord | None:
+    """Return the record after an attempt whose outcome can't be learned."""
+    if not _is_current(record, attempt):
+        return None
+    if not record["spec"].repeatable:
+        ended = _with_summary(record, "lost", now_ms, ran=True)
+        return finish(ended, Unknown(reason or "worker_lost"), now_ms)
+    return _retry(record, "lost", Unknown(reason or "worker_lost"), limits, now_ms)
+
+
+def _answered(
+    record: JobRecord, report: AttemptReport, now_ms: int, chunks: int
+) -> JobRecord | None:
+    if sha256(report.answer).hexdigest() != report.digest:
+        return None
+    ended = _with_summary(record, "answered", now_ms, ran=True)
+    ended["answer_digest"] = report.digest
+    ended["answer_length"] = len(report.answer)
+    ended["answer_chunks"] = chunks
+    return finish(ended, Answered(), now_ms)
+
+
+def _interrupted(record: JobRecord, report: AttemptReport, now_ms: int) -> JobRecord | None:
+    if not record["spec"].repeatable and not record["cancel_requested"]:
+        ended = _with_summary(record, "interrupted", now_ms, ran=True)
+        return finish(ended, Failed("interrupted", report.reason), now_ms)
+    outcome = f"interrupted:{report.reason}"
+    return back_to_pending(
+        record, report.ref.attempt, outcome, now_ms, ran=True, checkpoint=report.checkpoint
+    )
+
+
+def _task_failed(
+    record: JobRecord, report: AttemptReport, limits: Limits, now_ms: int
+) -> JobRecord | None:
+    failed = Failed("task_failed", report.reason)
+    if not record["spec"].repeatable:
+        return finish(_with_summary(record, FAILED_OUTCOME, now_ms, ran=True), failed, now_ms)
+    failed_on = {w for s in record["attempts"] if s.outcome == FAILED_OUTCOME for w in s.workers}
+    failed_on.update(member.worker_id for member in record["placement"])
+    verdict: Verdict = failed
+    if len(failed_on) >= FAULTY_JOB_WORKERS:
+        verdict = CannotRun("failed_on_several_workers", True, report.reason)
+        return finish(_with_summary(record, FAILED_OUTCOME, now_ms, ran=True), verdict, now_ms)
+    return _retry(record, FAILED_OUTCOME, failed, limits, now_ms)
+
+
+def _retry(
+    record: JobRecord, outcome: str, verdict: Verdict, limits: Limits, now_ms: int
+) -> JobRecord | None:
+    deadline = record["spec"].deadline_at_ms
+    too_late = 0 < deadline <= now_ms
+    if record["attempt"] >= limits.max_attempts or too_late:
+        return finish(_with_summary(record, outcome, now_ms, ran=True), verdict, now_ms)
+    return back_to_pending(record, record["attempt"], outcome, now_ms, ran=True)
+
+
+def expire(record: JobRecord, now_ms: int) -> JobRecord | None:
+    """End a waiting job whose deadline has passed."""
+    deadline = record["spec"].deadline_at_ms
+    if record["state"] is not JobState.PENDING or not 0 < deadline <= now_ms:
+        return None
+    if _has_run(record):
+        return finish(record, Failed("deadline_passed"), now_ms)
+    return finish(record, Refused("deadline_passed"), now_ms)
+
+
+def _has_run(record: JobRecord) -> bool:
+    return any(summary.started_at_ms for summary in record["attempts"])
+
+
+def _is_current(record: JobRecord, attempt: int) -> bool:
+    return record["state"] is JobState.STARTED and record["attempt"] == attempt
+
+
+def _with_summary(record: JobRecord, outcome: str, now_ms: int, ran: bool) -> JobRecord:
+    started_at_ms = (record["started_at_ms"] or now_ms) if ran else 0
+    workers = tuple(member.worker_id for member in record["placement"])
+    summary = AttemptSummary(record["attempt"], workers, started_at_ms, now_ms, outcome)
+    return _changed(record, attempts=(*record["attempts"], summary))
--- /dev/null
+++ b/packages/lycheeslip/lycheeslip/entry/membership.py
@@ -0,0 +1,68 @@
+"""The entry's own lease in the store, by which the other entries find it."""
+
+import asyncio
+
+from lycheeslip_common.store import Store
+from lycheeslip_common.store.outcomes import ReadResult, Unreachable, Written
+from lycheeslip_common.utils.logs import log_event, log_warning
+from lycheeslip_common.utils.retry import Backoff
+
+from lycheeslip.entry.blackboard import Blackboard
+from lycheeslip.entry.records import ENTRY_PREFIX, encode_entry
+
+__all__ = ["Membership"]
+
+RENEWALS_PER_LEASE = 3
+
+
+class Membership:
+    """Registers the entry under a lease and renews it until the entry leaves."""
+
+    def __init__(self, board: Blackboard, store: Store, lease_s: int) -> None:
+        """Hold a lease of `lease_s` seconds."""
+        self._board = board
+        self._store = store
+        self._lease_s = lease_s
+        self._lease_id = 0
+
+    async def run(self) -> None:
+        """Register, renew, and register anew whenever the lease has lapsed."""
+        backoff = Backoff()
+        while True:
+            if not self._lease_id and not await self._register():
+                log_warning("entry_not_registered", entry=self._board.info.entry_id)
+                await asyncio.sleep(backoff.next_delay_s())
+                continue
+            backoff.reset()
+            await asyncio.sleep(self._lease_s / RENEWALS_PER_LEASE)
+            await self._renew()
+
+    async def leave(self) -> None:
+        """Give the lease up, so that the others see at once that this entry has left."""
+        if self._lease_id:
+            await self._store.revoke_lease(self._lease_id)
+            self._lease_id = 0
+
+    async def _register(self) -> bool:
+        lease = await self._store.grant_lease(self._lease_s)
+        if isinstance(lease, Unreachable):
+            return False
+        key = ENTRY_PREFIX + self._board.info.entry_id
+        known = await self._store.read(key)
+        if not isinstance(known, ReadResult):
+            return False
+        expected = known.items[0].mod_revision if known.items else 0
+        value = encode_entry(self._board.info)
+        outcome = await self._store.write_if(key, value, expected, lease_id=lease)
+        if not isinstance(outcome, Written):
+            return False
+        self._lease_id = lease
+        log_event("entry_registered", entry=self._board.info.entry_id, lease=lease)
+        return True
+
+    async def _renew(self) -> None:
+        remaining = await self._store.keep_alive(self._lease_id)
+        if remaining == 0:
+            self._board.metrics.count("retry.entry_lease.lapsed")
+            log_warning("entry_lease_lapsed", entry=self._board.info.entry_id)
+            self._lease_id = 0
--- /dev/null
+++ b/packages/lycheeslip/lycheeslip/entry/outcomes.py
@@ -0,0 +1,97 @@
+"""Turns what agents report of attempts into job records, answers and acknowledgements."""
+
+import asyncio
+from functools import partial
+from hashlib import sha256
+
+from lycheeslip_common.store.outcomes import Unreachable
+from lycheeslip_common.structure.jobs import JobState
+from lycheeslip_common.utils.clock import wall_ms
+from lycheeslip_common.utils.logs import log_event
+from lycheeslip_common.wire.messages import AnswerRecorded, AttemptReport, ReportState
+
+from lycheeslip.entry import lifecycle
+from lycheeslip.entry.blackboard import Blackboard, JobEntry
+from lycheeslip.entry.job_store import Declined, JobStore, Updated
+from lycheeslip.entry.router import Router
+
+__all__ = ["Outcomes"]
+
+
+class Outcomes:
+    """Records outcomes; an agent repeats a report until it is acknowledged."""
+
+    def __init__(self, board: Blackboard, router: Router, jobs: JobStore) -> None:
+        """Record through `jobs` and acknowledge through `router`."""
+        self._board = board
+        self._router = router
+        self._jobs = jobs
+        self._in_progress: set[tuple[str, ReportState]] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.answers_by_job: dict[str, bytes] = {}
+
+    async def take(self, report: AttemptReport) -> None:
+        """Handle a report here, or hand it to the live entry that owns the attempt."""
+        own_id = self._board.info.entry_id
+        if report.owner != own_id and report.owner in self._router.sessions_by_peer:
+            await self._router.relay_to_entry(report.owner, report)
+            return
+        mark = (report.ref.key, report.state)
+        if mark in self._in_progress:
+            return
+        self._in_progress.add(mark)
+        task = asyncio.create_task(self._record(report, mark))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _record(self, report: AttemptReport, mark: tuple[str, ReportState]) -> None:
+        try:
+            if await self._take_effect(report):
+                await self._router.to_worker(report.worker_id, AnswerRecorded(report.ref))
+        finally:
+            self._in_progress.discard(mark)
+
+    async def _take_effect(self, report: AttemptReport) -> bool:
+        """Return whether the agent may forget the report."""
+        job = self._board.jobs_by_id.get(report.ref.job_id)
+        if job is None:
+            return self._board.synced and self._board.store_reachable
+        if job.record["attempt"] < report.ref.attempt:
+            return False
+        if job.record["state"] is JobState.DONE or job.record["attempt"] > report.ref.attempt:
+            return True
+        if sha256(report.answer).hexdigest() != report.digest and report.answer:
+            self._board.metrics.count("refuse.answer_digest_mismatch")
+            return False
+        chunks = await self._keep_answer(job, report)
+        if isinstance(chunks, Unreachable):
+            return False
+        limits = self._board.config.limits
+        transition = partial(
+            lifecycle.after_report, report=report, limits=limits, now_ms=wall_ms(), chunks=chunks
+        )
+        outcome = await self._jobs.update(report.ref.job_id, transition)
+        match outcome:
+            case Updated(record):
+                self._board.metrics.count(f"attempt.{report.state}")
+                log_event(
+                    "attempt_reported",
+                    job=report.ref.job_id,
+                    attempt=report.ref.attempt,
+                    state=report.state,
+                    job_state=record["state"],
+                    reason=report.reason,
+                )
+                return True
+            case Declined():
+                return True
+            case Unreachable():
+                return False
+
+    async def _keep_answer(self, job: JobEntry, report: AttemptReport) -> int | Unreachable:
+        if report.state is not ReportState.ANSWERED:
+            return 0
+        if not job.is_recorded:
+            self.answers_by_job[report.ref.job_id] = report.answer
+            return 0
+        return await self._jobs.write_answer(report.ref.job_id, report.ref.attempt, report.answer)
--- /dev/null
+++ b/packages/lycheeslip/lycheeslip/entry/planner.py
@@ -0,0 +1,216 @@
+"""Builds the policy's view of the fleet, runs the policy and carries out its actions."""
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+from typing import NamedTuple
+
+from lycheeslip_common.structure.fleet import Grant, GrantState, WorkerState
+from lycheeslip_common.structure.jobs import AttemptRef, JobState, MemberPlacement
+from lycheeslip_common.utils.clock import monotonic_ms, wall_ms
+from lycheeslip_common.utils.logs import log_event
+from lycheeslip_common.utils.rendezvous import choose
+from lycheeslip_common.wire.messages import Control, ControlAction
+
+from lycheeslip.entry.attempts import Attempts
+from lycheeslip.entry.blackboard import Blackboard, JobEntry, WaitReason
+from lycheeslip.entry.lifecycle import FAILED_OUTCOME
+from lycheeslip.entry.router import Router
+from lycheeslip.policy.model import (
+    Act,
+    Action,
+    Explain,
+    FleetView,
+    Place,
+    RunningJob,
+    WaitingJob,
+)
+
+__all__ = ["Planner", "PlanFunction", "is_planner", "planner_id"]
+
+PlanFunction = Callable[[FleetView], list[Action]]
+PLANNER_KEY = "planner"
+MIN_ROUND_GAP_S = 0.02
+REPEAT_ACT_MS = 2_000
+
+
+class _Issued(NamedTuple):
+    action: ControlAction
+    until_ms: int
+
+
+def planner_id(board: Blackboard) -> str:
+    """Return the entry that plans, as far as this one can tell."""
+    return choose(PLANNER_KEY, board.reachable_entries())
+
+
+def is_planner(board: Blackboard) -> bool:
+    """Return whether this entry plans the recorded jobs."""
+    return planner_id(board) == board.info.entry_id
+
+
+class Planner:
+    """Plans recorded jobs on one entry, and unrecorded ones on the entry that took them."""
+
+    def __init__(
+        self,
+        board: Blackboard,
+        router: Router,
+        attempts: Attempts,
+        plan: PlanFunction,
+        plan_every_ms: int,
+    ) -> None:
+        """Run `plan` on each change, and every `plan_every_ms` without one."""
+        self._board = board
+        self._router = router
+        self._attempts = attempts
+        self._plan = plan
+        self._plan_every_s = plan_every_ms / 1000
+        self._issued_by_attempt: dict[str, _Issued] = {}
+
+    async def run(self) -> None:
+        """Plan for ever; rounds that many changes ask for at once are merged."""
+        while True:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._board.plan_wanted.wait(), self._plan_every_s)
+            self._board.plan_wanted.clear()
+            await self.step()
+            await asyncio.sleep(MIN_ROUND_GAP_S)
+
+    async def step(self) -> None:
+        """Run one planning round."""
+        waiting = self._waiting()
+        if not waiting and not is_planner(self._board):
+            return
+        started_ms = monotonic_ms()
+        actions = self._plan(self._view(waiting))
+        self._board.metrics.timing_ms("plan.round", monotonic_ms() - started_ms)
+        for action in actions:
+            await self._carry_out(action)
+
+    async def _carry_out(self, action: Action) -> None:
+        match action:
+            case Place():
+                self._board.wait_reason_by_job.pop(action.job_id, None)
+                self._attempts.start(action)
+            case Act():
+                await self._act(action)
+            case Explain(job_id, reason, detail):
+                if self._board.wait_reason_by_job.get(job_id) != (reason, detail):
+                    self._board.metrics.count(f"wait.{reason}")
+                self._board.wait_reason_by_job[job_id] = WaitReason(reason, detail)
+
+    async def _act(self, act: Act) -> None:
+        now_ms = monotonic_ms()
+        issued = self._issued_by_attempt.get(act.ref.key)
+        if issued is not None and issued.action is act.action and now_ms < issued.until_ms:
+            return
+        self._issued_by_attempt[act.ref.key] = _Issued(act.action, now_ms + REPEAT_ACT_MS)
+        self._board.metrics.count(f"act.{act.action}.{act.reason}")
+        log_event("attempt_control", job=act.ref.job_id, action=act.action, reason=act.reason)
+        job = self._board.jobs_by_id.get(act.ref.job_id)
+        placement = job.record["placement"] if job is not None else ()
+        for member, place in enumerate(placement):
+            control = Control(act.ref, member, act.action, act.grace_ms, act.reason)
+            await self._router.to_worker(place.worker_id, control)
+
+    def _waiting(self) -> tuple[WaitingJob, ...]:
+        now_ms = monotonic_ms()
+        recorded_too = is_planner(self._board) and self._board.store_reachable
+        return tuple(
+            _waiting_job(job)
+            for job_id, job in self._board.jobs_by_id.items()
+            if job.record["state"] is JobState.PENDING
+            and (recorded_too or not job.is_recorded)
+            and job_id not in self._attempts.placement_by_job
+            and self._attempts.not_before_by_job.get(job_id, 0) <= now_ms
+        )
+
+    def _view(self, waiting: tuple[WaitingJob, ...]) -> FleetView:
+        running = {
+            job_id: self._running_job(job)
+            for job_id, job in self._board.jobs_by_id.items()
+            if job.record["state"] is JobState.STARTED
+        }
+        return FleetView(
+            now_ms=wall_ms(),
+            config=self._board.config,
+            workers_by_id=self._workers_with_attempts_under_way(),
+            waiting=waiting,
+            running_by_job=running,
+            homes=self._board.homes.homes,
+            used_accelerator_ms_by_account={},
+            health_by_worker={},
+            reservation=self._board.reservation,
+        )
+
+    def _running_job(self, job: JobEntry) -> RunningJob:
+        record = job.record
+        ref = AttemptRef(record["job_id"], record["epoch"], record["attempt"])
+        issued = self._issued_by_attempt.get(ref.key)
+        stopping = issued is not None and issued.action in (
+            ControlAction.CHECKPOINT,
+            ControlAction.STOP,
+        )
+        started = record["started_at_ms"] or wall_ms()
+        expected_end = started + record["spec"].expected_run_ms
+        return RunningJob(ref, record["spec"], record["placement"], started, expected_end, stopping)
+
+    def _workers_with_attempts_under_way(self) -> dict[str, WorkerState]:
+        """Return live workers, with placements that their agents haven't reported yet."""
+        states = {
+            worker_id: view.state
+            for worker_id, view in self._board.workers_by_id.items()
+            if not view.gone_at_ms
+        }
+        for job_id, placement in self._attempts.placement_by_job.items():
+            job = self._board.jobs_by_id.get(job_id)
+            if job is None:
+                continue
+            for member, place in enumerate(placement):
+                state = states.get(place.worker_id)
+                if state is not None:
+                    states[place.worker_id] = _with_grant(state, job, member, place)
+        return states
+
+
+def _waiting_job(job: JobEntry) -> WaitingJob:
+    record = job.record
+    failed_on = frozenset(
+        worker
+        for summary in record["attempts"]
+        if summary.outcome == FAILED_OUTCOME
+        for worker in summary.workers
+    )
+    return WaitingJob(
+        job_id=record["job_id"],
+        spec=record["spec"],
+        waiting_since_ms=record["accepted_at_ms"],
+        expected_run_ms=record["spec"].expected_run_ms,
+        attempts=record["attempt"],
+        avoid=failed_on,
+    )
+
+
+def _with_grant(
+    state: WorkerState, job: JobEntry, member: int, place: MemberPlacement
+) -> WorkerState:
+    job_id = job.record["job_id"]
+    if any(grant.job_id == job_id and grant.member == member for grant in state.grants):
+        return state
+    spec = job.record["spec"]
+    grant = Grant(
+        job_id=job_id,
+        epoch=job.record["epoch"],
+        attempt=job.record["attempt"],
+        member=member,
+        owner=job.record["owner"],
+        account=spec.account,
+        kind=spec.kind,
+        accelerators=place.accelerators,
+        processors=spec.shape.processors,
+        memory_mb=spec.shape.memory_mb,
+        interruptible=spec.interruptible,
+        state=GrantState.RESERVED,
+    )
+    return state._replace(grants=(*state.grants, grant))
--- /dev/null
+++ b/packages/lycheeslip/lycheeslip/entry/store_sync.py
@@ -0,0 +1,137 @@
+"""Keeps the blackboard in step with the platform's store: one read, then one watch."""
+
+import asyncio
+
+from lycheeslip_common.store import Store, WatchEnded
+from lycheeslip_common.store.outcomes import KeyValue, ReadResult, Unreachable
+from lycheeslip_common.utils.clock import monotonic_ms
+from lycheeslip_common.utils.logs import log_event, log_warning
+from lycheeslip_common.utils.retry import Backoff
+from pydantic import ValidationError
+
+from lycheeslip.config.loader import ConfigError, parse_config
+from lycheeslip.entry.blackboard import AppliedConfig, Blackboard, HomesRecord
+from lycheeslip.entry.records import (
+    CONFIG_KEY,
+    ENTRY_PREFIX,
+    HOMES_KEY,
+    JOB_PREFIX,
+    STATE_PREFIX,
+    decode_config,
+    decode_entry,
+    decode_homes,
+    decode_job,
+)
+
+__all__ = ["StoreSync"]
+
+
+class StoreSync:
+    """Reads the state prefix, watches it, and reads it again whenever the watch ends."""
+
+    def __init__(self, board: Blackboard, store: Store, confirm_every_ms: int) -> None:
+        """Sync `board` with `store`, confirming the configuration every `confirm_every_ms`."""
+        self._board = board
+        self._store = store
+        self._confirm_every_s = confirm_every_ms / 1000
+
+    async def run(self) -> None:
+        """Read and watch for ever, waiting with jitter while the store is unreachable."""
+        backoff = Backoff()
+        while True:
+            outcome = await self._store.read_prefix(STATE_PREFIX)
+            match outcome:
+                case ReadResult(items, revision):
+                    backoff.reset()
+                    self._replace_all(items)
+                    await self._watch(revision + 1)
+                case Unreachable(detail=detail):
+                    log_warning("store_unreachable", detail=detail)
+            await asyncio.sleep(backoff.next_delay_s())
+
+    async def confirm(self) -> None:
+        """Confirm the configuration by a fresh read, again and again, for the zone permits."""
+        while True:
+            asked_at_ms = monotonic_ms()
+            outcome = await self._store.read(CONFIG_KEY)
+            match outcome:
+                case ReadResult(items, _):
+                    self._set_reachable(True)
+                    for item in items:
+                        self.apply_item(item)
+                    self._board.confirmed_at_ms = asked_at_ms
+                case Unreachable():
+                    self._set_reachable(False)
+            await asyncio.sleep(self._confirm_every_s)
+
+    def apply_item(self, item: KeyValue) -> None:
+        """Take one key of the state prefix into the blackboard."""
+        try:
+            if item.key == CONFIG_KEY:
+                self._apply_config(item)
+            elif item.key == HOMES_KEY:
+                self._apply_homes(item)
+            elif item.key.startswith(ENTRY_PREFIX):
+                info = decode_entry(item.value)
+                self._board.entries_by_id[info.entry_id] = info
+            elif item.key.startswith(JOB_PREFIX):
+                self._board.put_job(decode_job(item.value), item.mod_revision)
+        except (ValidationError, ConfigError) as error:
+            self._board.metrics.count("store.malformed_value")
+            log_warning("store_value_malformed", key=item.key, detail=error)
+
+    async def _watch(self, from_revision: int) -> None:
+        try:
+            async for events in self._store.watch(STATE_PREFIX, from_revision):
+                for event in events:
+                    if event.deleted:
+                        self._delete(event.key)
+                    else:
+                        self.apply_item(KeyValue(event.key, event.value, event.mod_revision))
+        except WatchEnded as error:
+            self._board.metrics.count("store.watch_ended")
+            log_warning("store_watch_ended", detail=error)
+
+    def _replace_all(self, items: tuple[KeyValue, ...]) -> None:
+        present = {item.key for item in items}
+        for entry_id in list(self._board.entries_by_id):
+            if ENTRY_PREFIX + entry_id not in present:
+                self._delete(ENTRY_PREFIX + entry_id)
+        for job_id, job in list(self._board.jobs_by_id.items()):
+            if job.is_recorded and JOB_PREFIX + job_id not in present:
+                self._board.remove_job(job_id)
+        for item in items:
+            self.apply_item(item)
+        self._board.synced = True
+        self._board.plan_wanted.set()
+        log_event("store_synced", keys=len(items))
+
+    def _delete(self, key: str) -> None:
+        if key.startswith(ENTRY_PREFIX):
+            entry_id = key.removeprefix(ENTRY_PREFIX)
+            if entry_id != self._board.info.entry_id:
+                self._board.entries_by_id.pop(entry_id, None)
+        elif key.startswith(JOB_PREFIX):
+            self._board.remove_job(key.removeprefix(JOB_PREFIX))
+
+    def _apply_config(self, item: KeyValue) -> None:
+        stored = decode_config(item.value)
+        if stored["revision"] <= self._board.config.revision:
+            return
+        config = parse_config(stored["text"], revision=stored["revision"])
+        self._board.applied = AppliedConfig(
+            config, stored["text"], stored["applied_at_ms"], item.mod_revision
+        )
+        self._board.plan_wanted.set()
+        log_event("config_in_force", revision=config.revision)
+
+    def _apply_homes(self, item: KeyValue) -> None:
+        stored = decode_homes(item.value)
+        if stored["version"] > self._board.homes.version:
+            homes = {worker: tuple(accounts) for worker, accounts in stored["homes"].items()}
+            self._board.homes = HomesRecord(stored["version"], homes, item.mod_revision)
+
+    def _set_reachable(self, reachable: bool) -> None:
+        if reachable != self._board.store_reachable:
+            log_event("store_reachability_changed", reachable=reachable)
+        self._board.store_reachable = reachable
--- /dev/null
+++ b/packages/lycheeslip/lycheeslip/entry/upkeep.py
@@ -0,0 +1,105 @@
+"""Periodic duties: permits, directives, the home map and the retention of answers."""
+
+import asyncio
+
+from lycheeslip_common.store import Store
+from lycheeslip_common.store.outcomes import Written
+from lycheeslip_common.structure.jobs import JobState
+from lycheeslip_common.utils.clock import monotonic_ms, wall_ms
+from lycheeslip_common.utils.logs import log_event
+
+from lycheeslip.entry.agent_sessions import AgentSessions
+from lycheeslip.entry.blackboard import Blackboard, HomesRecord
+from lycheeslip.entry.job_store import JobStore
+from lycheeslip.entry.permits import permit_until_ms
+from lycheeslip.entry.planner import is_planner
+from lycheeslip.entry.records import HOMES_KEY, StoredHomes, encode_homes
+from lycheeslip.policy.homes import assign_homes
+
+__all__ = ["Upkeep"]
+
+PERMIT_EVERY_S = 0.1
+HOMES_EVERY_S = 1.0
+RETENTION_EVERY_S = 30.0
+FORGET_WORKER_AFTER_MS = 600_000
+MILLISECONDS_PER_SECOND = 1000
+
+
+class Upkeep:
+    """Runs the duties that follow the clock rather than a message."""
+
+    def __init__(
+        self,
+        board: Blackboard,
+        store: Store,
+        jobs: JobStore,
+        agents: AgentSessions,
+        permit_ms: int,
+    ) -> None:
+        """Issue permits of `permit_ms` from each confirmation."""
+        self._board = board
+        self._store = store
+        self._jobs = jobs
+        self._agents = agents
+        self._permit_ms = permit_ms
+
+    async def keep_permits(self) -> None:
+        """Work out the permit and push changed directives, for ever."""
+        while True:
+            self.update_permit()
+            await self._agents.push_directives()
+            await asyncio.sleep(PERMIT_EVERY_S)
+
+    def update_permit(self) -> None:
+        """Set how long this entry's permits last."""
+        board = self._board
+        expected = frozenset(board.entries_by_id.keys() - {board.info.entry_id})
+        board.permit_until_ms = permit_until_ms(
+            board.confirmed_at_ms,
+            board.config.revision,
+            self._permit_ms,
+            board.store_reachable,
+            expected,
+            board.peers_by_id,
+        )
+
+    async def keep_homes(self) -> None:
+        """Agree on a new home map when the topology or the guarantees change, for ever."""
+        while True:
+            if is_planner(self._board) and self._board.store_reachable:
+                await self._renew_homes()
+            await asyncio.sleep(HOMES_EVERY_S)
+
+    async def keep_retention(self) -> None:
+        """Forget finished jobs after their retention and workers long gone, for ever."""
+        while True:
+            await asyncio.sleep(RETENTION_EVERY_S)
+            self._forget_workers()
+            if is_planner(self._board) and self._board.store_reachable:
+                await self._forget_jobs()
+
+    async def _renew_homes(self) -> None:
+        known = self._board.homes
+        workers = {worker_id: view.state for worker_id, view in self._board.workers_by_id.items()}
+        homes = dict(assign_homes(self._board.config, workers, known.homes))
+        if homes == known.homes:
+            return
+        stored = StoredHomes(version=known.version + 1, homes=homes)
+        outcome = await self._store.write_if(HOMES_KEY, encode_homes(stored), known.mod_revision)
+        if isinstance(outcome, Written):
+            self._board.homes = HomesRecord(stored["version"], homes, outcome.revision)
+            log_event("homes_assigned", version=stored["version"], workers=len(homes))
+
+    async def _forget_jobs(self) -> None:
+        retention_ms = self._board.config.limits.answer_retention_s * MILLISECONDS_PER_SECOND
+        before_ms = wall_ms() - retention_ms
+        for job_id, job in list(self._board.jobs_by_id.items()):
+            is_done = job.record["state"] is JobState.DONE
+            if is_done and job.record["done_at_ms"] < before_ms:
+                await self._jobs.forget(job_id)
+
+    def _forget_workers(self) -> None:
+        before_ms = monotonic_ms() - FORGET_WORKER_AFTER_MS
+        for worker_id, view in list(self._board.workers_by_id.items()):
+            if 0 < view.gone_at_ms < before_ms:
+                del self._board.workers_by_id[worker_id]
--- /dev/null
+++ b/packages/lycheeslip/lycheeslip/http/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP interface for callers and operators."""
--- /dev/null
+++ b/packages/lycheeslip/lycheeslip/http/access.py
@@ -0,0 +1,74 @@
+"""Authorises requests and turns every escape from a handler into problem details."""
+
+import json
+from collections.abc import Awaitable, Callable
+
+from aiohttp import web
+from lycheeslip_common.utils.logs import log_warning
+
+from lycheeslip.config.auth import Caller, Nobody, bearer_token, identify, may_operate
+from lycheeslip.entry.blackboard import Blackboard
+from lycheeslip.http.problems import problem
+
+__all__ = ["caller_of", "make_middleware"]
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+CALLER_KEY = "lycheeslip_caller"
+OPEN_PATHS = frozenset({"/healthz", "/readyz"})
+OPERATOR_PATHS = ("/v1/config", "/v1/workers", "/v1/counters")
+
+
+def make_middleware(board: Blackboard) -> Callable[..., Awaitable[web.StreamResponse]]:
+    """Return the middleware that guards all handlers."""
+
+    @web.middleware
+    async def guard(request: web.Request, handler: Handler) -> web.StreamResponse:
+        token = bearer_token(request.headers.get("Authorization", ""))
+        caller = identify(board.config, token)
+        request[CALLER_KEY] = caller
+        refused = _refusal(request, caller)
+        if refused is None:
+            return await _call(board, request, handler)
+        board.metrics.count(f"refuse.{refused[1]}")
+        return problem(refused[0], refused[1], "The request did not run.")
+
+    return guard
+
+
+def caller_of(request: web.Request) -> Caller:
+    """Return who sent the request."""
+    return request[CALLER_KEY]
+
+
+def _refusal(request: web.Request, caller: Caller) -> tuple[int, str] | None:
+    if request.path in OPEN_PATHS:
+        return None
+    if isinstance(caller, Nobody):
+        return 401, "unauthenticated"
+    needs_operator = request.path.startswith(OPERATOR_PATHS)
+    if needs_operator and not may_operate(caller):
+        return 403, "operators_only"
+    return None
+
+
+async def _call(board: Blackboard, request: web.Request, handler: Handler) -> web.StreamResponse:
+    try:
+        response = await handler(request)
+    except web.HTTPRequestEntityTooLarge:
+        response = problem(413, "body_too_large", "The request did not run.")
+    except web.HTTPException as error:
+        reason = (error.reason or "refused").lower().replace(" ", "_")
+        response = problem(error.status, reason, "The request did not run.")
+    except Exception as error:  # a caller must never see a stack trace
+        log_warning("handler_failed", path=request.path, error=repr(error))
+        detail = "The request may have run; repeat it with the same idempotency key."
+        response = problem(500, "internal_error", detail, may_have_run=True)
+    if response.status >= 400 and response.content_type == "application/problem+json":
+        body = getattr(response, "text", "") or ""
+        reason = _reason_in(body)
+        board.metrics.count(f"refuse.{reason}")
+    return response
+
+
+def _reason_in(body: str) -> str:
+    return json.loads(body).get("reason", "unknown")
--- /dev/null
+++ b/packages/lycheeslip/lycheeslip/http/job_handlers.py
@@ -0,0 +1,287 @@
+"""Handlers for callers: submit, watch, fetch, list and cancel jobs."""
+
+import asyncio
+import base64
+from functools import partial
+
+from aiohttp import web
+from lycheeslip_common.store.outcomes import Unreachable
+from lycheeslip_common.structure.jobs import JobRecord, JobState
+from lycheeslip_common.structure.verdicts import Refused, Unknown, from_stored
+from lycheeslip_common.utils.clock import monotonic_ms, wall_ms
+from lycheeslip_common.utils.logs import log_event
+
+from lycheeslip.config.auth import may_act_for
+from lycheeslip.entry import lifecycle
+from lycheeslip.entry.blackboard import Blackboard, JobEntry
+from lycheeslip.entry.job_store import Created, Declined, Existing, JobStore, Updated
+from lycheeslip.entry.outcomes import Outcomes
+from lycheeslip.http.access import caller_of
+from lycheeslip.http.documents import job_document
+from lycheeslip.http.problems import problem, store_problem, verdict_status
+from lycheeslip.http.submission import Submission, admission_problem, parse_submission
+
+__all__ = ["JobHandlers"]
+
+MAX_WAIT_MS = 60_000
+DEFAULT_LIST_LIMIT = 100
+MAX_LIST_LIMIT = 1_000
+
+
+class JobHandlers:
+    """Serves `/v1/jobs`."""
+
+    def __init__(self, board: Blackboard, jobs: JobStore, outcomes: Outcomes) -> None:
+        """Read jobs from `board` and write them through `jobs`."""
+        self._board = board
+        self._jobs = jobs
+        self._outcomes = outcomes
+
+    def add_routes(self, app: web.Application) -> None:
+        """Add the routes of these handlers to `app`."""
+        app.router.add_post("/v1/jobs", self.submit)
+        app.router.add_get("/v1/jobs", self.list_jobs)
+        app.router.add_get("/v1/jobs/{job_id}", self.show)
+        app.router.add_get("/v1/jobs/{job_id}/answer", self.answer)
+        app.router.add_delete("/v1/jobs/{job_id}", self.cancel)
+
+    async def submit(self, request: web.Request) -> web.StreamResponse:
+        """Accept a job; 202 means that its record is in the store."""
+        wait_ms = _wait_ms(request)
+        if isinstance(wait_ms, web.Response):
+            return wait_ms
+        raw = await request.read()
+        parsed = parse_submission(raw, request.headers.get("Idempotency-Key", ""))
+        if isinstance(parsed, web.Response):
+            return parsed
+        if not may_act_for(caller_of(request), parsed.spec.account):
+            return problem(403, "other_account", "The token belongs to another account.")
+        known = self._board.jobs_by_id.get(parsed.job_id)
+        if known is not None:
+            return await self._repeat(known.record, parsed, wait_ms)
+        refused = admission_problem(self._board, parsed.spec)
+        if refused is not None:
+            return refused
+        return await self._accept(parsed, wait_ms)
+
+    async def show(self, request: web.Request) -> web.StreamResponse:
+        """Return a job's document, waiting for its end if asked to."""
+        wait_ms = _wait_ms(request)
+        job = self._visible_job(request)
+        if isinstance(wait_ms, web.Response):
+            return wait_ms
+        if isinstance(job, web.Response):
+            return job
+        await self._wait_until_done(job.record["job_id"], wait_ms)
+        return self._document(job.record["job_id"])
+
+    async def answer(self, request: web.Request) -> web.StreamResponse:
+        """Stream a job's whole answer."""
+        wait_ms = _wait_ms(request)
+        job = self._visible_job(request)
+        if isinstance(wait_ms, web.Response):
+            return wait_ms
+        if isinstance(job, web.Response):
+            return job
+        job_id = job.record["job_id"]
+        await self._wait_until_done(job_id, wait_ms)
+        current = self._board.jobs_by_id.get(job_id)
+        if current is None:
+            return problem(404, "unknown_job", "The job has been forgotten.")
+        record = current.record
+        if record["verdict"] is None:
+            return self._document(job_id, 202)
+        verdict = from_stored(record["verdict"])
+        status = verdict_status(verdict)
+        if status != 200:
+            return problem(
+                status, verdict.reason, verdict.detail, may_have_run=verdict.may_have_run
+            )
+        return await self._stream(request, current)
+
+    async def list_jobs(self, request: web.Request) -> web.StreamResponse:
+        """List the jobs that the caller may see, newest first."""
+        limit = _number(request, "limit", DEFAULT_LIST_LIMIT, MAX_LIST_LIMIT)
+        if isinstance(limit, web.Response):
+            return limit
+        account, state = request.query.get("account", ""), request.query.get("state", "")
+        caller = caller_of(request)
+        found = [
+            job
+            for job in self._board.jobs_by_id.values()
+            if may_act_for(caller, job.record["spec"].account)
+            and account in ("", job.record["spec"].account)
+            and state in ("", job.record["state"])
+        ]
+        found.sort(key=lambda job: job.record["accepted_at_ms"], reverse=True)
+        documents = [job_document(self._board, job) for job in found[:limit]]
+        return web.json_response({"jobs": documents})
+
+    async def cancel(self, request: web.Request) -> web.StreamResponse:
+        """Cancel a job: at once while it waits, else as soon as its members have stopped."""
+        job = self._visible_job(request)
+        if isinstance(job, web.Response):
+            return job
+        job_id = job.record["job_id"]
+        transition = partial(lifecycle.request_cancel, now_ms=wall_ms())
+        outcome = await self._jobs.update(job_id, transition)
+        match outcome:
+            case Unreachable():
+                return store_problem(outcome)
+            case Updated() | Declined():
+                log_event("cancel_requested", job=job_id)
+                return self._document(job_id, 202)
+
+    async def _accept(self, submission: Submission, wait_ms: int) -> web.StreamResponse:
+        record = lifecycle.new_record(
+            submission.job_id,
+            submission.spec,
+            submission.body_digest,
+            self._board.info.entry_id,
+            wall_ms(),
+        )
+        if not self._board.store_reachable:
+            return await self._without_store(submission, record, wait_ms, Unreachable(False))
+        outcome = await self._jobs.create(record)
+        match outcome:
+            case Created():
+                log_event("job_accepted", job=submission.job_id, account=submission.spec.account)
+                return await self._respond(submission.job_id, wait_ms)
+            case Existing(existing):
+                return await self._repeat(existing, submission, wait_ms)
+            case Unreachable():
+                return await self._without_store(submission, record, wait_ms, outcome)
+
+    async def _without_store(
+        self, submission: Submission, record: JobRecord, wait_ms: int, outcome: Unreachable
+    ) -> web.StreamResponse:
+        """Serve repeatable work on its open connection, refuse everything else as not run."""
+        if outcome.may_have_run or not submission.spec.repeatable or not wait_ms:
+            return store_problem(outcome)
+        job_id = submission.job_id
+        self._jobs.keep_in_memory(record)
+        self._board.metrics.count("job.unrecorded")
+        try:
+            await self._wait_until_done(job_id, wait_ms)
+            await self._end_unrecorded(job_id)
+            return self._unrecorded_response(job_id)
+        except asyncio.CancelledError:
+            await self._end_unrecorded(job_id)
+            raise
+        finally:
+            self._board.remove_job(job_id)
+            self._outcomes.answers_by_job.pop(job_id, None)
+
+    async def _end_unrecorded(self, job_id: str) -> None:
+        """Give up a job whose caller no longer waits, stopping what may run."""
+        job = self._board.jobs_by_id[job_id]
+        if job.record["state"] is JobState.PENDING:
+            verdict: Refused | Unknown = Refused("wait_expired")
+        else:
+            verdict = Unknown("wait_expired")
+        await self._jobs.update(
+            job_id, partial(lifecycle.finish, verdict=verdict, now_ms=wall_ms())
+        )
+
+    def _unrecorded_response(self, job_id: str) -> web.Response:
+        job = self._board.jobs_by_id[job_id]
+        stored = job.record["verdict"]
+        verdict = from_stored(stored) if stored is not None else Unknown("wait_expired")
+        status = verdict_status(verdict)
+        if status != 200:
+            return problem(
+                status, verdict.reason, verdict.detail, may_have_run=verdict.may_have_run
+            )
+        answer = self._outcomes.answers_by_job.get(job_id, b"")
+        return web.json_response(job_document(self._board, job, answer))
+
+    async def _repeat(
+        self, record: JobRecord, submission: Submission, wait_ms: int
+    ) -> web.StreamResponse:
+        if record["body_digest"] != submission.body_digest:
+            detail = "The idempotency key belongs to an earlier request with another body."
+            return problem(409, "key_reused", detail)
+        self._board.metrics.count("job.repeated_submission")
+        return await self._respond(record["job_id"], wait_ms)
+
+    async def _respond(self, job_id: str, wait_ms: int) -> web.Response:
+        await self._wait_until_done(job_id, wait_ms)
+        job = self._board.jobs_by_id.get(job_id)
+        is_done = job is not None and job.record["state"] is JobState.DONE
+        return self._document(job_id, 200 if is_done else 202)
+
+    async def _wait_until_done(self, job_id: str, wait_ms: int) -> None:
+        until_ms = monotonic_ms() + wait_ms
+        while (remaining_ms := until_ms - monotonic_ms()) > 0:
+            job = self._board.jobs_by_id.get(job_id)
+            if job is None or job.record["state"] is JobState.DONE:
+                return
+            await self._board.wait_for_change(job_id, remaining_ms / 1000)
+
+    async def _stream(self, request: web.Request, job: JobEntry) -> web.StreamResponse:
+        record = job.record
+        digest = base64.b64encode(bytes.fromhex(record["answer_digest"])).decode()
+        response = web.StreamResponse(
+            headers={
+                "Content-Type": "application/octet-stream",
+                "Lycheeslip-Job": record["job_id"],
+                "Lycheeslip-Attempt": str(record["attempt"]),
+                "Repr-Digest": f"sha-256=:{digest}:",
+            }
+        )
+        response.content_length = record["answer_length"]
+        for index in range(record["answer_chunks"]):
+            chunk = await self._jobs.read_answer_chunk(record["job_id"], record["attempt"], index)
+            if not isinstance(chunk, bytes):
+                if response.prepared:
+                    raise ConnectionResetError("an answer chunk can't be read")
+                return _chunk_problem(chunk)
+            if not response.prepared:
+                await response.prepare(request)
+            await response.write(chunk)
+        if not response.prepared:
+            await response.prepare(request)
+        await response.write_eof()
+        return response
+
+    def _visible_job(self, request: web.Request) -> JobEntry | web.Response:
+        job = self._board.jobs_by_id.get(request.match_info["job_id"])
+        if job is None and not self._board.synced:
+            detail = "This entry has not read the store yet."
+            return problem(503, "not_synced", detail, may_have_run=True, retry_in_ms=1_000)
+        if job is None or not may_act_for(caller_of(request), job.record["spec"].account):
+            return problem(404, "unknown_job", "No such job is known to this account.")
+        return job
+
+    def _document(self, job_id: str, status: int = 200) -> web.Response:
+        job = self._board.jobs_by_id.get(job_id)
+        if job is None:
+            return problem(404, "unknown_job", "The job has been forgotten.")
+        return web.json_response(job_document(self._board, job), status=status)
+
+
+def _chunk_problem(chunk: Unreachable | None) -> web.Response:
+    if chunk is None:
+        return problem(
+            410, "answer_forgotten", "The answer's retention has ended.", may_have_run=True
+        )
+    return problem(
+        503,
+        "store_unreachable",
+        "The answer is recorded but can't be read now.",
+        may_have_run=True,
+        retry_in_ms=2_000,
+    )
+
+
+def _wait_ms(request: web.Request) -> int | web.Response:
+    return _number(request, "wait_ms", 0, MAX_WAIT_MS)
+
+
+def _number(request: web.Request, name: str, default: int, limit: int) -> int | web.Response:
+    text = request.query.get(name)
+    if text is None:
+        return default
+    if not (text.isascii() and text.isdigit()) or len(text) > len(str(limit)) + 1:
+        return problem(400, "malformed_query", f"{name} must be a number from 0 to {limit}.")
+    return min(int(text), limit)
--- /dev/null
+++ b/packages/lycheeslip/lycheeslip/http/operator_handlers.py
@@ -0,0 +1,123 @@
+"""Handlers for operators: configuration, the fleet, draining, health and counters."""
+
+import asyncio
+
+from aiohttp import web
+from lycheeslip_common.store.outcomes import Unreachable
+from lycheeslip_common.structure.jobs import AttemptRef
+from lycheeslip_common.utils.logs import log_event
+from lycheeslip_common.wire.messages import Control, ControlAction
+
+from lycheeslip.entry.blackboard import Blackboard
+from lycheeslip.entry.config_apply import Applied, ConfigApply, Invalid, RevisionConflict
+from lycheeslip.entry.router import Router
+from lycheeslip.http.documents import fleet_document
+from lycheeslip.http.problems import ProblemItem, problem, store_problem
+
+__all__ = ["OperatorHandlers"]
+
+MAX_REVISION_DIGITS = 15
+
+
+class OperatorHandlers:
+    """Serves `/v1/config`, `/v1/fleet`, `/v1/workers` and the health paths."""
+
+    def __init__(self, board: Blackboard, router: Router, config_apply: ConfigApply) -> None:
+        """Apply configurations through `config_apply`."""
+        self._board = board
+        self._router = router
+        self._config_apply = config_apply
+
+    def add_routes(self, app: web.Application) -> None:
+        """Add the routes of these handlers to `app`."""
+        app.router.add_get("/v1/fleet", self.fleet)
+        app.router.add_get("/v1/config", self.show_config)
+        app.router.add_put("/v1/config", self.apply_config)
+        app.router.add_get("/v1/config/history", self.history)
+        app.router.add_post("/v1/workers/{worker_id}/drain", self.drain)
+        app.router.add_get("/v1/counters", self.counters)
+        app.router.add_get("/healthz", self.health)
+        app.router.add_get("/readyz", self.ready)
+
+    async def fleet(self, request: web.Request) -> web.StreamResponse:
+        """Return the fleet's document."""
+        return web.json_response(fleet_document(self._board))
+
+    async def show_config(self, request: web.Request) -> web.StreamResponse:
+        """Return the configuration in force."""
+        applied = self._board.applied
+        return web.json_response(
+            {
+                "revision": applied.config.revision,
+                "text": applied.text,
+                "applied_at_ms": applied.applied_at_ms,
+            }
+        )
+
+    async def apply_config(self, request: web.Request) -> web.StreamResponse:
+        """Apply a configuration; shielded, so that a caller's cut can't leave it half told."""
+        expected = request.headers.get("If-Match", "").strip('"')
+        if not expected.isascii() or not expected.isdigit() or len(expected) > MAX_REVISION_DIGITS:
+            detail = 'If-Match must name the revision that is replaced, such as "3".'
+            return problem(428, "revision_required", detail)
+        try:
+            text = (await request.read()).decode()
+        except UnicodeDecodeError:
+            return problem(400, "malformed_body", "The configuration is not UTF-8 text.")
+        outcome = await asyncio.shield(self._config_apply.apply(text, int(expected)))
+        match outcome:
+            case Applied(revision, confirmed_by):
+                return web.json_response({"revision": revision, "confirmed_by": list(confirmed_by)})
+            case RevisionConflict(expected_revision, current):
+                detail = (
+                    f"Revision {expected_revision} was expected but {current} is in force; "
+                    "nothing changed."
+                )
+                return problem(412, "revision_conflict", detail)
+            case Invalid(error):
+                items = [
+                    ProblemItem(line=item.line, key=item.key, message=item.message)
+                    for item in error.problems
+                ]
+                return problem(422, "invalid_config", "Nothing changed.", errors=items)
+            case Unreachable():
+                return store_problem(outcome)
+
+    async def history(self, request: web.Request) -> web.StreamResponse:
+        """Return the revisions that were applied."""
+        outcome = await self._config_apply.history()
+        if isinstance(outcome, Unreachable):
+            return store_problem(outcome)
+        items = [
+            {"revision": item["revision"], "applied_at_ms": item["applied_at_ms"]}
+            for item in outcome
+        ]
+        return web.json_response({"items": items})
+
+    async def drain(self, request: web.Request) -> web.StreamResponse:
+        """Ask a worker's agent to take no new work."""
+        worker_id = request.match_info["worker_id"]
+        if worker_id not in self._board.workers_by_id:
+            return problem(404, "unknown_worker", f"No worker {worker_id!r} is known.")
+        no_attempt = AttemptRef("", 0, 0)
+        control = Control(no_attempt, 0, ControlAction.STOP, 0, "drain")
+        if not await self._router.to_worker(worker_id, control):
+            return problem(503, "worker_unreachable", "Nothing changed.", retry_in_ms=1_000)
+        log_event("worker_drain_asked", worker=worker_id)
+        return web.json_response({"worker_id": worker_id}, status=202)
+
+    async def counters(self, request: web.Request) -> web.StreamResponse:
+        """Return this entry's counters."""
+        return web.json_response({"counts": dict(self._board.metrics.counts)})
+
+    async def health(self, request: web.Request) -> web.StreamResponse:
+        """Say that the process serves requests."""
+        return web.json_response({"healthy": True})
+
+    async def ready(self, request: web.Request) -> web.StreamResponse:
+        """Say whether the balancer should send requests here."""
+        if self._board.leaving:
+            return problem(503, "entry_leaving", "This entry is shutting down.")
+        if not self._board.synced:
+            return problem(503, "not_synced", "This entry has not read the store yet.")
+        return web.json_response({"ready": True})
--- a/packages/lycheeslip_common/lycheeslip_common/wire/messages.py
+++ b/packages/lycheeslip_common/lycheeslip_common/wire/messages.py
@@ -234,8 +234,8 @@
 class AttemptReport(NamedTuple):
     """State of an attempt; repeated until `AnswerRecorded` for all but RUNNING.
 
-    NOT_STARTED proves that no member ran. INTERRUPTED may carry a checkpoint. `worker_id`
-    names the worker at fault, where one is.
+    NOT_STARTED proves that no member ran. INTERRUPTED may carry a checkpoint. `worker_id` is
+    the reporting anchor's own worker, which the acknowledgement goes to.
     """
 
     ref: AttemptRef
