--- a/packages/lycheeslip/lycheeslip/entry/outcomes.py
+++ b/packages/lycheeslip/lycheeslip/entry/outcomes.py
@@ -46,7 +46,8 @@
 
     async def _record(self, report: AttemptReport, mark: tuple[str, ReportState]) -> None:
         try:
-            if await self._take_effect(report):
+            settled = await self._take_effect(report)
+            if settled and report.state is not ReportState.RUNNING:
                 await self._router.to_worker(report.worker_id, AnswerRecorded(report.ref))
         finally:
             self._in_progress.discard(mark)
