Add the agent: grants, permits, gang leases and sessions

Cause: one process beside each backend server decides what runs there. Grants, the zone permit and the gang are state machines without I/O; the runner drives one member each at the backend server, and a job with one member is a gang of one on the same path. The lease of all members ends at one time, one lease after the anchor last heard the member it has not heard for longest, so losing a member stops the rest within one lease rather than two. Ruled out: a lease per member counted from its own ping (two leases), and a decision record in the store (calls per gang, stalls in an outage).

--- /dev/null
+++ b/packages/lycheeslip_agent/lycheeslip_agent/blackboard.py
@@ -0,0 +1,81 @@
+"""What the agent knows; its controllers read and write nothing else in common."""
+
+import asyncio
+import secrets
+from typing import TYPE_CHECKING
+
+from lycheeslip_common.structure.fleet import EntryInfo, WorkerInfo, WorkerState
+from lycheeslip_common.utils.metrics import Metrics
+
+from lycheeslip_agent.gang import Anchor
+from lycheeslip_agent.grants import GrantTable, MemberKey
+from lycheeslip_agent.outbox import Outbox
+from lycheeslip_agent.permit import ZonePermit
+from lycheeslip_agent.settings import AgentSettings
+
+if TYPE_CHECKING:
+    from lycheeslip_agent.runner import MemberRun
+
+__all__ = ["Blackboard"]
+
+INCARNATION_BYTES = 8
+
+
+class Blackboard:
+    """State of one agent process; `changed` wakes whoever announces it."""
+
+    def __init__(self, settings: AgentSettings, metrics: Metrics) -> None:
+        """Start as a new incarnation that holds nothing."""
+        self.settings = settings
+        self.metrics = metrics
+        self.incarnation = secrets.token_hex(INCARNATION_BYTES)
+        self.grants = GrantTable(self.incarnation)
+        self.permit = ZonePermit()
+        self.outbox = Outbox()
+        self.runs_by_key: dict[MemberKey, MemberRun] = {}
+        self.anchors_by_key: dict[MemberKey, Anchor] = {}
+        self.entries_by_id: dict[str, EntryInfo] = {}
+        self.address = settings.address
+        self.draining = False
+        self.terminating = False
+        self.backend_leaving = False
+        self.changed = asyncio.Event()
+        self._sequence = 0
+
+    @property
+    def info(self) -> WorkerInfo | None:
+        """Return what the worker offers, or None until the backend server has said so."""
+        return self.grants.info
+
+    def refuse(self, reason: str) -> None:
+        """Count a refusal."""
+        self.metrics.count(f"refuse.{reason.split(':')[0]}")
+
+    def set_leaving(self) -> None:
+        """Refuse all new work if the agent or its backend server is on its way out."""
+        leaving = self.draining or self.terminating or self.backend_leaving
+        if leaving != self.grants.leaving:
+            self.grants.leaving = leaving
+            self.touch()
+        if leaving:
+            for run in list(self.runs_by_key.values()):
+                run.abort_unstarted("leaving")
+
+    def touch(self) -> None:
+        """Have the worker's state announced."""
+        self.changed.set()
+
+    def next_state(self) -> WorkerState | None:
+        """Return the worker's state under the next sequence number."""
+        if self.info is None:
+            return None
+        self._sequence += 1
+        directive = self.permit.directive
+        return WorkerState(
+            info=self.info._replace(address=self.address),
+            incarnation=self.incarnation,
+            sequence=self._sequence,
+            leaving=self.grants.leaving,
+            grants=self.grants.grants(),
+            directive_version=directive.version if directive is not None else 0,
+        )
--- /dev/null
+++ b/packages/lycheeslip_agent/lycheeslip_agent/entry_messages.py
@@ -0,0 +1,166 @@
+"""Acts on the messages of entries, direct or relayed."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from lycheeslip_common.utils.clock import monotonic_ms
+from lycheeslip_common.utils.logs import log_event
+from lycheeslip_common.wire.codec import MalformedFrameError, decode, encode
+from lycheeslip_common.wire.messages import (
+    AnswerRecorded,
+    Control,
+    ControlAction,
+    Directive,
+    Fence,
+    FenceReply,
+    Message,
+    Pong,
+    Prepare,
+    PrepareReply,
+    Relay,
+    Release,
+    Reserve,
+    ReserveReply,
+)
+
+from lycheeslip_agent.blackboard import Blackboard
+from lycheeslip_agent.grants import MemberKey
+from lycheeslip_agent.runs import Runs
+
+__all__ = ["EntryMessages"]
+
+Reply = Callable[[Message], Awaitable[None]]
+
+
+class EntryMessages:
+    """Dispatches messages; what takes long goes on in the background."""
+
+    def __init__(self, board: Blackboard, runs: Runs) -> None:
+        """Act on `board` and `runs`."""
+        self._board = board
+        self._runs = runs
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def handle(self, message: Message, reply: Reply) -> None:
+        """Act on one message; answers go to `reply`."""
+        match message:
+            case Pong():
+                self._on_pong(message)
+            case Directive():
+                self._on_directive(message)
+            case Reserve():
+                await reply(self._reserve(message))
+            case Prepare():
+                self._spawn(self._prepare(message, reply))
+            case Release():
+                self._release(message)
+            case Control():
+                self._control(message)
+            case Fence():
+                await reply(self._fence(message))
+            case AnswerRecorded():
+                self._recorded(message)
+            case Relay():
+                await self._unwrap(message, reply)
+            case _:
+                self._board.refuse("unexpected_message")
+
+    def _on_pong(self, pong: Pong) -> None:
+        if not self._board.permit.on_pong(pong, monotonic_ms()):
+            self._board.refuse("late_pong")
+        if pong.entries:
+            self._board.entries_by_id = {entry.entry_id: entry for entry in pong.entries}
+
+    def _on_directive(self, directive: Directive) -> None:
+        if not self._board.permit.on_directive(directive):
+            self._board.refuse("old_directive")
+            return
+        log_event(
+            "directive",
+            revision=directive.config_revision,
+            version=directive.version,
+            in_service=directive.zone_in_service,
+        )
+        self._board.touch()
+
+    def _reserve(self, message: Reserve) -> ReserveReply:
+        now_ms = monotonic_ms()
+        self._board.grants.expire(now_ms)
+        reason = self._board.permit.reason_against(now_ms)
+        if not reason:
+            directive = self._board.permit.directive
+            reason = self._board.grants.reserve(message, directive, now_ms)
+        if reason:
+            self._board.refuse(reason)
+        else:
+            self._board.touch()
+        return ReserveReply(message.request_id, self._board.settings.node_id, reason)
+
+    async def _prepare(self, message: Prepare, reply: Reply) -> None:
+        reason = await self._runs.prepare(message)
+        if reason:
+            self._board.refuse(reason)
+        await reply(PrepareReply(message.request_id, self._board.settings.node_id, reason))
+
+    def _release(self, message: Release) -> None:
+        if self._board.grants.release(message.ref, message.member):
+            self._board.touch()
+            return
+        run = self._board.runs_by_key.get(_key(message))
+        if run is not None and message.ref.epoch >= run.member.ref.epoch:
+            run.abort_unstarted("released")
+
+    def _control(self, message: Control) -> None:
+        if not message.ref.job_id:
+            if message.action is ControlAction.STOP:
+                log_event("draining", reason=message.reason)
+                self._board.draining = True
+                self._board.set_leaving()
+            return
+        run = self._board.runs_by_key.get(_key(message))
+        if run is not None and message.ref.epoch >= run.member.ref.epoch:
+            self._spawn(run.control(message))
+
+    def _fence(self, message: Fence) -> FenceReply:
+        status = self._board.grants.fence(message.job_id, message.epoch)
+        for key, run in list(self._board.runs_by_key.items()):
+            if key.job_id == message.job_id and run.member.ref.epoch < message.epoch:
+                run.abort_unstarted("fenced_epoch")
+        self._board.outbox.send_again(message.job_id)
+        self._board.touch()
+        board = self._board
+        return FenceReply(message.request_id, board.settings.node_id, board.incarnation, status)
+
+    def _recorded(self, message: AnswerRecorded) -> None:
+        key = self._board.outbox.recorded(message.ref)
+        if key is not None:
+            self._spawn(self._runs.forget_task(key))
+
+    async def _unwrap(self, message: Relay, reply: Reply) -> None:
+        """Act on a relayed message, and send answers back the way it came."""
+        if message.to_worker != self._board.settings.node_id:
+            self._board.refuse("misrouted")
+            return
+        try:
+            inner = decode(message.frame)
+        except MalformedFrameError:
+            self._board.refuse("malformed")
+            return
+        if isinstance(inner, Relay):
+            self._board.refuse("malformed")
+            return
+
+        async def reply_relayed(answer: Message) -> None:
+            node_id = self._board.settings.node_id
+            await reply(Relay("", message.from_node, node_id, encode(answer)))
+
+        await self.handle(inner, reply_relayed)
+
+    def _spawn(self, work: Awaitable[None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def _key(message: Release | Control) -> MemberKey:
+    return MemberKey(message.ref.job_id, message.ref.attempt, message.member)
--- /dev/null
+++ b/packages/lycheeslip_agent/lycheeslip_agent/gang.py
@@ -0,0 +1,243 @@
+"""Run leases of a gang: its anchor, on member 0's worker, and its members.
+
+Members pull: each pings the anchor with its own clock, and a lease that comes back ends a
+fixed time after that ping was sent. The lease of all members ends at one common time, one
+lease after the anchor last heard the member it has not heard for longest, so that the loss
+of a member stops the others within one lease. A job with one member is a gang of one.
+"""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from lycheeslip_common.structure.jobs import AttemptRef
+from lycheeslip_common.wire.messages import GangLease, GangPhase, GangPing
+
+__all__ = ["Anchor", "GangCause", "GangOutcome", "Member", "STOPPED_BY_ANCHOR"]
+
+CLOCK_DRIFT_DIVISOR = 1_000
+STOPPED_BY_ANCHOR = "stopped_by_anchor"
+STARTED_PHASES = (GangPhase.RUNNING, GangPhase.FINISHED)
+ENDED_PHASES = (GangPhase.FINISHED, GangPhase.FAILED, GangPhase.STOP)
+
+
+class GangCause(StrEnum):
+    """Why a gang was stopped."""
+
+    TASK_FAILED = "task_failed"
+    INTERRUPTED = "interrupted"
+    LOST = "lost"
+    NOT_STARTED = "not_started"
+
+
+@dataclass(frozen=True, slots=True)
+class GangOutcome:
+    """How a gang ended; `cause` is None if all members finished."""
+
+    cause: GangCause | None
+    member: int
+    reason: str
+
+
+@dataclass(slots=True)
+class _Heard:
+    at_ms: int
+    phase: GangPhase
+    offset_ms: int
+    offset_at_ms: int
+
+
+class Anchor:
+    """Decides for the whole gang; once stopped or finished it stays so.
+
+    `decided_to_run` says that a member may have been told to run, `all_ran` that all did.
+    """
+
+    def __init__(self, ref: AttemptRef, members: int, lease_ms: int, start_by_ms: int) -> None:
+        """Wait for `members` to be prepared until `start_by_ms`."""
+        self.ref = ref
+        self.members = members
+        self.lease_ms = lease_ms
+        self.start_by_ms = start_by_ms
+        self.phase = GangPhase.PREPARED
+        self.outcome: GangOutcome | None = None
+        self.decided_to_run = False
+        self.all_ran = False
+        self._run_by_ms = 0
+        self._heard_by_member: dict[int, _Heard] = {}
+
+    def on_ping(self, ping: GangPing, now_ms: int) -> GangLease:
+        """Take a member's ping into account and answer it."""
+        if not 0 <= ping.member < self.members:
+            return GangLease(ping.ref, ping.member, ping.sent_ms, GangPhase.STOP, 0)
+        self.step(now_ms)
+        if self.phase not in ENDED_PHASES:
+            self._hear(ping, now_ms)
+            self._decide(ping, now_ms)
+        remaining_ms = 0
+        if self.phase is GangPhase.RUNNING:
+            remaining_ms = max(0, self._lease_end_ms(now_ms) - now_ms)
+        return GangLease(ping.ref, ping.member, ping.sent_ms, self.phase, remaining_ms)
+
+    def adopt(self, now_ms: int) -> None:
+        """Go on as the anchor of a gang of one whose task already runs."""
+        self.phase = GangPhase.RUNNING
+        self.decided_to_run = self.all_ran = True
+        self._heard_by_member = {0: _Heard(now_ms, GangPhase.RUNNING, 0, now_ms)}
+
+    def step(self, now_ms: int) -> None:
+        """Stop the gang if it can't start in time any more, or if a member is missing."""
+        if self.phase in (GangPhase.PREPARED, GangPhase.ARMED) and now_ms >= self.start_by_ms:
+            self.stop(GangCause.NOT_STARTED, 0, "start_expired")
+        if self.phase is not GangPhase.RUNNING:
+            return
+        for member in range(self.members):
+            heard = self._heard_by_member[member]
+            if heard.phase is not GangPhase.FINISHED and now_ms - heard.at_ms >= self.lease_ms:
+                self.stop(GangCause.LOST, member, "member_not_heard")
+            if heard.phase not in STARTED_PHASES and now_ms >= self._run_by_ms:
+                self.stop(GangCause.LOST, member, "member_not_started")
+
+    def stop(self, cause: GangCause, member: int, reason: str) -> None:
+        """Stop the gang for ever; before its start this is the proof that it never ran."""
+        if self.phase in ENDED_PHASES:
+            return
+        self.phase = GangPhase.STOP
+        self.outcome = GangOutcome(
+            cause if self.decided_to_run else GangCause.NOT_STARTED, member, reason
+        )
+
+    def _hear(self, ping: GangPing, now_ms: int) -> None:
+        """Note when the ping was sent on this clock, as if the quickest one took no time."""
+        known = self._heard_by_member.get(ping.member)
+        offset_ms = now_ms - ping.sent_ms
+        at_ms = now_ms
+        if known is not None:
+            drift_ms = (now_ms - known.offset_at_ms) // CLOCK_DRIFT_DIVISOR
+            offset_ms = min(offset_ms, known.offset_ms + drift_ms)
+            at_ms = max(known.at_ms, ping.sent_ms + offset_ms)
+            if known.phase is GangPhase.FINISHED or ping.sent_ms + offset_ms < known.at_ms:
+                return
+        self._heard_by_member[ping.member] = _Heard(at_ms, ping.phase, offset_ms, now_ms)
+
+    def _decide(self, ping: GangPing, now_ms: int) -> None:
+        if ping.phase in (GangPhase.FAILED, GangPhase.STOP):
+            self.stop(_cause_of(ping.reason), ping.member, ping.reason)
+            return
+        phases = [heard.phase for heard in self._heard_by_member.values()]
+        if len(phases) < self.members:
+            return
+        match self.phase:
+            case GangPhase.PREPARED:
+                self.phase = GangPhase.ARMED
+            case GangPhase.ARMED if self._all_armed_lately(now_ms):
+                self.phase = GangPhase.RUNNING
+                self.decided_to_run = True
+                self._run_by_ms = now_ms + self.lease_ms
+            case GangPhase.RUNNING:
+                self.all_ran |= all(phase in STARTED_PHASES for phase in phases)
+                if all(phase is GangPhase.FINISHED for phase in phases):
+                    self.phase = GangPhase.FINISHED
+                    self.outcome = GangOutcome(None, 0, "")
+
+    def _all_armed_lately(self, now_ms: int) -> bool:
+        return all(
+            heard.phase is GangPhase.ARMED and now_ms - heard.at_ms < self.lease_ms // 2
+            for heard in self._heard_by_member.values()
+        )
+
+    def _lease_end_ms(self, now_ms: int) -> int:
+        unfinished = [
+            heard.at_ms
+            for heard in self._heard_by_member.values()
+            if heard.phase is not GangPhase.FINISHED
+        ]
+        lease_end_ms = min(unfinished, default=now_ms) + self.lease_ms
+        return lease_end_ms if self.all_ran else min(lease_end_ms, self._run_by_ms)
+
+
+def _cause_of(reason: str) -> GangCause:
+    """Return the cause that a member's reason stands for."""
+    for cause in (GangCause.TASK_FAILED, GangCause.INTERRUPTED):
+        if reason.startswith(cause):
+            return cause
+    return GangCause.LOST
+
+
+class Member:
+    """One member's view; it runs only under a lease and never again after a stop."""
+
+    def __init__(self, ref: AttemptRef, member: int, start_by_ms: int) -> None:
+        """Wait for the anchor until `start_by_ms`."""
+        self.ref = ref
+        self.member = member
+        self.start_by_ms = start_by_ms
+        self.phase = GangPhase.PREPARED
+        self.reason = ""
+        self.lease_deadline_ms = 0
+        self.dismissed = False
+        self._anchor_phase = GangPhase.PREPARED
+
+    @property
+    def ended(self) -> bool:
+        """Return whether the member has finished or failed."""
+        return self.phase in ENDED_PHASES
+
+    def ping(self, now_ms: int, start_reason: str = "") -> GangPing:
+        """Return the ping to send; `start_reason` says why it couldn't start right now."""
+        phase = self.phase
+        if phase is GangPhase.ARMED and start_reason:
+            phase = GangPhase.PREPARED
+        return GangPing(self.ref, self.member, now_ms, phase, self.reason)
+
+    def on_lease(self, lease: GangLease, now_ms: int) -> None:
+        """Take the anchor's answer to a ping into account."""
+        if lease.ref != self.ref or lease.member != self.member or lease.echo_ms > now_ms:
+            return
+        if lease.phase in ENDED_PHASES:
+            self.dismissed = True
+            if lease.phase is not GangPhase.FINISHED:
+                self.fail(STOPPED_BY_ANCHOR)
+            return
+        if self.ended:
+            return
+        self._anchor_phase = lease.phase
+        if self.phase is GangPhase.PREPARED and lease.phase is not GangPhase.PREPARED:
+            self.phase = GangPhase.ARMED
+        if lease.phase is GangPhase.RUNNING:
+            deadline_ms = lease.echo_ms + lease.remaining_ms
+            self.lease_deadline_ms = max(self.lease_deadline_ms, deadline_ms)
+
+    def may_start(self, now_ms: int) -> bool:
+        """Return whether the anchor has ordered the start and its lease still holds."""
+        ordered = self._anchor_phase is GangPhase.RUNNING and not self.dismissed
+        return self.phase is GangPhase.ARMED and ordered and now_ms < self.lease_deadline_ms
+
+    def started(self) -> None:
+        """Note that the task runs."""
+        if not self.ended:
+            self.phase = GangPhase.RUNNING
+
+    def finished(self) -> None:
+        """Note that the task has ended with an answer."""
+        if not self.ended:
+            self.phase = GangPhase.FINISHED
+
+    def fail(self, reason: str) -> None:
+        """Note that the task can't run on; the first reason stays."""
+        if not self.ended:
+            self.phase = GangPhase.FAILED
+            self.reason = reason
+
+    def step(self, now_ms: int) -> None:
+        """Fail the member if its lease has lapsed or it has waited too long to start."""
+        waiting = self.phase in (GangPhase.PREPARED, GangPhase.ARMED)
+        if waiting and now_ms >= self.start_by_ms:
+            self.fail("start_expired")
+        if self.phase is GangPhase.RUNNING and now_ms >= self.lease_deadline_ms:
+            self.fail("lease_lapsed")
+
+    def adopt(self, lease_deadline_ms: int) -> None:
+        """Go on as a member whose task already runs under a lease."""
+        self.phase = GangPhase.RUNNING
+        self._anchor_phase = GangPhase.RUNNING
+        self.lease_deadline_ms = lease_deadline_ms
--- /dev/null
+++ b/packages/lycheeslip_agent/lycheeslip_agent/gang_link.py
@@ -0,0 +1,106 @@
+"""Pings between gang members and their anchor, in process or over a session."""
+
+import asyncio
+from typing import Protocol
+
+from lycheeslip_common.utils.clock import monotonic_ms
+from lycheeslip_common.wire.messages import GangLease, GangPhase, GangPing
+from lycheeslip_common.wire.session import Session, SessionError, dial
+
+from lycheeslip_agent.blackboard import Blackboard
+from lycheeslip_agent.gang import Anchor
+from lycheeslip_agent.grants import MemberKey
+
+__all__ = ["AnchorLink", "LocalLink", "RemoteLink", "serve_members"]
+
+
+class AnchorLink(Protocol):
+    """A way to the anchor."""
+
+    async def exchange(self, ping: GangPing, timeout_ms: int) -> GangLease | None:
+        """Send a ping and return the answer, or None if none came in time."""
+
+    async def close(self) -> None:
+        """Give the way up."""
+
+
+class LocalLink:
+    """The way of member 0, whose anchor is in the same process."""
+
+    def __init__(self, board: Blackboard, anchor: Anchor) -> None:
+        """Ping `anchor`."""
+        self._board = board
+        self._anchor = anchor
+
+    async def exchange(self, ping: GangPing, timeout_ms: int) -> GangLease | None:
+        """Return the anchor's answer at once."""
+        return _ask(self._board, self._anchor, ping)
+
+    async def close(self) -> None:
+        """Do nothing."""
+
+
+class RemoteLink:
+    """The way of the other members: one session, opened again whenever it fails."""
+
+    def __init__(self, address: str, key: str, node_id: str) -> None:
+        """Ping the anchor at `address`."""
+        self._address = address
+        self._key = key
+        self._node_id = node_id
+        self._session: Session | None = None
+        self._closing: set[asyncio.Task[None]] = set()
+
+    async def exchange(self, ping: GangPing, timeout_ms: int) -> GangLease | None:
+        """Return the anchor's answer to this ping, or None if the session fails or is late."""
+        try:
+            async with asyncio.timeout(timeout_ms / 1000):
+                if self._session is None:
+                    self._session = await dial(self._address, self._key, "member", self._node_id)
+                await self._session.send(ping)
+                while True:
+                    message = await self._session.receive()
+                    if isinstance(message, GangLease) and message.echo_ms == ping.sent_ms:
+                        return message
+        except (SessionError, TimeoutError):
+            await self.close()
+            return None
+
+    async def close(self) -> None:
+        """Close the session, without waiting for the other side."""
+        if self._session is not None:
+            session, self._session = self._session, None
+            task = asyncio.create_task(session.close())
+            self._closing.add(task)
+            task.add_done_callback(self._closing.discard)
+
+
+async def serve_members(board: Blackboard, session: Session) -> None:
+    """Answer the pings of gang members until their session ends."""
+    if session.role != "member":
+        raise SessionError(f"role {session.role} is not served here")
+    while True:
+        message = await session.receive()
+        if not isinstance(message, GangPing):
+            raise SessionError(f"unexpected {type(message).__name__}")
+        await session.send(_answer(board, message))
+
+
+def _answer(board: Blackboard, ping: GangPing) -> GangLease:
+    """Return the anchor's answer; a member that waits may be ahead of its anchor's order."""
+    anchor = board.anchors_by_key.get(MemberKey(ping.ref.job_id, ping.ref.attempt, 0))
+    if anchor is not None and anchor.ref == ping.ref:
+        return _ask(board, anchor, ping)
+    waiting = anchor is None and ping.phase is GangPhase.PREPARED
+    if not waiting:
+        board.metrics.count("gang.unknown")
+    phase = GangPhase.PREPARED if waiting else GangPhase.STOP
+    return GangLease(ping.ref, ping.member, ping.sent_ms, phase, 0)
+
+
+def _ask(board: Blackboard, anchor: Anchor, ping: GangPing) -> GangLease:
+    ran_before = anchor.all_ran
+    lease = anchor.on_ping(ping, monotonic_ms())
+    if anchor.all_ran and not ran_before:
+        board.touch()
+    return lease
--- /dev/null
+++ b/packages/lycheeslip_agent/lycheeslip_agent/permit.py
@@ -0,0 +1,46 @@
+"""The right to start tasks in this agent's zone, which ends by itself."""
+
+from lycheeslip_common.wire.messages import Directive, Pong
+
+__all__ = ["ZonePermit"]
+
+
+class ZonePermit:
+    """Keeps the newest directive and the deadline up to which it is known to be current."""
+
+    def __init__(self) -> None:
+        """Start without a directive and without a permit."""
+        self.directive: Directive | None = None
+        self.deadline_ms = 0
+        self.config_revision = 0
+        self._newest_echo_ms = -1
+
+    def on_directive(self, directive: Directive) -> bool:
+        """Take a directive over unless a newer one is known; return whether it was taken."""
+        if self.directive is not None:
+            known = (self.directive.config_revision, self.directive.version)
+            if (directive.config_revision, directive.version) < known:
+                return False
+        self.directive = directive
+        return True
+
+    def on_pong(self, pong: Pong, now_ms: int) -> bool:
+        """Take the permit of a pong over; return False for one that is late or not an echo."""
+        if pong.echo_ms > now_ms or pong.echo_ms < self._newest_echo_ms:
+            return False
+        self._newest_echo_ms = pong.echo_ms
+        self.deadline_ms = pong.echo_ms + max(0, pong.permit_remaining_ms)
+        self.config_revision = max(self.config_revision, pong.config_revision)
+        return True
+
+    def reason_against(self, now_ms: int) -> str:
+        """Return why no task may start now, or "" if one may until `deadline_ms`."""
+        if self.directive is None:
+            return "no_directive"
+        if self.config_revision > self.directive.config_revision:
+            return "directive_outdated"
+        if not self.directive.zone_in_service:
+            return "zone_out_of_service"
+        if now_ms >= self.deadline_ms:
+            return "no_permit"
+        return ""
--- /dev/null
+++ b/packages/lycheeslip_agent/lycheeslip_agent/runner.py
@@ -0,0 +1,275 @@
+"""Drives one member of an attempt at the backend server, from its load to its end."""
+
+import asyncio
+from hashlib import sha256
+
+from lycheeslip_common.structure.fleet import Grant
+from lycheeslip_common.utils.clock import monotonic_ms, wall_ms
+from lycheeslip_common.utils.logs import log_event
+from lycheeslip_common.wire.messages import Control, ControlAction, GangPhase
+
+from lycheeslip_agent.backend import BackendClient, BackendError, TaskDocument, TaskLoad
+from lycheeslip_agent.blackboard import Blackboard
+from lycheeslip_agent.gang import STOPPED_BY_ANCHOR, Member
+from lycheeslip_agent.gang_link import AnchorLink
+from lycheeslip_agent.grants import MemberKey
+
+__all__ = ["MemberRun"]
+
+RETRY_S = 0.1
+MIN_RENEW_TIMEOUT_MS = 100
+MAX_RENEW_TIMEOUT_MS = 1_000
+WAITING_PINGS_PER_LEASE = 16
+RUNNING_PINGS_PER_LEASE = 4
+MAX_WAITING_INTERVAL_MS = 100
+GIVE_UP_LEASES = 4
+HOLD_MARGIN_MS = 2_000
+
+
+class MemberRun:
+    """One member's task; `member` is its part in the gang and `result` what came of it."""
+
+    def __init__(
+        self,
+        board: Blackboard,
+        backend: BackendClient,
+        link: AnchorLink,
+        member: Member,
+        grant: Grant,
+        lease_ms: int,
+    ) -> None:
+        """Set up a member that is not loaded yet."""
+        self._board = board
+        self._backend = backend
+        self._link = link
+        self.member = member
+        self.key = MemberKey(grant.job_id, grant.attempt, grant.member)
+        self.lease_ms = lease_ms
+        self.result: TaskDocument | None = None
+        self.checkpoint = ""
+        self.maybe_started = False
+        self._confirmed_until_ms = 0
+        self._ended_at_ms = 0
+        self._answered_at_ms = 0
+        self._wake = asyncio.Event()
+        self._watcher: asyncio.Task[None] | None = None
+
+    async def load(self, load: TaskLoad) -> str:
+        """Load the task; return "" or the reason why it could not be."""
+        try:
+            await self._backend.load(self.key.task_id, load)
+        except BackendError as error:
+            self._board.metrics.count("backend.load_failed")
+            return f"load_failed:{error.reason}"
+        return ""
+
+    def adopt(self, lease_deadline_ms: int) -> None:
+        """Go on with a task that already runs, whose lease holds until `lease_deadline_ms`."""
+        self.member.adopt(lease_deadline_ms)
+        self.maybe_started = True
+        self._confirmed_until_ms = lease_deadline_ms
+        self._watcher = asyncio.create_task(self._watch())
+
+    async def run(self) -> None:
+        """Ping the anchor and act on its answers until it dismisses the member."""
+        try:
+            while not self._is_over():
+                before = self.member.phase
+                await self._cycle()
+                if self.member.ended and not self._ended_at_ms:
+                    await self._end()
+                if self.member.phase is before and not self.member.dismissed:
+                    await self._pause()
+            await self._end()
+        finally:
+            if self._watcher is not None:
+                self._watcher.cancel()
+            await self._link.close()
+
+    def abort(self, reason: str) -> None:
+        """Fail the member for `reason`, whether it runs or not."""
+        self.member.fail(reason)
+        self._wake.set()
+
+    def abort_unstarted(self, reason: str) -> None:
+        """Fail the member for `reason` unless its task may have been started."""
+        if not self.maybe_started:
+            self.abort(reason)
+
+    async def control(self, message: Control) -> None:
+        """Checkpoint, throttle or stop the task."""
+        match message.action:
+            case ControlAction.STOP:
+                self.abort(f"interrupted:{message.reason}")
+            case ControlAction.CHECKPOINT:
+                await self._take_checkpoint(message.grace_ms)
+                self.abort(f"interrupted:{message.reason}")
+            case ControlAction.THROTTLE:
+                await self._throttle(True)
+            case ControlAction.UNTHROTTLE:
+                await self._throttle(False)
+
+    def _is_over(self) -> bool:
+        if self.member.dismissed:
+            return True
+        give_up_ms = GIVE_UP_LEASES * self.lease_ms
+        heard_at_ms = max(self._ended_at_ms, self._answered_at_ms)
+        return self._ended_at_ms > 0 and monotonic_ms() >= heard_at_ms + give_up_ms
+
+    async def _cycle(self) -> None:
+        now_ms = monotonic_ms()
+        self.member.step(now_ms)
+        ping = self.member.ping(now_ms, self._board.permit.reason_against(now_ms))
+        lease = await self._link.exchange(ping, max(1, self.lease_ms // 2))
+        now_ms = monotonic_ms()
+        if lease is not None:
+            self._answered_at_ms = now_ms
+            self.member.on_lease(lease, now_ms)
+        self.member.step(now_ms)
+        if self.member.may_start(now_ms):
+            await self._start()
+        elif self.member.phase is GangPhase.RUNNING:
+            await self._renew()
+
+    async def _pause(self) -> None:
+        match self.member.phase:
+            case GangPhase.PREPARED | GangPhase.ARMED:
+                waiting_ms = self.lease_ms // WAITING_PINGS_PER_LEASE
+                pause_ms = min(MAX_WAITING_INTERVAL_MS, waiting_ms)
+            case _:
+                pause_ms = self.lease_ms // RUNNING_PINGS_PER_LEASE
+        try:
+            async with asyncio.timeout(pause_ms / 1000):
+                await self._wake.wait()
+        except TimeoutError:
+            return
+        finally:
+            self._wake.clear()
+
+    async def _start(self) -> None:
+        now_ms = monotonic_ms()
+        reason = self._board.permit.reason_against(now_ms)
+        reason = reason or self._board.grants.start(self.key, now_ms, wall_ms())
+        if reason:
+            self._board.refuse(reason)
+            self.member.fail(reason)
+            return
+        lease_ms = self.member.lease_deadline_ms
+        not_after_ms = min(self._board.permit.deadline_ms, lease_ms)
+        self.maybe_started = True
+        while monotonic_ms() < not_after_ms:
+            try:
+                await self._backend.start(self.key.task_id, not_after_ms, lease_ms)
+            except BackendError as error:
+                if error.status:
+                    self.maybe_started = False
+                    self.member.fail(f"start_refused:{error.reason}")
+                    return
+                await asyncio.sleep(RETRY_S)
+                continue
+            self._confirmed_until_ms = lease_ms
+            self.member.started()
+            self._board.touch()
+            self._watcher = asyncio.create_task(self._watch())
+            log_event("task_started", task=self.key.task_id)
+            return
+        self.member.fail("start_unanswered")
+
+    async def _renew(self) -> None:
+        deadline_ms = self.member.lease_deadline_ms
+        now_ms = monotonic_ms()
+        if deadline_ms <= self._confirmed_until_ms:
+            return
+        left_ms = self._confirmed_until_ms - now_ms
+        timeout_ms = max(MIN_RENEW_TIMEOUT_MS, min(MAX_RENEW_TIMEOUT_MS, left_ms))
+        try:
+            await self._backend.renew(self.key.task_id, deadline_ms, timeout_ms / 1000)
+            self._confirmed_until_ms = deadline_ms
+        except BackendError:
+            self._board.metrics.count("backend.renew_failed")
+            if monotonic_ms() >= self._confirmed_until_ms:
+                self.member.fail("backend_lost")
+
+    async def _watch(self) -> None:
+        while True:
+            try:
+                document = await self._backend.watch(self.key.task_id)
+            except BackendError as error:
+                if error.status == 404:
+                    self.abort("task_lost")
+                    return
+                await asyncio.sleep(RETRY_S)
+                continue
+            if document.ended:
+                self._take_result(document)
+                return
+
+    def _take_result(self, document: TaskDocument) -> None:
+        self.result = document
+        match document.state:
+            case "finished" if _is_whole(document):
+                self.member.finished()
+            case "finished":
+                self.member.fail("task_failed:damaged_answer")
+            case "failed":
+                self.member.fail("task_failed")
+            case "lapsed":
+                self.member.fail("lease_lapsed")
+            case _:
+                self.member.fail("interrupted:stopped_at_backend")
+        self._wake.set()
+
+    async def _end(self) -> None:
+        """Make sure that the task does not run, then give its resources back; does so once."""
+        if self._ended_at_ms:
+            return
+        if self.result is None:
+            if self.key.member == 0 and self.member.reason == STOPPED_BY_ANCHOR:
+                await self._take_checkpoint(0)
+            await self._stop_at_backend()
+        self._ended_at_ms = monotonic_ms()
+        self._board.grants.end(self.key)
+        self._board.touch()
+        log_event("task_ended", task=self.key.task_id, reason=self.member.reason or "finished")
+
+    async def _stop_at_backend(self) -> None:
+        """Stop the task; without an answer, wait until it has ended by itself."""
+        held = self._board.grants.held_by_key.get(self.key)
+        hold_ms = held.until_ms + HOLD_MARGIN_MS if held is not None else 0
+        gone_at_ms = max(self.member.lease_deadline_ms, hold_ms)
+        while True:
+            try:
+                await self._backend.stop(self.key.task_id)
+                self.result = await self._backend.task(self.key.task_id)
+                return
+            except BackendError as error:
+                if error.status == 404 or monotonic_ms() >= gone_at_ms:
+                    return
+            await asyncio.sleep(RETRY_S)
+
+    async def _take_checkpoint(self, grace_ms: int) -> None:
+        until_ms = monotonic_ms() + grace_ms
+        while self.maybe_started and self.result is None:
+            try:
+                self.checkpoint = await self._backend.checkpoint(self.key.task_id)
+            except BackendError:
+                self._board.metrics.count("backend.checkpoint_failed")
+            if self.checkpoint or monotonic_ms() >= until_ms:
+                return
+            await asyncio.sleep(RETRY_S)
+
+    async def _throttle(self, throttled: bool) -> None:
+        try:
+            await self._backend.throttle(self.key.task_id, throttled)
+        except BackendError:
+            self._board.metrics.count("backend.throttle_failed")
+            return
+        self._board.grants.set_throttled(self.key, throttled)
+        self._board.touch()
+
+
+def _is_whole(document: TaskDocument) -> bool:
+    try:
+        return sha256(document.answer()).hexdigest() == document.digest
+    except ValueError:
+        return False
--- /dev/null
+++ b/packages/lycheeslip_agent/lycheeslip_agent/sessions.py
@@ -0,0 +1,200 @@
+"""The agent's session to one entry: chosen, kept alive, and opened again when it ends."""
+
+import asyncio
+import random
+from hashlib import sha256
+
+from lycheeslip_common.structure.fleet import EntryInfo
+from lycheeslip_common.structure.jobs import AttemptRef
+from lycheeslip_common.utils.clock import monotonic_ms
+from lycheeslip_common.utils.logs import log_event, log_warning
+from lycheeslip_common.utils.retry import Backoff
+from lycheeslip_common.wire.messages import (
+    AttemptReport,
+    GangPhase,
+    Message,
+    Ping,
+    Pong,
+    ReportState,
+    WorkerUpdate,
+)
+from lycheeslip_common.wire.session import Session, SessionError, dial
+
+from lycheeslip_agent.blackboard import Blackboard
+from lycheeslip_agent.entry_messages import EntryMessages
+from lycheeslip_agent.grants import MemberKey
+
+__all__ = ["EntrySessions", "rank_entries"]
+
+PING_INTERVAL_S = 0.8
+SILENCE_LIMIT_MS = 3_000
+AVOID_MS = 5_000
+MOVE_DELAY_MS = 5_000
+MOVE_JITTER_MS = 5_000
+GATHER_CHANGES_S = 0.01
+
+
+def rank_entries(node_id: str, region: str, entries: list[EntryInfo]) -> list[EntryInfo]:
+    """Return the entries by preference: own region first, then by rendezvous hash."""
+
+    def rank(entry: EntryInfo) -> tuple[bool, bytes]:
+        digest = sha256(f"{node_id}\0{entry.entry_id}".encode()).digest()
+        return (entry.region == region, digest)
+
+    return sorted(entries, key=rank, reverse=True)
+
+
+class EntrySessions:
+    """Keeps one session open and sends the worker's state and outcomes over it."""
+
+    def __init__(self, board: Blackboard, messages: EntryMessages) -> None:
+        """Set up; `run` opens the first session."""
+        self._board = board
+        self._messages = messages
+        self._backoff = Backoff(first_s=0.05, limit_s=2.0)
+        self._avoid_until_ms_by_address: dict[str, int] = {}
+        self._announced: set[MemberKey] = set()
+        self._heard_ms = 0
+        self._move_after_ms = 0
+        self._seed_index = random.randrange(len(board.settings.entry_addresses))
+        self.sent_bytes = 0
+        self.received_bytes = 0
+
+    async def run(self) -> None:
+        """Keep a session until cancelled."""
+        while True:
+            address = self._choose_address()
+            try:
+                settings = self._board.settings
+                session = await dial(address, settings.fleet_key, "agent", settings.node_id)
+            except SessionError as error:
+                await self._wait_after_failure(address, error)
+                continue
+            try:
+                await self._serve(session)
+            except SessionError as error:
+                log_warning("session_ended", entry=session.node_id, reason=error)
+                self._board.metrics.count("session.ended")
+                await self._wait_after_failure(address, error)
+            finally:
+                self.sent_bytes += session.sent_bytes
+                self.received_bytes += session.received_bytes
+                await session.close()
+
+    def _choose_address(self) -> str:
+        now_ms = monotonic_ms()
+        for entry in self._ranked():
+            if now_ms >= self._avoid_until_ms_by_address.get(entry.session_address, 0):
+                return entry.session_address
+        seeds = self._board.settings.entry_addresses
+        self._seed_index = (self._seed_index + 1) % len(seeds)
+        return seeds[self._seed_index]
+
+    def _ranked(self) -> list[EntryInfo]:
+        settings = self._board.settings
+        entries = list(self._board.entries_by_id.values())
+        return rank_entries(settings.node_id, settings.region, entries)
+
+    async def _wait_after_failure(self, address: str, error: SessionError) -> None:
+        self._avoid_until_ms_by_address[address] = monotonic_ms() + AVOID_MS
+        delay_s = self._backoff.next_delay_s()
+        log_warning("waiting_for_entry", address=address, delay_s=f"{delay_s:.2f}", reason=error)
+        self._board.metrics.count("retry.session")
+        await asyncio.sleep(delay_s)
+
+    async def _serve(self, session: Session) -> None:
+        """Use a session until it fails, or until another entry is preferred."""
+        if session.entries:
+            self._board.entries_by_id = {entry.entry_id: entry for entry in session.entries}
+        best = self._ranked()[:1]
+        if best and best[0].entry_id != session.node_id and self._usable(best[0]):
+            return
+        log_event("session_opened", entry=session.node_id)
+        self._announced.clear()
+        self._heard_ms = monotonic_ms()
+        self._move_after_ms = 0
+        self._board.outbox.send_again()
+        self._board.touch()
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._receive(session))
+                group.create_task(self._ping(session))
+                group.create_task(self._announce(session))
+        except* SessionError as errors:
+            raise SessionError(str(errors.exceptions[0])) from None
+        except* _MoveError:
+            log_event("session_moves", from_entry=session.node_id)
+
+    def _usable(self, entry: EntryInfo) -> bool:
+        avoid_until_ms = self._avoid_until_ms_by_address.get(entry.session_address, 0)
+        return monotonic_ms() >= avoid_until_ms
+
+    async def _receive(self, session: Session) -> None:
+        while True:
+            message = await session.receive()
+            self._heard_ms = monotonic_ms()
+            if isinstance(message, Pong):
+                self._backoff.reset()
+
+            async def reply(answer: Message) -> None:
+                await session.send(answer)
+
+            await self._messages.handle(message, reply)
+
+    async def _ping(self, session: Session) -> None:
+        while True:
+            now_ms = monotonic_ms()
+            if now_ms - self._heard_ms > SILENCE_LIMIT_MS:
+                raise SessionError("no pong in time")
+            self._move_if_due(session, now_ms)
+            directive = self._board.permit.directive
+            await session.send(Ping(now_ms, directive.version if directive is not None else 0))
+            await asyncio.sleep(PING_INTERVAL_S)
+
+    def _move_if_due(self, session: Session, now_ms: int) -> None:
+        """Move to a preferred entry that has appeared, after a while and not all at once."""
+        best = self._ranked()[:1]
+        if not best or best[0].entry_id == session.node_id or not self._usable(best[0]):
+            self._move_after_ms = 0
+        elif not self._move_after_ms:
+            self._move_after_ms = now_ms + MOVE_DELAY_MS + random.randrange(MOVE_JITTER_MS)
+        elif now_ms >= self._move_after_ms:
+            raise _MoveError
+
+    async def _announce(self, session: Session) -> None:
+        board = self._board
+        while True:
+            if board.changed.is_set():
+                board.changed.clear()
+                state = board.next_state()
+                if state is not None:
+                    await session.send(WorkerUpdate(state))
+            for report in [*self._new_running(), *board.outbox.take_due(monotonic_ms())]:
+                await session.send(report)
+            try:
+                async with asyncio.timeout(PING_INTERVAL_S):
+                    await board.changed.wait()
+                await asyncio.sleep(GATHER_CHANGES_S)
+            except TimeoutError:
+                continue
+
+    def _new_running(self) -> list[AttemptReport]:
+        """Return RUNNING reports of gangs that this session's entry has not heard of."""
+        reports = []
+        for key, anchor in self._board.anchors_by_key.items():
+            held = self._board.grants.held_by_key.get(key)
+            if held is None or not anchor.all_ran or anchor.phase is not GangPhase.RUNNING:
+                continue
+            if key not in self._announced:
+                self._announced.add(key)
+                reports.append(self._running_report(anchor.ref, held.grant.owner))
+        return reports
+
+    def _running_report(self, ref: AttemptRef, owner: str) -> AttemptReport:
+        worker_id = self._board.settings.node_id
+        state = ReportState.RUNNING
+        return AttemptReport(ref, owner, worker_id, state, b"", "", "", "", 0)
+
+
+class _MoveError(Exception):
+    """Ends a session because another entry is preferred."""
--- /dev/null
+++ b/packages/lycheeslip_agent/lycheeslip_agent/tags.py
@@ -0,0 +1,34 @@
+"""What the agent stores with a task at the backend server, to adopt it after a restart."""
+
+from typing import NamedTuple
+
+from lycheeslip_common.structure.fleet import Grant
+from pydantic import TypeAdapter, ValidationError
+
+__all__ = ["TaskTag", "decode_tag", "encode_tag"]
+
+
+class TaskTag(NamedTuple):
+    """A member's grant, its gang and the incarnation that loaded it."""
+
+    grant: Grant
+    incarnation: str
+    lease_ms: int
+    anchor_address: str
+    worker_ids: tuple[str, ...]
+
+
+_adapter = TypeAdapter(TaskTag)
+
+
+def encode_tag(tag: TaskTag) -> str:
+    """Return the text to store with a task."""
+    return _adapter.dump_json(tag).decode()
+
+
+def decode_tag(text: str) -> TaskTag | None:
+    """Return the tag in `text`, or None if an agent of this version did not write it."""
+    try:
+        return _adapter.validate_json(text)
+    except ValidationError:
+        return None
