Let processes dial announced addresses over given routes

The fault proxy can only stand between two processes if each dials the other by the proxy's address, while the other announces its own. The setting `routes` maps an announced address to the one to dial, for entries' peers, agents' entries and gang members' anchors; it serves fleets behind forwarded ports as well.

Ruled out: an announced address of its own for each process, since then all that dial it share one route and no single agent can be cut off.

--- a/packages/lycheeslip/lycheeslip/app.py
+++ b/packages/lycheeslip/lycheeslip/app.py
@@ -60,7 +60,7 @@
         self._sync = StoreSync(self.board, self._store, times.confirm_every_ms)
         self._membership = Membership(self.board, self._store, times.entry_lease_s)
         self._agents = AgentSessions(self.board, self._router, outcomes)
-        self._peers = Peers(self.board, self._router, outcomes, settings.fleet_key)
+        self._peers = Peers(self.board, self._router, outcomes, settings.fleet_key, settings.routes)
         attempts = Attempts(self.board, self._router, jobs)
         plan = importlib.import_module(settings.policy_module).plan
         self._planner = Planner(self.board, self._router, attempts, plan, times.plan_every_ms)
--- a/packages/lycheeslip/lycheeslip/entry/peers.py
+++ b/packages/lycheeslip/lycheeslip/entry/peers.py
@@ -37,13 +37,19 @@
     """Keeps one session to each other entry; the lower entry id dials the higher."""
 
     def __init__(
-        self, board: Blackboard, router: Router, outcomes: Outcomes, fleet_key: str
+        self,
+        board: Blackboard,
+        router: Router,
+        outcomes: Outcomes,
+        fleet_key: str,
+        routes: dict[str, str],
     ) -> None:
-        """Prove `fleet_key` to peers and exchange workers' states with them."""
+        """Prove `fleet_key` to peers, dialled by `routes`, and exchange workers' states."""
         self._board = board
         self._router = router
         self._outcomes = outcomes
         self._fleet_key = fleet_key
+        self._routes = routes
         self._diallers_by_peer: dict[str, asyncio.Task[None]] = {}
 
     async def run(self) -> None:
@@ -81,7 +87,8 @@
         own_id = self._board.info.entry_id
         while True:
             try:
-                session = await dial(info.session_address, self._fleet_key, "entry", own_id)
+                address = self._routes.get(info.session_address, info.session_address)
+                session = await dial(address, self._fleet_key, "entry", own_id)
             except SessionError as error:
                 log_warning("peer_unreachable", peer=info.entry_id, detail=error)
                 self._board.metrics.count("retry.peer.unreachable")
--- a/packages/lycheeslip_agent/lycheeslip_agent/adoption.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/adoption.py
@@ -75,7 +75,8 @@
     def _link(self, ref: AttemptRef, tag: TaskTag) -> AnchorLink:
         settings = self._board.settings
         if tag.grant.member != 0:
-            return RemoteLink(tag.anchor_address, settings.fleet_key, settings.node_id)
+            address = settings.routes.get(tag.anchor_address, tag.anchor_address)
+            return RemoteLink(address, settings.fleet_key, settings.node_id)
         anchor = Anchor(ref, 1, tag.lease_ms, 0)
         anchor.adopt(monotonic_ms())
         self._board.anchors_by_key[MemberKey(ref.job_id, ref.attempt, 0)] = anchor
--- a/packages/lycheeslip_agent/lycheeslip_agent/runs.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/runs.py
@@ -104,7 +104,8 @@
             link = LocalLink(self._board, anchor)
         else:
             settings = self._board.settings
-            address = message.placement[0].address
+            announced = message.placement[0].address
+            address = settings.routes.get(announced, announced)
             link = RemoteLink(address, settings.fleet_key, settings.node_id)
         member = Member(message.ref, message.member, start_by_ms)
         run = MemberRun(self._board, self._backend, link, member, grant, lease_ms)
--- a/packages/lycheeslip_agent/lycheeslip_agent/sessions.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/sessions.py
@@ -66,7 +66,8 @@
             address = self._choose_address()
             try:
                 settings = self._board.settings
-                session = await dial(address, settings.fleet_key, "agent", settings.node_id)
+                dialled = settings.routes.get(address, address)
+                session = await dial(dialled, settings.fleet_key, "agent", settings.node_id)
             except SessionError as error:
                 await self._wait_after_failure(address, error)
                 continue
--- a/packages/lycheeslip_agent/lycheeslip_agent/settings.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/settings.py
@@ -16,7 +16,8 @@
     """Settings of one agent.
 
     `address` is the agent's own listener for gang members; `entry_addresses` are seeds
-    where it learns the live entries, such as a balancer.
+    where it learns the live entries, such as a balancer. `routes` gives the address to
+    dial for an announced one that can't be dialled as it is.
     """
 
     node_id: Name
@@ -30,6 +31,7 @@
     statsd_address: str = ""
     log_level: str = "info"
     drain_timeout_ms: Annotated[int, Field(ge=0)] = 600_000
+    routes: dict[Address, Address] = {}
 
 
 class SettingsError(ValueError):
--- a/packages/lycheeslip_common/lycheeslip_common/config/settings.py
+++ b/packages/lycheeslip_common/lycheeslip_common/config/settings.py
@@ -52,6 +52,7 @@
 Name = Annotated[str, Field(min_length=1, max_length=128, pattern=r"^[A-Za-z0-9._:-]+$")]
 ListenAddress = Annotated[str, AfterValidator(_check_address)]
 PeerAddress = Annotated[str, AfterValidator(_check_peer_address)]
+Routes = dict[PeerAddress, PeerAddress]
 PeerAddresses = Annotated[tuple[PeerAddress, ...], Field(min_length=1)]
 StatsdAddress = Annotated[str, AfterValidator(_check_optional_address)]
 FleetKey = Annotated[str, Field(min_length=16, max_length=1024)]
@@ -77,7 +78,10 @@
 
 
 class EntrySettings(NamedTuple):
-    """Settings of an entry process (`lycheeslip entry`)."""
+    """Settings of an entry process (`lycheeslip entry`).
+
+    `routes` gives the address to dial for a peer's announced one that can't be dialled as it is.
+    """
 
     node_id: Name
     region: Name
@@ -91,6 +95,7 @@
     allow_remote_without_tokens: Switch = False
     policy_module: ModuleName = "lycheeslip.policy.plan"
     times: Annotated[Section[EntryTimes], AfterValidator(_check_times)] = EntryTimes()
+    routes: Routes = {}
 
 
 class AgentSettings(NamedTuple):
@@ -107,6 +112,7 @@
     statsd_address: StatsdAddress = ""
     log_level: LogLevel = "info"
     leave_wait_ms: Annotated[Count, Field(ge=0, le=7 * MAX_DAY_MS)] = 3_600_000
+    routes: Routes = {}
 
 
 def load_settings(path: str | Path, declaration: type[Settings]) -> Settings:
