Say what a configuration changes in operators' words

Cause: operators apply whole files, so they need to see what one would change before it is in force.

--- /dev/null
+++ b/packages/lycheeslip/lycheeslip/config/diff.py
@@ -0,0 +1,193 @@
+"""What changes between two configurations, in the words of operators."""
+
+from collections.abc import Callable, Iterator, Mapping
+from typing import NamedTuple, TypeVar
+
+from lycheeslip_common.structure.jobs import Adjacency, Shape
+
+from lycheeslip.config.model import Account, FleetConfig, Limits, QuietHours, Zone
+from lycheeslip.config.schema import WEEKDAYS
+from lycheeslip.config.units import format_duration
+
+__all__ = ["Change", "describe_changes", "describe_quiet_hours", "describe_shape"]
+
+T = TypeVar("T")
+
+MINUTES_PER_HOUR = 60
+MEGABYTES_PER_GIGABYTE = 1_024
+MILLISECONDS_PER_SECOND = 1_000
+
+
+class Change(NamedTuple):
+    """One difference: what it concerns and what becomes of it."""
+
+    subject: str
+    text: str
+
+    def __str__(self) -> str:
+        """Return the line that is shown to operators."""
+        return f"{self.subject}: {self.text}"
+
+
+def describe_changes(before: FleetConfig, after: FleetConfig) -> list[Change]:
+    """Return every difference between two configurations, zones first."""
+    return [
+        *_zone_changes(before.zones_by_id, after.zones_by_id),
+        *_account_changes(before.accounts_by_id, after.accounts_by_id),
+        *_limit_changes(before.limits, after.limits),
+        *_fleet_changes(before, after),
+    ]
+
+
+def describe_shape(shape: Shape | None) -> str:
+    """Return a shape such as `4 members with 2 accelerators, same rack`."""
+    if shape is None:
+        return "none"
+    members = f"{shape.members} {'member' if shape.members == 1 else 'members'}"
+    parts = [
+        f"{members} with {shape.accelerators} accelerators",
+        f"{shape.processors} processors",
+        f"{_format_memory(shape.memory_mb)} each",
+    ]
+    if shape.adjacency is not Adjacency.ANY:
+        parts.append(shape.adjacency.value.replace("_", " "))
+    return ", ".join(parts)
+
+
+def describe_quiet_hours(quiet: QuietHours) -> str:
+    """Return quiet hours such as `22:00 to 07:00 on mon, at most 2 accelerators per rack`."""
+    all_days = len(set(quiet.weekdays)) == len(WEEKDAYS)
+    days = "every day" if all_days else "on " + ", ".join(WEEKDAYS[day] for day in quiet.weekdays)
+    times = f"{_format_minute(quiet.from_minute)} to {_format_minute(quiet.to_minute)}"
+    parts = [f"{times} {days}", f"at most {quiet.max_busy_per_rack} accelerators per rack"]
+    if quiet.throttle:
+        parts.append("throttled")
+    if quiet.urgent_exempt:
+        parts.append("urgent work exempt")
+    return ", ".join(parts)
+
+
+def _zone_changes(before: Mapping[str, Zone], after: Mapping[str, Zone]) -> Iterator[Change]:
+    for zone_id, old, new in _pairs(before, after):
+        subject = f"zone {zone_id}"
+        if new is None:
+            yield Change(subject, "removed")
+        elif old is None:
+            service = "in service" if new.in_service else "out of service"
+            yield Change(subject, f"added, {service}, {new.accelerators} accelerators declared")
+            yield from _quiet_changes(subject, (), new.quiet_hours)
+        else:
+            yield from _one_zone(subject, old, new)
+
+
+def _one_zone(subject: str, old: Zone, new: Zone) -> Iterator[Change]:
+    if old.in_service != new.in_service:
+        yield Change(
+            subject, "brought back into service" if new.in_service else "taken out of service"
+        )
+    yield from _value(subject, "accelerators", old.accelerators, new.accelerators)
+    yield from _value(
+        subject,
+        "accelerators per worker",
+        old.accelerators_per_worker,
+        new.accelerators_per_worker,
+    )
+    yield from _value(subject, "workers per rack", old.workers_per_rack, new.workers_per_rack)
+    yield from _value(
+        subject,
+        "offset from UTC",
+        old.utc_offset_minutes,
+        new.utc_offset_minutes,
+        _format_utc_offset,
+    )
+    yield from _quiet_changes(subject, old.quiet_hours, new.quiet_hours)
+
+
+def _quiet_changes(
+    subject: str, old: tuple[QuietHours, ...], new: tuple[QuietHours, ...]
+) -> Iterator[Change]:
+    for quiet in old:
+        if quiet not in new:
+            yield Change(subject, f"quiet hours removed: {describe_quiet_hours(quiet)}")
+    for quiet in new:
+        if quiet not in old:
+            yield Change(subject, f"quiet hours added: {describe_quiet_hours(quiet)}")
+
+
+def _account_changes(
+    before: Mapping[str, Account], after: Mapping[str, Account]
+) -> Iterator[Change]:
+    for account_id, old, new in _pairs(before, after):
+        subject = f"account {account_id}"
+        if new is None:
+            yield Change(subject, "removed")
+            continue
+        if old is None:
+            yield Change(subject, "added")
+            old = Account(account_id)
+        yield from _value(subject, "guarantee", old.guarantee, new.guarantee, describe_shape)
+        yield from _value(subject, "weight", old.weight, new.weight, "{:g}".format)
+        yield from _token(subject, old.token_sha256, new.token_sha256)
+        yield from _value(subject, "waiting jobs", old.max_waiting_jobs, new.max_waiting_jobs)
+
+
+def _limit_changes(old: Limits, new: Limits) -> Iterator[Change]:
+    subject = "limits"
+    duration = format_duration
+    yield from _value(
+        subject, "reclaim grace", old.reclaim_grace_ms, new.reclaim_grace_ms, duration
+    )
+    yield from _value(subject, "task lease", old.task_lease_ms, new.task_lease_ms, duration)
+    yield from _value(subject, "gang lease", old.gang_lease_ms, new.gang_lease_ms, duration)
+    yield from _value(subject, "waiting jobs", old.max_waiting_jobs, new.max_waiting_jobs)
+    yield from _value(subject, "attempts", old.max_attempts, new.max_attempts)
+    yield from _value(subject, "retry budget ratio", old.retry_budget_ratio, new.retry_budget_ratio)
+    yield from _value(
+        subject,
+        "answer retention",
+        old.answer_retention_s * MILLISECONDS_PER_SECOND,
+        new.answer_retention_s * MILLISECONDS_PER_SECOND,
+        duration,
+    )
+
+
+def _fleet_changes(old: FleetConfig, new: FleetConfig) -> Iterator[Change]:
+    yield from _token("operators", old.operator_token_sha256, new.operator_token_sha256)
+    if old.survive_zone_loss != new.survive_zone_loss:
+        word = "must" if new.survive_zone_loss else "need not"
+        yield Change("guarantees", f"{word} hold after the loss of any one zone")
+
+
+def _pairs(
+    before: Mapping[str, T], after: Mapping[str, T]
+) -> Iterator[tuple[str, T | None, T | None]]:
+    for key in sorted({*before, *after}):
+        yield key, before.get(key), after.get(key)
+
+
+def _value(
+    subject: str, name: str, old: T, new: T, describe: Callable[[T], str] = str
+) -> Iterator[Change]:
+    if old != new:
+        yield Change(subject, f"{name} from {describe(old)} to {describe(new)}")
+
+
+def _token(subject: str, old: str, new: str) -> Iterator[Change]:
+    if old == new:
+        return
+    word = "withdrawn" if not new else "changed" if old else "declared"
+    yield Change(subject, f"token {word}")
+
+
+def _format_minute(minute: int) -> str:
+    return f"{minute // MINUTES_PER_HOUR:02}:{minute % MINUTES_PER_HOUR:02}"
+
+
+def _format_utc_offset(minutes: int) -> str:
+    return f"{'-' if minutes < 0 else '+'}{_format_minute(abs(minutes))}"
+
+
+def _format_memory(megabytes: int) -> str:
+    if megabytes % MEGABYTES_PER_GIGABYTE == 0:
+        return f"{megabytes // MEGABYTES_PER_GIGABYTE}GB"
+    return f"{megabytes}MB"
--- a/packages/lycheeslip/lycheeslip/config/units.py
+++ b/packages/lycheeslip/lycheeslip/config/units.py
@@ -38,11 +38,11 @@
     return int(number) * scale_by_unit[unit]
 
 
-def _parse_duration(value: object) -> int:
+def parse_duration(value: object) -> int:
     return _quantity(value, MILLISECONDS_BY_UNIT, "800ms, 10s, 5m, 12h or 1d")
 
 
-def _parse_memory(value: object) -> int:
+def parse_memory(value: object) -> int:
     return _quantity(value, MEGABYTES_BY_UNIT, "512MB or 16GB")
 
 
@@ -74,7 +74,7 @@
 
 def between_durations(least: str, most: str) -> AfterValidator:
     """Return a validator that refuses a duration outside of `least` to `most`."""
-    least_ms, most_ms = _parse_duration(least), _parse_duration(most)
+    least_ms, most_ms = parse_duration(least), parse_duration(most)
 
     def check(value: int) -> int:
         if not least_ms <= value <= most_ms:
@@ -92,10 +92,10 @@
     return f"{milliseconds}ms"
 
 
-DurationMs = Annotated[int, BeforeValidator(_parse_duration)]
+DurationMs = Annotated[int, BeforeValidator(parse_duration)]
 """A duration such as 800ms, 10s, 5m, 12h or 1d."""
 
-MemoryMb = Annotated[int, Field(le=64 * 1_024 * 1_024), BeforeValidator(_parse_memory)]
+MemoryMb = Annotated[int, Field(le=64 * 1_024 * 1_024), BeforeValidator(parse_memory)]
 """An amount of memory such as 512MB or 16GB (1GB is 1024MB)."""
 
 MinuteOfDay = Annotated[int, BeforeValidator(_parse_minute_of_day)]
--- a/packages/lycheeslip_common/lycheeslip_common/config/validation.py
+++ b/packages/lycheeslip_common/lycheeslip_common/config/validation.py
@@ -3,7 +3,8 @@
 import types
 from collections.abc import Mapping
 from difflib import get_close_matches
-from typing import Annotated, Any, TypeVar, Union, get_args, get_origin, get_type_hints
+from functools import cache
+from typing import Annotated, Any, TypeVar, Union, cast, get_args, get_origin, get_type_hints
 
 from pydantic import BeforeValidator, Field, TypeAdapter, ValidationError
 from pydantic_core import ErrorDetails, PydanticCustomError
@@ -57,13 +58,18 @@
     if not isinstance(document.value, Mapping):
         return None, [document.problem_at((), "the file must be a mapping of keys to values")]
     try:
-        value = TypeAdapter(declaration).validate_python(document.value)
+        value = _adapter(cast(Any, declaration)).validate_python(document.value)
     except ValidationError as error:
         problems += [_describe(item, declaration, document) for item in _innermost(error)]
         return None, sorted(problems, key=lambda problem: problem.line)
     return value, problems
 
 
+@cache
+def _adapter(declaration: Any) -> TypeAdapter[Any]:
+    return TypeAdapter(declaration)
+
+
 def _innermost(error: ValidationError) -> list[ErrorDetails]:
     """Return the errors without those that only follow from one further inside."""
     items = error.errors()
