Add the command line for callers and operators

Cause: callers and operators need one binary that tells apart done, refused, conflict and "may have run" by exit code. Ruled out: trusting a refusal that follows a lost answer, since the first entry may have taken the request; a 412 after a lost answer, since the write may be the command's own, so apply reads the configuration before it reports. A test found a stack trace for a bad line of a job file; it is one message now.

--- /dev/null
+++ b/packages/lycheeslip/lycheeslip/__main__.py
@@ -0,0 +1,14 @@
+"""Entry point of the `lycheeslip` binary."""
+
+from lycheeslip.cli import app
+
+__all__ = ["main"]
+
+
+def main() -> None:
+    """Run the command line and exit with its code."""
+    app()
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/lycheeslip/lycheeslip/commands/__init__.py
+++ b/packages/lycheeslip/lycheeslip/commands/__init__.py
@@ -1,1 +1,1 @@
-"""What the command line does, one module a command."""
+"""What each command does; `lycheeslip.cli` only reads its arguments."""
--- /dev/null
+++ b/packages/lycheeslip/tests/cli_tests.py
@@ -0,0 +1,389 @@
+import asyncio
+import base64
+import hashlib
+import json
+import threading
+import time
+
+import pytest
+from aiohttp import web
+from lycheeslip.cli import app
+from typer.testing import CliRunner
+
+VERDICT = {"tag": "answered", "reason": "completed", "may_have_run": True, "detail": ""}
+SHAPE = {"members": 2, "accelerators": 1, "adjacency": "any"}
+ATTEMPT = {"attempt": 1, "workers": ["w1", "w2"], "started_at_ms": 2_000, "ended_at_ms": 3_000}
+JOB = {"job_id": "j1", "account": "a", "kind": "bulk", "state": "done", "repeatable": True}
+JOB |= {"accepted_at_ms": 1_000, "deadline_at_ms": 9_000, "shape": SHAPE, "verdict": VERDICT}
+JOB |= {"answer": {"length": 5}, "waiting": None, "attempts": [ATTEMPT | {"outcome": "completed"}]}
+
+ENTRY = {"entry_id": "e1", "region": "r", "zone": "z", "http_address": "127.0.0.1:1"}
+ZONE = {"zone_id": "z", "in_service": False, "workers": 1, "accelerators": 8, "busy": 2}
+WORKER = {"worker_id": "w1", "zone": "z", "rack": "r1", "accelerators": 8, "busy": 2}
+WORKER |= {"leaving": False, "quarantined": True, "grants": [{}]}
+ACCOUNT = {"account_id": "a", "guaranteed": 4, "using": 6, "borrowed": 2, "waiting": 1}
+FLEET = {"entry_id": "e1", "planner": "e1", "config_revision": 3, "store_reachable": True}
+FLEET |= {"entries": [ENTRY], "zones": [ZONE], "workers": [WORKER], "accounts": [ACCOUNT]}
+FLEET |= {"fragmentation": 0.25}
+
+CONFIG_TEXT = "zones:\n  z: {}\n"
+LOSE_ANSWER = object()
+
+
+def problem(status, reason, *, may_have_run=False, retry_at_ms=0, errors=()):
+    body = {
+        "type": "about:blank",
+        "title": reason,
+        "status": status,
+        "detail": f"detail of {reason}",
+        "reason": reason,
+        "may_have_run": may_have_run,
+        "retry_at_ms": retry_at_ms,
+        "errors": list(errors),
+    }
+    return status, body, {}
+
+
+def job(**changes):
+    return JOB | changes
+
+
+def verdict(tag, may_have_run):
+    return VERDICT | {"tag": tag, "may_have_run": may_have_run, "reason": "why"}
+
+
+class FakeEntry:
+    """Gives scripted answers; the last one of a route is repeated."""
+
+    def __init__(self):
+        self.script = {}
+        self.requests = []
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
+        self._thread.start()
+        self._runner = web.AppRunner(self._application(), shutdown_timeout=0)
+        self.address = self._call(self._start())
+
+    def on(self, method, path, *replies):
+        self.script[method, path] = list(replies)
+        return self
+
+    def close(self):
+        self._call(self._runner.cleanup())
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join()
+        self._loop.close()
+
+    def _call(self, coroutine):
+        return asyncio.run_coroutine_threadsafe(coroutine, self._loop).result(timeout=5)
+
+    def _application(self):
+        application = web.Application()
+        application.router.add_route("*", "/{path:.*}", self._handle)
+        return application
+
+    async def _start(self):
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, "127.0.0.1", 0)
+        await site.start()
+        host, port = self._runner.addresses[0][:2]
+        return f"{host}:{port}"
+
+    async def _handle(self, request):
+        self.requests.append((request.method, request.path, request.headers, await request.text()))
+        replies = self.script[request.method, request.path]
+        reply = replies.pop(0) if len(replies) > 1 else replies[0]
+        if reply is LOSE_ANSWER:
+            request.transport.abort()
+            return web.Response()
+        status, body, headers = reply
+        if isinstance(body, bytes):
+            return web.Response(status=status, body=body, headers=headers)
+        return web.json_response(body, status=status, headers=headers)
+
+
+@pytest.fixture
+def make_entry():
+    entries = []
+
+    def make():
+        entries.append(FakeEntry())
+        return entries[-1]
+
+    yield make
+    for entry in entries:
+        entry.close()
+
+
+@pytest.fixture
+def entry(make_entry):
+    return make_entry()
+
+
+def run(arguments, *entries, output="text", token=""):
+    addresses = ",".join(getattr(entry, "address", entry) for entry in entries)
+    options = ["--output", output, "--entry", addresses or "127.0.0.1:1"]
+    options += ["--token", token] if token else []
+    return CliRunner().invoke(app, options + arguments)
+
+
+def ok(body):
+    return 200, body, {}
+
+
+SUBMIT = ["submit", "--account", "a", "--memory", "1GB", "--deadline", "2m"]
+
+
+def test_submit_sends_the_job_and_prints_its_end(entry):
+    entry.on("POST", "/v1/jobs", (202, job(state="pending", verdict=None), {}))
+    entry.on("GET", "/v1/jobs/j1", ok(job(state="started", verdict=None)), ok(JOB))
+    result = run([*SUBMIT, "--members", "2", "--key", "k1"], entry, token="secret")
+    method, path, headers, body = entry.requests[0]
+    assert (result.exit_code, result.stdout) == (
+        0,
+        "job j1: done, answered: completed, answer of 5 bytes\n",
+    )
+    assert (headers["Authorization"], headers["Idempotency-Key"]) == ("Bearer secret", "k1")
+    assert json.loads(body)["shape"]["memory_mb"] == 1024
+    assert json.loads(body)["deadline_in_ms"] == 120_000
+    assert [method for method, *_ in entry.requests] == ["POST", "GET", "GET"]
+
+
+def test_submit_without_waiting_prints_where_the_job_stands(entry):
+    waiting = {"reason": "no_room", "detail": "all busy"}
+    entry.on("POST", "/v1/jobs", (202, job(state="pending", verdict=None, waiting=waiting), {}))
+    result = run([*SUBMIT, "--no-wait"], entry)
+    assert result.stdout == "job j1: pending, waits: no_room (all busy)\n"
+    assert result.exit_code == 0
+
+
+@pytest.mark.parametrize(
+    ("tag", "may_have_run", "code"),
+    [
+        ("answered", True, 0),
+        ("failed", True, 1),
+        ("refused", False, 3),
+        ("unknown", True, 4),
+        ("cannot_run", False, 3),
+        ("cannot_run", True, 1),
+        ("cancelled", False, 3),
+        ("cancelled", True, 1),
+    ],
+)
+def test_exit_code_follows_the_verdict(entry, tag, may_have_run, code):
+    entry.on("POST", "/v1/jobs", ok(job(verdict=verdict(tag, may_have_run))))
+    assert run(SUBMIT, entry).exit_code == code
+
+
+@pytest.mark.parametrize(
+    ("reply", "code", "message"),
+    [
+        (problem(400, "unknown_account"), 3, "unknown_account: detail of unknown_account"),
+        (problem(409, "key_reused"), 5, "key_reused"),
+        (problem(500, "internal", may_have_run=True), 4, "internal"),
+        (problem(503, "store_unreachable"), 3, "store_unreachable"),
+        ((502, b"<html>", {}), 4, "http_502: the entry gave no reason"),
+        (LOSE_ANSWER, 4, "may have taken effect"),
+    ],
+)
+def test_refusal_says_whether_the_job_ran(entry, reply, code, message):
+    entry.on("POST", "/v1/jobs", reply)
+    result = run(SUBMIT, entry)
+    assert result.exit_code == code
+    assert message in result.stderr
+    assert "Traceback" not in result.output
+
+
+def test_submit_waits_as_long_as_a_refusal_asks(entry):
+    retry_at_ms = int(time.time() * 1_000) + 100
+    entry.on("POST", "/v1/jobs", problem(429, "queue_full", retry_at_ms=retry_at_ms), ok(JOB))
+    assert run(SUBMIT, entry).exit_code == 0
+    keys = [headers["Idempotency-Key"] for _, _, headers, _ in entry.requests]
+    assert len(keys) == 2
+    assert keys[0] == keys[1]
+
+
+def test_another_entry_is_tried_with_the_same_key(entry, make_entry):
+    entry.on("POST", "/v1/jobs", LOSE_ANSWER)
+    other = make_entry().on("POST", "/v1/jobs", ok(JOB))
+    assert run(SUBMIT, "127.0.0.1:1", entry, other).exit_code == 0
+    keys = {headers["Idempotency-Key"] for _, _, headers, _ in entry.requests + other.requests}
+    assert len(keys) == 1
+
+
+def test_refusal_after_a_lost_answer_is_not_reported_as_not_run(entry, make_entry):
+    entry.on("POST", "/v1/jobs", LOSE_ANSWER)
+    other = make_entry().on("POST", "/v1/jobs", problem(429, "queue_full"))
+    assert run(SUBMIT, entry, other).exit_code == 4
+
+
+def test_no_entry_reachable(entry):
+    result = run(["status"])
+    assert (result.exit_code, "nothing was done" in result.stderr) == (6, True)
+
+
+def test_job_file_is_submitted_line_by_line(entry, tmp_path):
+    path = tmp_path / "jobs.jsonl"
+    path.write_text('{"account": "a"}\n\n{"account": "b", "idempotency_key": "own"}\n')
+    entry.on("POST", "/v1/jobs", ok(JOB), ok(job(verdict=verdict("failed", True))))
+    result = run(["submit", "--file", str(path), "--key", "run7"], entry, output="json")
+    keys = {headers["Idempotency-Key"] for _, _, headers, _ in entry.requests}
+    assert result.exit_code == 1
+    assert keys == {"run7-1", "own"}
+    assert [json.loads(line)["job_id"] for line in result.stdout.splitlines()] == ["j1", "j1"]
+
+
+@pytest.mark.parametrize("line", ["{", "[1]", "5", "[" * 9000, "\x00"])
+def test_bad_line_of_a_job_file_is_named(tmp_path, line):
+    path = tmp_path / "jobs.jsonl"
+    path.write_text('{"account": "a"}\n' + line)
+    result = run(["submit", "--file", str(path)])
+    assert (result.exit_code, f"{path}:2: must be one JSON object" in result.stderr) == (2, True)
+
+
+@pytest.mark.parametrize(
+    "arguments",
+    [
+        ["submit"],
+        ["submit", "--account", "a", "--memory", "16"],
+        ["submit", "--account", "a", "--deadline", "soon"],
+        ["submit", "--account", "a", "--kind", "slow"],
+        ["submit", "--file", "/absent.jsonl"],
+        ["config", "check", "/absent.yaml"],
+        ["entry", "--settings", "/absent.yaml"],
+        ["nonsense"],
+    ],
+)
+def test_wrong_use_is_told_apart(arguments):
+    result = run(arguments)
+    assert result.exit_code == 2
+    assert "Traceback" not in result.output
+
+
+def digest_header(content):
+    digest = base64.b64encode(hashlib.sha256(content).digest()).decode()
+    return {"Repr-Digest": f"sha-256=:{digest}:"}
+
+
+def test_answer_is_written_to_a_file(entry, tmp_path):
+    entry.on("GET", "/v1/jobs/j1/answer", (202, job(state="started"), {}), ok(b""))
+    entry.script["GET", "/v1/jobs/j1/answer"][1] = (200, b"\x00whole", digest_header(b"\x00whole"))
+    path = tmp_path / "answer"
+    assert run(["answer", "j1", "--out", str(path)], entry).exit_code == 0
+    assert path.read_bytes() == b"\x00whole"
+
+
+def test_damaged_answer_is_fetched_from_another_entry(entry, make_entry):
+    entry.on("GET", "/v1/jobs/j1/answer", (200, b"part", digest_header(b"whole")))
+    other = make_entry().on("GET", "/v1/jobs/j1/answer", (200, b"whole", digest_header(b"whole")))
+    result = run(["answer", "j1"], entry, other)
+    assert (result.exit_code, result.stdout) == (0, "whole")
+
+
+def test_job_without_an_answer_gives_its_verdict(entry):
+    entry.on("GET", "/v1/jobs/j1/answer", problem(409, "no_answer"))
+    entry.on("GET", "/v1/jobs/j1", ok(job(verdict=verdict("cancelled", False), answer=None)))
+    result = run(["answer", "j1"], entry)
+    assert (result.exit_code, "cancelled, did not run: why" in result.stderr) == (3, True)
+
+
+def test_answer_that_is_not_there_in_time(entry):
+    entry.on("GET", "/v1/jobs/j1/answer", (202, job(state="started"), {}))
+    result = run(["answer", "j1", "--wait-for", "0s"], entry)
+    assert (result.exit_code, "not done yet" in result.stderr) == (1, True)
+
+
+def test_explain_lists_the_attempts(entry):
+    entry.on("GET", "/v1/jobs/j1", ok(JOB))
+    result = run(["explain", "j1"], entry)
+    assert "attempt 1 on w1, w2: completed, 1970-01-01T00:00:02.000Z" in result.stdout
+
+
+def test_cancel_and_drain(entry):
+    entry.on("DELETE", "/v1/jobs/j1", (202, JOB, {}))
+    entry.on("POST", "/v1/workers/w1/drain", (202, {}, {}))
+    assert run(["cancel", "j1"], entry).exit_code == 0
+    assert run(["drain", "w1"], entry).stdout == "worker w1 takes no new work\n"
+
+
+def test_status_shows_what_is_borrowed(entry):
+    entry.on("GET", "/v1/fleet", ok(FLEET))
+    text = run(["status"], entry).stdout
+    assert "fragmentation 0.25" in text
+    assert "quarantined" in text
+    assert json.loads(run(["status"], entry, output="json").stdout) == FLEET
+
+
+@pytest.fixture
+def config_file(tmp_path):
+    path = tmp_path / "fleet.yaml"
+    path.write_text("zones:\n  z: {in_service: false}\n")
+    return path
+
+
+@pytest.fixture
+def current(entry):
+    document = {"revision": 4, "text": CONFIG_TEXT, "applied_at_ms": 1_000}
+    return entry.on("GET", "/v1/config", ok(document))
+
+
+def test_config_check(config_file):
+    assert run(["config", "check", str(config_file)]).exit_code == 0
+    config_file.write_text("zone: 1\n")
+    result = run(["config", "check", str(config_file)], output="json")
+    assert result.exit_code == 3
+    assert json.loads(result.stdout)["problems"][0]["line"] == 1
+    assert f"{config_file}:1: zone: unknown key" in result.stderr
+
+
+def test_config_diff_against_the_fleet(current, config_file):
+    result = run(["config", "diff", str(config_file)], current)
+    assert result.stdout == "zone z: taken out of service\n"
+
+
+def test_config_apply_names_the_expected_revision(current, config_file):
+    current.on("PUT", "/v1/config", ok({"revision": 5, "confirmed_by": ["e1", "e2"]}))
+    result = run(["config", "apply", str(config_file)], current)
+    assert result.exit_code == 0
+    assert "zone z: taken out of service" in result.stdout
+    assert "revision 5 in force; confirmed by entries: e1, e2" in result.stdout
+    assert current.requests[-1][2]["If-Match"] == '"4"'
+
+
+def test_loser_of_a_race_is_told_both_revisions(current, config_file):
+    current.on("PUT", "/v1/config", problem(412, "conflict: expected 4, current 5"))
+    result = run(["config", "apply", str(config_file), "--expect", "4"], current)
+    assert (result.exit_code, "expected 4, current 5" in result.stderr) == (5, True)
+
+
+def test_refused_configuration_lists_the_problems(current, config_file):
+    errors = [{"line": 2, "key": "zones.z", "message": "no room"}]
+    current.on("PUT", "/v1/config", problem(422, "invalid", errors=errors))
+    result = run(["config", "apply", str(config_file)], current)
+    assert (result.exit_code, "line 2: zones.z: no room" in result.stderr) == (3, True)
+
+
+def test_apply_that_took_effect_although_its_answer_was_lost(entry, config_file):
+    before = {"revision": 4, "text": CONFIG_TEXT, "applied_at_ms": 1_000}
+    after = {"revision": 5, "text": config_file.read_text(), "applied_at_ms": 2_000}
+    entry.on("GET", "/v1/config", ok(before), ok(after))
+    entry.on("PUT", "/v1/config", LOSE_ANSWER)
+    result = run(["config", "apply", str(config_file)], entry)
+    assert (result.exit_code, "revision 5 in force" in result.stdout) == (0, True)
+
+
+def test_apply_whose_answer_was_lost_and_that_is_not_seen(current, config_file):
+    current.on("PUT", "/v1/config", LOSE_ANSWER)
+    assert run(["config", "apply", str(config_file)], current).exit_code == 4
+
+
+def test_config_show_and_history(current):
+    items = [{"revision": 4, "applied_at_ms": 1_000, "digest": "abc"}]
+    current.on("GET", "/v1/config/history", ok({"items": items}))
+    assert "zones:" in run(["config", "show"], current).stdout
+    assert "abc" in run(["config", "history"], current).stdout
+
+
+def test_token_prints_the_digest_of_the_token():
+    document = json.loads(run(["token"], output="json").stdout)
+    assert hashlib.sha256(document["token"].encode()).hexdigest() == document["sha256"]
