Add the process harness and the proofs of the promises

One fleet is three entries, ten agents, ten backend servers, a store and a fault proxy, all real processes on loopback; every dialled address goes by a route of the proxy, one for each pair. Ports stay bound by the test without listening, since a port that was only free a moment ago was taken by an outgoing connection in the second run of the fleet.

A proof brings about one fault under load, heals the fleet, waits for all callers and then judges every promise, not only its own.

--- a/packages/lycheeslip_standins/lycheeslip_standins/checker_facts.py
+++ b/packages/lycheeslip_standins/lycheeslip_standins/checker_facts.py
@@ -4,6 +4,7 @@
 from typing import Any, NamedTuple
 
 __all__ = [
+    "FOREVER_MS",
     "BackendEvent",
     "CallerRecord",
     "ConfigView",
@@ -16,6 +17,9 @@
 ]
 
 
+FOREVER_MS = 1 << 62
+
+
 class BackendEvent(NamedTuple):
     """One line of a backend server's log; times are the machine's monotonic clock."""
 
@@ -70,10 +74,11 @@
 
 
 class Leaving(NamedTuple):
-    """A backend server was told to leave at `told_ms`."""
+    """A backend server was told to leave at `told_ms`, and came back at `until_ms`."""
 
     backend: str
     told_ms: int
+    until_ms: int = FOREVER_MS
 
 
 class ConfigView(NamedTuple):
--- /dev/null
+++ b/tests/prove/answers.py
@@ -0,0 +1,77 @@
+"""Proofs that each caller gets the whole answer to its own request, and exactly one."""
+
+from tests.prove.trial import Trial, scenario
+
+__all__: list[str] = []
+
+PROMISE = "whole answer, right caller"
+ONE = "exactly one true answer"
+
+
+@scenario(PROMISE, "large answers on connections that break")
+async def truncated(trial: Trial) -> None:
+    """Reset callers' connections in the middle of answers."""
+    trial.load(30, over_s=3.0, answer_bytes=1_500_000)
+    for _ in range(8):
+        limit = trial.rng.randrange(50_000, 3_000_000)
+        await trial.fleet.set_routes("entry", ".http", reset_after_bytes=limit)
+        await trial.pause(0.5)
+    await trial.fleet.set_routes("entry", ".http")
+
+
+@scenario(PROMISE, "answers lost and late")
+async def lost_and_late(trial: Trial) -> None:
+    """Lose and delay answers on their way to callers."""
+    trial.load(60, over_s=3.0, answer_bytes=3_000)
+    for _ in range(8):
+        await trial.fleet.set_routes(
+            "entry",
+            ".http",
+            lose_answers=trial.rng.randrange(0, 5),
+            delay_ms=trial.rng.randrange(0, 900),
+        )
+        await trial.pause(0.5)
+
+
+@scenario(PROMISE, "sessions broken while answers travel")
+async def sessions_broken(trial: Trial) -> None:
+    """Reset sessions between agents and entries in the middle of large answers."""
+    trial.load(24, over_s=3.0, answer_bytes=1_000_000)
+    for _ in range(8):
+        limit = trial.rng.randrange(20_000, 2_000_000)
+        await trial.fleet.set_routes("worker", reset_after_bytes=limit)
+        await trial.pause(0.5)
+
+
+@scenario(ONE, "entries killed in turn")
+async def entries_killed(trial: Trial) -> None:
+    """Kill each entry while callers wait."""
+    trial.load(80, over_s=5.0)
+    for entry in trial.fleet.entries_by_id.values():
+        await trial.pause(0.3, 1.2)
+        entry.kill()
+        await trial.pause(0.5, 1.5)
+        entry.start()
+
+
+@scenario(ONE, "a store outage")
+async def outage(trial: Trial) -> None:
+    """Take the store down while work is accepted, runs and ends."""
+    trial.load(60, over_s=3.0, run_ms=800)
+    await trial.pause(0.5, 1.5)
+    trial.cut_entries |= trial.fleet.entries_by_id.keys()
+    await trial.fleet.set_store(down=True)
+    await trial.pause(4.0, 12.0)
+    await trial.fleet.set_store()
+
+
+@scenario(ONE, "all entries killed at once")
+async def all_entries_killed(trial: Trial) -> None:
+    """Lose every entry while tasks run and answers wait beside their backend servers."""
+    trial.load(40, over_s=1.0, run_ms=1500)
+    await trial.pause(1.2, 2.0)
+    for entry in trial.fleet.entries_by_id.values():
+        entry.kill()
+    await trial.pause(1.0, 4.0)
+    for entry in trial.fleet.entries_by_id.values():
+        entry.start()
