--- a/packages/lycheeslip/lycheeslip/entry/blackboard.py
+++ b/packages/lycheeslip/lycheeslip/entry/blackboard.py
@@ -105,7 +105,7 @@
 
     def live_entries(self) -> tuple[EntryInfo, ...]:
         """Return the entries that hold a lease in the store, this one included."""
-        return tuple(self.entries_by_id.values())
+        return tuple(sorted(self.entries_by_id.values()))
 
     def reachable_entries(self) -> set[str]:
         """Return this entry and the leased entries that it holds a session with."""
--- a/packages/lycheeslip_common/lycheeslip_common/utils/logs.py
+++ b/packages/lycheeslip_common/lycheeslip_common/utils/logs.py
@@ -1,17 +1,26 @@
 """Structured logs: one line of key=value pairs for each event."""
 
+import logging as standard_logging
 import sys
 
 from absl import logging
 
 __all__ = ["configure_logs", "log_event", "log_warning"]
 
+LINE_FORMAT = "time=%(asctime)s.%(msecs)03d level=%(levelname)s %(message)s"
+TIME_FORMAT = "%Y-%m-%dT%H:%M:%S"
+NOISY_LIBRARIES = ("websockets", "aiohttp", "asyncio")
+
 
 def configure_logs(verbosity: str = "info") -> None:
     """Send logs of `verbosity` (debug, info, warning, error) to standard error."""
     logging.use_absl_handler()
-    logging.get_absl_handler().python_handler.stream = sys.stderr
+    handler = logging.get_absl_handler().python_handler
+    handler.stream = sys.stderr
+    handler.setFormatter(standard_logging.Formatter(LINE_FORMAT, TIME_FORMAT))
     logging.set_verbosity(verbosity)
+    for library in NOISY_LIBRARIES:
+        standard_logging.getLogger(library).setLevel(standard_logging.WARNING)
 
 
 def _format(event: str, fields: dict[str, object]) -> str:
