Index jobs by state, bound recovery's writes and stop entries gracefully

Cause, read from the code while the path first ran: a submission and each planning round walked all jobs; a lost zone would have had recovery write every lost job twice a second; an entry cut from a peer would have called the peer's workers lost; a store restored to an older state would have reverted the configuration; a caller could see other accounts' grants. Ruled out for the cut: trusting the session alone, since the peer's lease in the store says that it lives. Run: unit tests pass and the embedded path answers one job and one gang of 3; the failures themselves are not yet proved by process tests.

--- a/packages/lycheeslip/lycheeslip/app.py
+++ b/packages/lycheeslip/lycheeslip/app.py
@@ -14,6 +14,7 @@
 from lycheeslip_common.utils.metrics import Metrics
 from lycheeslip_common.wire.session import Session, SessionError, listen
 
+from lycheeslip.config.auth import is_open
 from lycheeslip.entry.agent_sessions import AgentSessions
 from lycheeslip.entry.attempts import Attempts
 from lycheeslip.entry.blackboard import Blackboard
@@ -34,6 +35,7 @@
 
 __all__ = ["EntryApp", "run_entry"]
 
+BALANCER_NOTICE_S = 0.5
 Controller = Callable[[], Awaitable[None]]
 
 
@@ -61,7 +63,7 @@
         self._membership = Membership(self.board, self._store, times.entry_lease_s)
         self._agents = AgentSessions(self.board, self._router, outcomes)
         self._peers = Peers(self.board, self._router, outcomes, settings.fleet_key, settings.routes)
-        attempts = Attempts(self.board, self._router, jobs)
+        self._attempts = attempts = Attempts(self.board, self._router, jobs)
         plan = importlib.import_module(settings.policy_module).plan
         self._planner = Planner(self.board, self._router, attempts, plan, times.plan_every_ms)
         self._recovery = Recovery(
@@ -70,11 +72,17 @@
         self._upkeep = Upkeep(self.board, self._store, jobs, self._agents, times.permit_ms)
         config_apply = ConfigApply(self.board, self._store, self._sync, times.permit_ms)
         self._web = web.Application(
-            client_max_size=MAX_BODY_BYTES, middlewares=[make_middleware(self.board)]
+            client_max_size=MAX_BODY_BYTES,
+            middlewares=[make_middleware(self.board, settings.allow_remote_without_tokens)],
         )
-        JobHandlers(self.board, jobs, outcomes).add_routes(self._web)
+        JobHandlers(self.board, self._router, jobs, outcomes).add_routes(self._web)
         OperatorHandlers(self.board, self._router, config_apply).add_routes(self._web)
-        self._runner = web.AppRunner(self._web, access_log=None, handle_signals=False)
+        self._runner = web.AppRunner(
+            self._web,
+            access_log=None,
+            handle_signals=False,
+            shutdown_timeout=times.shutdown_wait_ms / 1000,
+        )
         self._tasks: list[asyncio.Task[None]] = []
         self.failed = asyncio.Event()
 
@@ -104,14 +112,17 @@
             self._upkeep.keep_retention,
         )
         self._tasks = [asyncio.create_task(self._supervise(part)) for part in controllers]
+        if is_open(self.board.config):
+            log_warning("open_until_tokens_are_declared", entry=settings.node_id)
         log_event("entry_started", entry=settings.node_id, http=settings.http_address)
 
     async def stop(self) -> None:
         """Leave gracefully: finish open requests, give up the lease, end the sessions."""
         self.board.leaving = True
         await self._membership.leave()
-        wait_s = self._settings.times.shutdown_wait_ms / 1000
-        self._runner.shutdown_timeout = wait_s  # type: ignore[attr-defined]
+        self.board.jobs.wake_all()
+        await asyncio.sleep(BALANCER_NOTICE_S)
+        await self._attempts.finish()
         await self._runner.cleanup()
         for task in self._tasks:
             task.cancel()
--- a/packages/lycheeslip/lycheeslip/entry/attempts.py
+++ b/packages/lycheeslip/lycheeslip/entry/attempts.py
@@ -17,8 +17,9 @@
 )
 
 from lycheeslip.entry import lifecycle
-from lycheeslip.entry.blackboard import Blackboard, JobEntry, WaitReason
+from lycheeslip.entry.blackboard import Blackboard, WaitReason
 from lycheeslip.entry.job_store import Declined, JobStore, Updated
+from lycheeslip.entry.job_table import JobEntry
 from lycheeslip.entry.router import Reply, Router
 from lycheeslip.policy.model import Place
 
@@ -41,14 +42,24 @@
         self._router = router
         self._jobs = jobs
         self.placement_by_job: dict[str, tuple[MemberPlacement, ...]] = {}
-        self.not_before_by_job: dict[str, int] = {}
+        self._not_before_by_job: dict[str, int] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
+    def is_held_back(self, job_id: str, now_ms: int) -> bool:
+        """Return whether an attempt is under way, or one failed too recently to try again."""
+        if job_id in self.placement_by_job:
+            return True
+        return self._not_before_by_job.get(job_id, 0) > now_ms
+
+    async def finish(self) -> None:
+        """Return when no attempt is between its reservation and its preparation."""
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
     def start(self, place: Place) -> None:
         """Begin an attempt unless one is under way for the job."""
         if place.job_id in self.placement_by_job:
             return
-        job = self._board.jobs_by_id.get(place.job_id)
+        job = self._board.jobs.by_id.get(place.job_id)
         if job is None:
             return
         self.placement_by_job[place.job_id] = place.placement
@@ -64,9 +75,9 @@
         if refused:
             self._board.metrics.count(f"retry.placement.{refused}")
             self._board.wait_reason_by_job[place.job_id] = WaitReason(refused, "will be retried")
-            self.not_before_by_job[place.job_id] = monotonic_ms() + RETRY_PLACEMENT_MS
+            self._not_before_by_job[place.job_id] = monotonic_ms() + RETRY_PLACEMENT_MS
         else:
-            self.not_before_by_job.pop(place.job_id, None)
+            self._not_before_by_job.pop(place.job_id, None)
         self._board.plan_wanted.set()
 
     async def _attempt(self, place: Place, job: JobEntry) -> str:
--- a/packages/lycheeslip/lycheeslip/entry/config_apply.py
+++ b/packages/lycheeslip/lycheeslip/entry/config_apply.py
@@ -79,8 +79,9 @@
         if isinstance(current, Unreachable):
             return Unreachable(False, current.detail)
         known = decode_config(current.items[0].value)["revision"] if current.items else 0
-        if known != expected_revision:
-            return RevisionConflict(expected_revision, known)
+        newest = max(known, self._board.config.revision)
+        if newest != expected_revision:
+            return RevisionConflict(expected_revision, newest)
         stored = StoredConfig(
             revision=revision,
             text=text,
--- a/packages/lycheeslip/lycheeslip/entry/job_store.py
+++ b/packages/lycheeslip/lycheeslip/entry/job_store.py
@@ -65,7 +65,7 @@
 
     def keep_in_memory(self, record: JobRecord) -> None:
         """Know a job that is never recorded, for a caller that waits on its connection."""
-        self._board.put_job(record, 0)
+        self._board.jobs.put(record, 0)
 
     async def create(self, record: JobRecord) -> Created | Existing | Unreachable:
         """Record a new job; Unreachable says whether the record may be there."""
@@ -73,7 +73,7 @@
         outcome = await self._store.write_if(key, encode_job(record), 0)
         match outcome:
             case Written(revision):
-                self._board.put_job(record, revision)
+                self._board.jobs.put(record, revision)
                 return Created(record)
             case Conflict(KeyValue() as current):
                 return self._existing(current, record)
@@ -86,12 +86,12 @@
     async def update(self, job_id: str, transition: Transition) -> Updated | Declined | Unreachable:
         """Apply `transition` to the newest record, again after each conflict."""
         for _ in range(MAX_CONFLICTS):
-            job = self._board.jobs_by_id.get(job_id)
+            job = self._board.jobs.by_id.get(job_id)
             changed = transition(job.record) if job is not None else None
             if job is None or changed is None:
                 return Declined()
             if not job.is_recorded:
-                self._board.put_job(changed, 0)
+                self._board.jobs.put(changed, 0)
                 return Updated(changed)
             outcome = await self._write(job_id, changed, job.mod_revision)
             if outcome is not None:
@@ -121,12 +121,12 @@
 
     async def forget(self, job_id: str) -> None:
         """Delete a finished job with its answer."""
-        job = self._board.jobs_by_id.get(job_id)
+        job = self._board.jobs.by_id.get(job_id)
         if job is None:
             return
         if job.is_recorded:
             await self._delete(job.record, job.mod_revision)
-        self._board.remove_job(job_id)
+        self._board.jobs.remove(job_id)
 
     async def _delete(self, record: JobRecord, mod_revision: int) -> None:
         job_id = record["job_id"]
@@ -146,13 +146,13 @@
             outcome = await self._resolve_lost_answer(job_id, changed, outcome)
         match outcome:
             case Written(revision):
-                self._board.put_job(changed, revision)
+                self._board.jobs.put(changed, revision)
                 return Updated(changed)
             case Conflict(KeyValue() as current):
-                self._board.put_job(decode_job(current.value), current.mod_revision)
+                self._board.jobs.put(decode_job(current.value), current.mod_revision)
                 return None
             case Conflict():
-                self._board.remove_job(job_id)
+                self._board.jobs.remove(job_id)
                 return Declined()
             case Unreachable():
                 return outcome
@@ -178,7 +178,7 @@
         outcome = await self._resolve_lost_answer(record["job_id"], record, lost)
         match outcome:
             case Written(revision):
-                self._board.put_job(record, revision)
+                self._board.jobs.put(record, revision)
                 return Created(record)
             case Conflict(KeyValue() as current):
                 return self._existing(current, record)
@@ -186,7 +186,7 @@
 
     def _existing(self, current: KeyValue, record: JobRecord) -> Created | Existing:
         stored = decode_job(current.value)
-        self._board.put_job(stored, current.mod_revision)
+        self._board.jobs.put(stored, current.mod_revision)
         if stored["writer"] == record["writer"]:
             return Created(stored)
         return Existing(stored)
--- a/packages/lycheeslip/lycheeslip/entry/outcomes.py
+++ b/packages/lycheeslip/lycheeslip/entry/outcomes.py
@@ -11,8 +11,9 @@
 from lycheeslip_common.wire.messages import AnswerRecorded, AttemptReport, ReportState
 
 from lycheeslip.entry import lifecycle
-from lycheeslip.entry.blackboard import Blackboard, JobEntry
+from lycheeslip.entry.blackboard import Blackboard
 from lycheeslip.entry.job_store import Declined, JobStore, Updated
+from lycheeslip.entry.job_table import JobEntry
 from lycheeslip.entry.router import Router
 
 __all__ = ["Outcomes"]
@@ -54,7 +55,7 @@
 
     async def _take_effect(self, report: AttemptReport) -> bool:
         """Return whether the agent may forget the report."""
-        job = self._board.jobs_by_id.get(report.ref.job_id)
+        job = self._board.jobs.by_id.get(report.ref.job_id)
         if job is None:
             return self._board.synced and self._board.store_reachable
         if job.record["attempt"] < report.ref.attempt:
--- a/packages/lycheeslip/lycheeslip/entry/planner.py
+++ b/packages/lycheeslip/lycheeslip/entry/planner.py
@@ -6,14 +6,16 @@
 from typing import NamedTuple
 
 from lycheeslip_common.structure.fleet import Grant, GrantState, WorkerState
-from lycheeslip_common.structure.jobs import AttemptRef, JobState, MemberPlacement
+from lycheeslip_common.structure.jobs import JobState, MemberPlacement
 from lycheeslip_common.utils.clock import monotonic_ms, wall_ms
 from lycheeslip_common.utils.logs import log_event
 from lycheeslip_common.utils.rendezvous import choose
-from lycheeslip_common.wire.messages import Control, ControlAction
+from lycheeslip_common.wire.messages import ControlAction
 
 from lycheeslip.entry.attempts import Attempts
-from lycheeslip.entry.blackboard import Blackboard, JobEntry, WaitReason
+from lycheeslip.entry.blackboard import Blackboard, WaitReason
+from lycheeslip.entry.controls import attempt_ref, control_members
+from lycheeslip.entry.job_table import JobEntry
 from lycheeslip.entry.lifecycle import FAILED_OUTCOME
 from lycheeslip.entry.router import Router
 from lycheeslip.policy.model import (
@@ -108,29 +110,24 @@
         self._issued_by_attempt[act.ref.key] = _Issued(act.action, now_ms + REPEAT_ACT_MS)
         self._board.metrics.count(f"act.{act.action}.{act.reason}")
         log_event("attempt_control", job=act.ref.job_id, action=act.action, reason=act.reason)
-        job = self._board.jobs_by_id.get(act.ref.job_id)
-        placement = job.record["placement"] if job is not None else ()
-        for member, place in enumerate(placement):
-            control = Control(act.ref, member, act.action, act.grace_ms, act.reason)
-            await self._router.to_worker(place.worker_id, control)
+        job = self._board.jobs.by_id.get(act.ref.job_id)
+        if job is not None and job.record["attempt"] == act.ref.attempt:
+            await control_members(self._router, job.record, act.action, act.grace_ms, act.reason)
 
     def _waiting(self) -> tuple[WaitingJob, ...]:
         now_ms = monotonic_ms()
         recorded_too = is_planner(self._board) and self._board.store_reachable
         return tuple(
             _waiting_job(job)
-            for job_id, job in self._board.jobs_by_id.items()
-            if job.record["state"] is JobState.PENDING
-            and (recorded_too or not job.is_recorded)
-            and job_id not in self._attempts.placement_by_job
-            and self._attempts.not_before_by_job.get(job_id, 0) <= now_ms
+            for job in self._board.jobs.in_state(JobState.PENDING)
+            if (recorded_too or not job.is_recorded)
+            and not self._attempts.is_held_back(job.record["job_id"], now_ms)
         )
 
     def _view(self, waiting: tuple[WaitingJob, ...]) -> FleetView:
         running = {
-            job_id: self._running_job(job)
-            for job_id, job in self._board.jobs_by_id.items()
-            if job.record["state"] is JobState.STARTED
+            job.record["job_id"]: self._running_job(job)
+            for job in self._board.jobs.in_state(JobState.STARTED)
         }
         return FleetView(
             now_ms=wall_ms(),
@@ -146,7 +143,7 @@
 
     def _running_job(self, job: JobEntry) -> RunningJob:
         record = job.record
-        ref = AttemptRef(record["job_id"], record["epoch"], record["attempt"])
+        ref = attempt_ref(record)
         issued = self._issued_by_attempt.get(ref.key)
         stopping = issued is not None and issued.action in (
             ControlAction.CHECKPOINT,
@@ -164,7 +161,7 @@
             if not view.gone_at_ms
         }
         for job_id, placement in self._attempts.placement_by_job.items():
-            job = self._board.jobs_by_id.get(job_id)
+            job = self._board.jobs.by_id.get(job_id)
             if job is None:
                 continue
             for member, place in enumerate(placement):
--- a/packages/lycheeslip/lycheeslip/entry/recovery.py
+++ b/packages/lycheeslip/lycheeslip/entry/recovery.py
@@ -12,7 +12,6 @@
 from lycheeslip_common.utils.clock import monotonic_ms, wall_ms
 from lycheeslip_common.utils.logs import log_event
 from lycheeslip_common.wire.messages import (
-    Control,
     ControlAction,
     Fence,
     FenceReply,
@@ -22,8 +21,10 @@
 
 from lycheeslip.entry import lifecycle
 from lycheeslip.entry.attempts import Attempts
-from lycheeslip.entry.blackboard import Blackboard, JobEntry
+from lycheeslip.entry.blackboard import Blackboard
+from lycheeslip.entry.controls import attempt_ref, control_members
 from lycheeslip.entry.job_store import JobStore, Updated
+from lycheeslip.entry.job_table import JobEntry
 from lycheeslip.entry.planner import is_planner
 from lycheeslip.entry.router import Router
 
@@ -32,7 +33,8 @@
 CHECK_EVERY_S = 0.5
 FENCE_TIMEOUT_S = 1.0
 ABSENT_BEFORE_FENCE_MS = 2_000
-CANCEL_GRACE_MS = 500
+STOP_GRACE_MS = 500
+MAX_SETTLED_PER_STEP = 50
 
 
 class Recovery:
@@ -53,6 +55,8 @@
         self._attempts = attempts
         self._worker_lost_after_ms = worker_lost_after_ms
         self._absent_since_by_attempt: dict[str, int] = {}
+        self._taken_over: set[AttemptRef] = set()
+        self._settled_this_step = 0
 
     async def run(self) -> None:
         """Check for ever."""
@@ -62,14 +66,14 @@
 
     async def step(self) -> None:
         """Check each job that this entry answers for."""
-        for job_id, job in list(self._board.jobs_by_id.items()):
-            if not self._is_mine(job):
-                continue
-            match job.record["state"]:
-                case JobState.PENDING:
-                    await self._expire(job)
-                case JobState.STARTED if job_id not in self._attempts.placement_by_job:
-                    await self._check_started(job)
+        for job in self._board.jobs.in_state(JobState.PENDING):
+            if self._is_mine(job):
+                await self._expire(job)
+        self._settled_this_step = 0
+        for job in self._board.jobs.in_state(JobState.STARTED):
+            under_way = job.record["job_id"] in self._attempts.placement_by_job
+            if not under_way and self._is_mine(job):
+                await self._check_started(job)
 
     def _is_mine(self, job: JobEntry) -> bool:
         if not job.is_recorded:
@@ -94,14 +98,16 @@
         record = job.record
         if record["cancel_requested"]:
             await self._stop_members(record, "cancelled")
-        key = _ref(record).key
+        key = attempt_ref(record).key
         if all(self._holds(place, record) for place in record["placement"]):
             self._absent_since_by_attempt.pop(key, None)
             return
         since_ms = self._absent_since_by_attempt.setdefault(key, monotonic_ms())
         if monotonic_ms() - since_ms < ABSENT_BEFORE_FENCE_MS:
             return
-        await self._settle(record)
+        if self._settled_this_step < MAX_SETTLED_PER_STEP:
+            self._settled_this_step += 1
+            await self._settle(record)
 
     def _holds(self, place: MemberPlacement, record: JobRecord) -> bool:
         """Return whether a live worker says that it holds this member of the attempt."""
@@ -115,13 +121,15 @@
 
     async def _settle(self, record: JobRecord) -> None:
         """Fence the attempt under a higher epoch, and end it unless it runs or reports."""
-        own_id = self._board.info.entry_id
-        taken = await self._jobs.update(
-            record["job_id"], partial(lifecycle.take_over, owner=own_id)
-        )
-        if not isinstance(taken, Updated) or taken.record["attempt"] != record["attempt"]:
-            return
-        record = taken.record
+        if attempt_ref(record) not in self._taken_over:
+            own_id = self._board.info.entry_id
+            taken = await self._jobs.update(
+                record["job_id"], partial(lifecycle.take_over, owner=own_id)
+            )
+            if not isinstance(taken, Updated) or taken.record["attempt"] != record["attempt"]:
+                return
+            record = taken.record
+            self._taken_over.add(attempt_ref(record))
         replies = await self._fence_all(record)
         log_event("attempt_fenced", job=record["job_id"], attempt=record["attempt"])
         if self._proves_no_start(record, replies):
@@ -162,17 +170,24 @@
         if reply is not None:
             return reply.status is FenceStatus.NEVER_STARTED
         view = self._board.workers_by_id.get(place.worker_id)
-        if view is not None and not view.gone_at_ms:
+        if view is not None and (not view.gone_at_ms or self._is_cut_off(view.home_entry)):
             return False
         now_ms = monotonic_ms()
-        absent_since_ms = self._absent_since_by_attempt.get(_ref(record).key, now_ms)
+        absent_since_ms = self._absent_since_by_attempt.get(attempt_ref(record).key, now_ms)
         gone_at_ms = view.gone_at_ms if view is not None else absent_since_ms
         lost_after_ms = self._worker_lost_after_ms + self._board.config.limits.task_lease_ms
         return now_ms - gone_at_ms > lost_after_ms
 
+    def _is_cut_off(self, entry_id: str) -> bool:
+        """Return whether an entry lives by its lease, though this one has no session to it."""
+        if entry_id == self._board.info.entry_id:
+            return False
+        return entry_id in self._board.entries_by_id.keys() - self._board.reachable_entries()
+
     async def _end(self, record: JobRecord, proven_not_started: bool) -> None:
         attempt = record["attempt"]
-        self._absent_since_by_attempt.pop(_ref(record).key, None)
+        self._absent_since_by_attempt.pop(attempt_ref(record).key, None)
+        self._taken_over.discard(attempt_ref(record))
         if proven_not_started:
             self._board.metrics.count("retry.attempt.not_started")
             transition = partial(
@@ -194,10 +209,4 @@
         await self._jobs.update(record["job_id"], transition)
 
     async def _stop_members(self, record: JobRecord, reason: str) -> None:
-        for member, place in enumerate(record["placement"]):
-            control = Control(_ref(record), member, ControlAction.STOP, CANCEL_GRACE_MS, reason)
-            await self._router.to_worker(place.worker_id, control)
-
-
-def _ref(record: JobRecord) -> AttemptRef:
-    return AttemptRef(record["job_id"], record["epoch"], record["attempt"])
+        await control_members(self._router, record, ControlAction.STOP, STOP_GRACE_MS, reason)
--- a/packages/lycheeslip/lycheeslip/entry/store_sync.py
+++ b/packages/lycheeslip/lycheeslip/entry/store_sync.py
@@ -17,10 +17,12 @@
     HOMES_KEY,
     JOB_PREFIX,
     STATE_PREFIX,
+    StoredConfig,
     decode_config,
     decode_entry,
     decode_homes,
     decode_job,
+    encode_config,
 )
 
 __all__ = ["StoreSync"]
@@ -59,7 +61,8 @@
                     self._set_reachable(True)
                     for item in items:
                         self.apply_item(item)
-                    self._board.confirmed_at_ms = asked_at_ms
+                    if await self._holds_newest_config(items):
+                        self._board.confirmed_at_ms = asked_at_ms
                 case Unreachable():
                     self._set_reachable(False)
             await asyncio.sleep(self._confirm_every_s)
@@ -75,11 +78,34 @@
                 info = decode_entry(item.value)
                 self._board.entries_by_id[info.entry_id] = info
             elif item.key.startswith(JOB_PREFIX):
-                self._board.put_job(decode_job(item.value), item.mod_revision)
+                self._board.jobs.put(decode_job(item.value), item.mod_revision)
         except (ValidationError, ConfigError) as error:
             self._board.metrics.count("store.malformed_value")
             log_warning("store_value_malformed", key=item.key, detail=error)
 
+    async def _holds_newest_config(self, items: tuple[KeyValue, ...]) -> bool:
+        """Return whether the store's configuration is the one in force here.
+
+        A store that was restored to an older state gets the newer configuration back, since
+        one that has been accepted never reverts.
+        """
+        applied = self._board.applied
+        stored = decode_config(items[0].value)["revision"] if items else 0
+        if stored >= applied.config.revision:
+            return True
+        self._board.metrics.count("config.republished")
+        log_warning("config_older_in_store", stored=stored, known=applied.config.revision)
+        value = encode_config(
+            StoredConfig(
+                revision=applied.config.revision,
+                text=applied.text,
+                applied_at_ms=applied.applied_at_ms,
+                writer="republished",
+            )
+        )
+        await self._store.write_if(CONFIG_KEY, value, items[0].mod_revision if items else 0)
+        return False
+
     async def _watch(self, from_revision: int) -> None:
         try:
             async for events in self._store.watch(STATE_PREFIX, from_revision):
@@ -97,9 +123,9 @@
         for entry_id in list(self._board.entries_by_id):
             if ENTRY_PREFIX + entry_id not in present:
                 self._delete(ENTRY_PREFIX + entry_id)
-        for job_id, job in list(self._board.jobs_by_id.items()):
+        for job_id, job in list(self._board.jobs.by_id.items()):
             if job.is_recorded and JOB_PREFIX + job_id not in present:
-                self._board.remove_job(job_id)
+                self._board.jobs.remove(job_id)
         for item in items:
             self.apply_item(item)
         self._board.synced = True
@@ -112,7 +138,7 @@
             if entry_id != self._board.info.entry_id:
                 self._board.entries_by_id.pop(entry_id, None)
         elif key.startswith(JOB_PREFIX):
-            self._board.remove_job(key.removeprefix(JOB_PREFIX))
+            self._board.jobs.remove(key.removeprefix(JOB_PREFIX))
 
     def _apply_config(self, item: KeyValue) -> None:
         stored = decode_config(item.value)
--- a/packages/lycheeslip/lycheeslip/entry/upkeep.py
+++ b/packages/lycheeslip/lycheeslip/entry/upkeep.py
@@ -93,7 +93,7 @@
     async def _forget_jobs(self) -> None:
         retention_ms = self._board.config.limits.answer_retention_s * MILLISECONDS_PER_SECOND
         before_ms = wall_ms() - retention_ms
-        for job_id, job in list(self._board.jobs_by_id.items()):
+        for job_id, job in list(self._board.jobs.by_id.items()):
             is_done = job.record["state"] is JobState.DONE
             if is_done and job.record["done_at_ms"] < before_ms:
                 await self._jobs.forget(job_id)
--- a/packages/lycheeslip/lycheeslip/http/access.py
+++ b/packages/lycheeslip/lycheeslip/http/access.py
@@ -1,12 +1,13 @@
 """Authorises requests and turns every escape from a handler into problem details."""
 
+import ipaddress
 import json
 from collections.abc import Awaitable, Callable
 
 from aiohttp import web
 from lycheeslip_common.utils.logs import log_warning
 
-from lycheeslip.config.auth import Caller, Nobody, bearer_token, identify, may_operate
+from lycheeslip.config.auth import Caller, Nobody, OpenCaller, bearer_token, identify, may_operate
 from lycheeslip.entry.blackboard import Blackboard
 from lycheeslip.http.problems import problem
 
@@ -18,7 +19,9 @@
 OPERATOR_PATHS = ("/v1/config", "/v1/workers", "/v1/counters")
 
 
-def make_middleware(board: Blackboard) -> Callable[..., Awaitable[web.StreamResponse]]:
+def make_middleware(
+    board: Blackboard, allow_remote_without_tokens: bool
+) -> Callable[..., Awaitable[web.StreamResponse]]:
     """Return the middleware that guards all handlers."""
 
     @web.middleware
@@ -27,6 +30,8 @@
         caller = identify(board.config, token)
         request[CALLER_KEY] = caller
         refused = _refusal(request, caller)
+        if refused is None and not allow_remote_without_tokens and _is_remote(board, caller):
+            refused = 403, "tokens_required"
         if refused is None:
             return await _call(board, request, handler)
         board.metrics.count(f"refuse.{refused[1]}")
@@ -40,6 +45,12 @@
     return request[CALLER_KEY]
 
 
+def _is_remote(board: Blackboard, caller: Caller) -> bool:
+    """Return whether a caller without a token could reach this entry from another machine."""
+    host = board.info.http_address.rpartition(":")[0].strip("[]")
+    return isinstance(caller, OpenCaller) and not ipaddress.ip_address(host).is_loopback
+
+
 def _refusal(request: web.Request, caller: Caller) -> tuple[int, str] | None:
     if request.path in OPEN_PATHS:
         return None
--- a/packages/lycheeslip/lycheeslip/http/documents.py
+++ b/packages/lycheeslip/lycheeslip/http/documents.py
@@ -6,7 +6,9 @@
 
 from lycheeslip_common.structure.jobs import JobRecord, JobState
 
-from lycheeslip.entry.blackboard import Blackboard, JobEntry, WorkerView
+from lycheeslip.config.auth import Caller, may_act_for
+from lycheeslip.entry.blackboard import Blackboard, WorkerView
+from lycheeslip.entry.job_table import JobEntry
 from lycheeslip.entry.planner import planner_id
 
 __all__ = ["fleet_document", "job_document"]
@@ -42,8 +44,8 @@
     }
 
 
-def fleet_document(board: Blackboard) -> dict[str, Any]:
-    """Return the document of the fleet as this entry sees it."""
+def fleet_document(board: Blackboard, caller: Caller) -> dict[str, Any]:
+    """Return the fleet as this entry sees it, with the accounts that `caller` may see."""
     live = [view for view in board.workers_by_id.values() if not view.gone_at_ms]
     return {
         "entry_id": board.info.entry_id,
@@ -52,8 +54,12 @@
         "store_reachable": board.store_reachable,
         "entries": [info._asdict() for info in board.live_entries()],
         "zones": _zones(board, live),
-        "workers": [_worker(view) for view in live],
-        "accounts": _accounts(board, live),
+        "workers": [_worker(view, caller) for view in live],
+        "accounts": [
+            document
+            for document in _accounts(board, live)
+            if may_act_for(caller, document["account_id"])
+        ],
     }
 
 
@@ -103,7 +109,7 @@
     return zone.in_service if zone is not None else not board.config.zones_by_id
 
 
-def _worker(view: WorkerView) -> dict[str, Any]:
+def _worker(view: WorkerView, caller: Caller) -> dict[str, Any]:
     state = view.state
     return {
         "worker_id": state.info.worker_id,
@@ -115,7 +121,7 @@
         "quarantined": False,
         "home_entry": view.home_entry,
         "incarnation": state.incarnation,
-        "grants": [grant._asdict() for grant in state.grants],
+        "grants": [grant._asdict() for grant in state.grants if may_act_for(caller, grant.account)],
     }
 
 
@@ -124,11 +130,7 @@
     for view in live:
         for grant in view.state.grants:
             using[grant.account] += len(grant.accelerators)
-    waiting = Counter(
-        job.record["spec"].account
-        for job in board.jobs_by_id.values()
-        if job.record["state"] is JobState.PENDING
-    )
+    waiting = board.jobs.waiting_by_account
     account_ids = board.config.accounts_by_id.keys() | using.keys() | waiting.keys()
     documents = []
     for account_id in sorted(account_ids):
--- a/packages/lycheeslip/lycheeslip/http/job_handlers.py
+++ b/packages/lycheeslip/lycheeslip/http/job_handlers.py
@@ -10,12 +10,16 @@
 from lycheeslip_common.structure.verdicts import Refused, Unknown, from_stored
 from lycheeslip_common.utils.clock import monotonic_ms, wall_ms
 from lycheeslip_common.utils.logs import log_event
+from lycheeslip_common.wire.messages import ControlAction
 
 from lycheeslip.config.auth import may_act_for
 from lycheeslip.entry import lifecycle
-from lycheeslip.entry.blackboard import Blackboard, JobEntry
+from lycheeslip.entry.blackboard import Blackboard
+from lycheeslip.entry.controls import control_members
 from lycheeslip.entry.job_store import Created, Declined, Existing, JobStore, Updated
+from lycheeslip.entry.job_table import JobEntry
 from lycheeslip.entry.outcomes import Outcomes
+from lycheeslip.entry.router import Router
 from lycheeslip.http.access import caller_of
 from lycheeslip.http.documents import job_document
 from lycheeslip.http.problems import problem, store_problem, verdict_status
@@ -31,8 +35,11 @@
 class JobHandlers:
     """Serves `/v1/jobs`."""
 
-    def __init__(self, board: Blackboard, jobs: JobStore, outcomes: Outcomes) -> None:
+    def __init__(
+        self, board: Blackboard, router: Router, jobs: JobStore, outcomes: Outcomes
+    ) -> None:
         """Read jobs from `board` and write them through `jobs`."""
+        self._router = router
         self._board = board
         self._jobs = jobs
         self._outcomes = outcomes
@@ -56,7 +63,7 @@
             return parsed
         if not may_act_for(caller_of(request), parsed.spec.account):
             return problem(403, "other_account", "The token belongs to another account.")
-        known = self._board.jobs_by_id.get(parsed.job_id)
+        known = self._board.jobs.by_id.get(parsed.job_id)
         if known is not None:
             return await self._repeat(known.record, parsed, wait_ms)
         refused = admission_problem(self._board, parsed.spec)
@@ -85,7 +92,7 @@
             return job
         job_id = job.record["job_id"]
         await self._wait_until_done(job_id, wait_ms)
-        current = self._board.jobs_by_id.get(job_id)
+        current = self._board.jobs.by_id.get(job_id)
         if current is None:
             return problem(404, "unknown_job", "The job has been forgotten.")
         record = current.record
@@ -108,7 +115,7 @@
         caller = caller_of(request)
         found = [
             job
-            for job in self._board.jobs_by_id.values()
+            for job in self._board.jobs.by_id.values()
             if may_act_for(caller, job.record["spec"].account)
             and account in ("", job.record["spec"].account)
             and state in ("", job.record["state"])
@@ -169,22 +176,25 @@
             await self._end_unrecorded(job_id)
             raise
         finally:
-            self._board.remove_job(job_id)
+            self._board.jobs.remove(job_id)
             self._outcomes.answers_by_job.pop(job_id, None)
 
     async def _end_unrecorded(self, job_id: str) -> None:
         """Give up a job whose caller no longer waits, stopping what may run."""
-        job = self._board.jobs_by_id[job_id]
+        job = self._board.jobs.by_id[job_id]
+        if job.record["state"] is JobState.DONE:
+            return
         if job.record["state"] is JobState.PENDING:
             verdict: Refused | Unknown = Refused("wait_expired")
         else:
             verdict = Unknown("wait_expired")
+            await control_members(self._router, job.record, ControlAction.STOP, 0, "caller_gone")
         await self._jobs.update(
             job_id, partial(lifecycle.finish, verdict=verdict, now_ms=wall_ms())
         )
 
     def _unrecorded_response(self, job_id: str) -> web.Response:
-        job = self._board.jobs_by_id[job_id]
+        job = self._board.jobs.by_id[job_id]
         stored = job.record["verdict"]
         verdict = from_stored(stored) if stored is not None else Unknown("wait_expired")
         status = verdict_status(verdict)
@@ -206,17 +216,19 @@
 
     async def _respond(self, job_id: str, wait_ms: int) -> web.Response:
         await self._wait_until_done(job_id, wait_ms)
-        job = self._board.jobs_by_id.get(job_id)
+        job = self._board.jobs.by_id.get(job_id)
         is_done = job is not None and job.record["state"] is JobState.DONE
         return self._document(job_id, 200 if is_done else 202)
 
     async def _wait_until_done(self, job_id: str, wait_ms: int) -> None:
         until_ms = monotonic_ms() + wait_ms
         while (remaining_ms := until_ms - monotonic_ms()) > 0:
-            job = self._board.jobs_by_id.get(job_id)
+            job = self._board.jobs.by_id.get(job_id)
             if job is None or job.record["state"] is JobState.DONE:
                 return
-            await self._board.wait_for_change(job_id, remaining_ms / 1000)
+            if self._board.leaving and job.is_recorded:
+                return
+            await self._board.jobs.wait_for_change(job_id, remaining_ms / 1000)
 
     async def _stream(self, request: web.Request, job: JobEntry) -> web.StreamResponse:
         record = job.record
@@ -245,7 +257,7 @@
         return response
 
     def _visible_job(self, request: web.Request) -> JobEntry | web.Response:
-        job = self._board.jobs_by_id.get(request.match_info["job_id"])
+        job = self._board.jobs.by_id.get(request.match_info["job_id"])
         if job is None and not self._board.synced:
             detail = "This entry has not read the store yet."
             return problem(503, "not_synced", detail, may_have_run=True, retry_in_ms=1_000)
@@ -254,7 +266,7 @@
         return job
 
     def _document(self, job_id: str, status: int = 200) -> web.Response:
-        job = self._board.jobs_by_id.get(job_id)
+        job = self._board.jobs.by_id.get(job_id)
         if job is None:
             return problem(404, "unknown_job", "The job has been forgotten.")
         return web.json_response(job_document(self._board, job), status=status)
--- a/packages/lycheeslip/lycheeslip/http/operator_handlers.py
+++ b/packages/lycheeslip/lycheeslip/http/operator_handlers.py
@@ -11,6 +11,7 @@
 from lycheeslip.entry.blackboard import Blackboard
 from lycheeslip.entry.config_apply import Applied, ConfigApply, Invalid, RevisionConflict
 from lycheeslip.entry.router import Router
+from lycheeslip.http.access import caller_of
 from lycheeslip.http.documents import fleet_document
 from lycheeslip.http.problems import ProblemItem, problem, store_problem
 
@@ -41,7 +42,7 @@
 
     async def fleet(self, request: web.Request) -> web.StreamResponse:
         """Return the fleet's document."""
-        return web.json_response(fleet_document(self._board))
+        return web.json_response(fleet_document(self._board, caller_of(request)))
 
     async def show_config(self, request: web.Request) -> web.StreamResponse:
         """Return the configuration in force."""
--- a/packages/lycheeslip/lycheeslip/http/submission.py
+++ b/packages/lycheeslip/lycheeslip/http/submission.py
@@ -2,7 +2,6 @@
 
 import json
 import secrets
-from collections import Counter
 from hashlib import sha256
 from typing import Annotated, NamedTuple
 
@@ -12,7 +11,6 @@
     Identifier,
     JobKind,
     JobSpec,
-    JobState,
     Shape,
     derive_job_id,
 )
@@ -103,11 +101,7 @@
 
 def _queue_problem(board: Blackboard, spec: JobSpec) -> web.Response | None:
     config = board.config
-    waiting = Counter(
-        job.record["spec"].account
-        for job in board.jobs_by_id.values()
-        if job.record["state"] is JobState.PENDING
-    )
+    waiting = board.jobs.waiting_by_account
     account = config.accounts_by_id.get(spec.account)
     if account is not None and waiting[spec.account] >= account.max_waiting_jobs:
         detail = f"Account {spec.account!r} has {waiting[spec.account]} waiting jobs."
