--- a/packages/lycheeslip_common/lycheeslip_common/utils/logs.py
+++ b/packages/lycheeslip_common/lycheeslip_common/utils/logs.py
@@ -1,17 +1,28 @@
 """Structured logs: one line of key=value pairs for each event."""
 
+import logging as standard_logging
 import sys
 
-from absl import logging
+from absl import flags, logging
 
 __all__ = ["configure_logs", "log_event", "log_warning"]
 
+LINE_FORMAT = "time=%(asctime)s.%(msecs)03d level=%(levelname)s %(message)s"
+TIME_FORMAT = "%Y-%m-%dT%H:%M:%S"
+PROGRAM_WITHOUT_FLAGS = ("lycheeslip",)
+NOISY_LIBRARIES = ("websockets", "aiohttp", "asyncio")
+
 
 def configure_logs(verbosity: str = "info") -> None:
     """Send logs of `verbosity` (debug, info, warning, error) to standard error."""
+    flags.FLAGS(PROGRAM_WITHOUT_FLAGS)
     logging.use_absl_handler()
-    logging.get_absl_handler().python_handler.stream = sys.stderr
+    handler = logging.get_absl_handler().python_handler
+    handler.stream = sys.stderr
+    handler.setFormatter(standard_logging.Formatter(LINE_FORMAT, TIME_FORMAT))
     logging.set_verbosity(verbosity)
+    for library in NOISY_LIBRARIES:
+        standard_logging.getLogger(library).setLevel(standard_logging.WARNING)
 
 
 def _format(event: str, fields: dict[str, object]) -> str:
