Count a configuration's lag from the start of a process that came later

The first run of the gang proofs called it a violation that an entry which was started 3 s after a configuration had been accepted did not have it in force 0.3 s later. A process can't have had a configuration in force before it existed; it now has the same bound from its own start.

--- a/packages/lycheeslip_standins/lycheeslip_standins/checker_facts.py
+++ b/packages/lycheeslip_standins/lycheeslip_standins/checker_facts.py
@@ -87,6 +87,7 @@
     process: str
     revision: int
     seen_ms: int
+    process_started_ms: int = 0
 
 
 class GuaranteeDemand(NamedTuple):
--- a/tests/harness/processes.py
+++ b/tests/harness/processes.py
@@ -8,6 +8,8 @@
 from collections.abc import Sequence
 from pathlib import Path
 
+from lycheeslip_common.utils.clock import monotonic_ms
+
 __all__ = ["BIN", "ManagedProcess", "ReservedAddresses", "python_module"]
 
 BIN = Path(sys.executable).parent
@@ -54,6 +56,7 @@
         self._command = list(command)
         self._process: subprocess.Popen[bytes] | None = None
         self._starts = 0
+        self.started_ms = 0
 
     @property
     def incarnation(self) -> str:
@@ -68,6 +71,7 @@
     def start(self) -> None:
         """Start the process, appending to its log."""
         self._starts += 1
+        self.started_ms = monotonic_ms()
         with self.log_path.open("ab") as log:
             self._process = subprocess.Popen(
                 self._command, stdout=log, stderr=log, stdin=subprocess.DEVNULL
