--- a/packages/lycheeslip/lycheeslip/commands/config.py
+++ b/packages/lycheeslip/lycheeslip/commands/config.py
@@ -103,7 +103,7 @@
         "Configurations",
         ("revision", "applied", "digest"),
         (
-            (item["revision"], format_time(item["applied_at_ms"]), item["digest"])
+            (item["revision"], format_time(item["applied_at_ms"]), item.get("digest", "-"))
             for item in outcome.document["items"]
         ),
     )
--- a/packages/lycheeslip/lycheeslip/commands/entry.py
+++ b/packages/lycheeslip/lycheeslip/commands/entry.py
@@ -1,6 +1,5 @@
 """Runs an entry process."""
 
-import importlib
 from pathlib import Path
 
 from lycheeslip_common.config import EntrySettings, SettingsError, load_settings
@@ -16,4 +15,6 @@
         settings = load_settings(path, EntrySettings)
     except SettingsError as error:
         raise CommandError(str(error), ExitCode.USAGE) from None
-    return importlib.import_module("lycheeslip.app").run_entry(settings)
+    from lycheeslip.app import run_entry
+
+    return run_entry(settings)
--- a/packages/lycheeslip/lycheeslip/commands/fleet.py
+++ b/packages/lycheeslip/lycheeslip/commands/fleet.py
@@ -40,7 +40,7 @@
     print(
         f"entry {fleet['entry_id']}: planner {fleet['planner'] or '-'}, "
         f"configuration {fleet['config_revision']}, store {store}, "
-        f"fragmentation {fleet['fragmentation']:.2f}"
+        f"fragmentation {_ratio(fleet.get('fragmentation'))}"
     )
     print_table(
         "Entries",
@@ -100,3 +100,7 @@
     if worker["leaving"]:
         return "leaving"
     return "quarantined" if worker["quarantined"] else "working"
+
+
+def _ratio(value: float | None) -> str:
+    return "unknown" if value is None else f"{value:.2f}"
--- a/packages/lycheeslip/lycheeslip/commands/jobs.py
+++ b/packages/lycheeslip/lycheeslip/commands/jobs.py
@@ -23,7 +23,6 @@
 
 LONG_POLL_MS = 20_000
 ACCEPTED_STATUS = 202
-CONFLICT_STATUS = 409
 MILLISECONDS_PER_SECOND = 1_000
 
 
@@ -93,9 +92,9 @@
 
 async def _answer_error(client: EntryClient, job_id: str, outcome: Any) -> CommandError:
     """Return the error for a job without an answer, with the job's own verdict if known."""
-    if isinstance(outcome, Refusal) and outcome.status == CONFLICT_STATUS:
+    if isinstance(outcome, Refusal):
         job = await client.call("GET", _path(job_id))
-        if isinstance(job, Reply):
+        if isinstance(job, Reply) and job.document["verdict"] is not None:
             return CommandError(job_summary(job.document), exit_code_of_job(job.document))
     return error_of(outcome)
 
