Acknowledge the reporter and blame only the failed member's worker

Cause: a report named the worker at fault, and its acknowledgement went there, so the anchor of a gang whose other member failed would have reported for ever; every worker of a failed gang was avoided and counted against. Ruled out: acknowledging over the session that brought the report, since a relayed one arrives over a peer's. Run: the new test fails on the old code (all workers blamed) and passes.

--- a/packages/lycheeslip/lycheeslip/entry/lifecycle.py
+++ b/packages/lycheeslip/lycheeslip/entry/lifecycle.py
@@ -34,6 +34,7 @@
     "after_report",
     "back_to_pending",
     "expire",
+    "failed_on",
     "finish",
     "mark_running",
     "new_record",
@@ -125,12 +126,18 @@
 
 
 def back_to_pending(
-    record: JobRecord, attempt: int, outcome: str, now_ms: int, ran: bool, checkpoint: str = ""
+    record: JobRecord,
+    attempt: int,
+    outcome: str,
+    now_ms: int,
+    ran: bool,
+    checkpoint: str = "",
+    blamed: str = "",
 ) -> JobRecord | None:
     """Let the job wait for another attempt; a cancelled job ends instead."""
     if not _is_current(record, attempt):
         return None
-    ended = _with_summary(record, outcome, now_ms, ran)
+    ended = _with_summary(record, outcome, now_ms, ran, blamed)
     if record["cancel_requested"]:
         return finish(ended, Cancelled(_has_run(ended)), now_ms)
     return _changed(
@@ -204,23 +211,28 @@
     failed = Failed("task_failed", report.reason)
     if not record["spec"].repeatable:
         return finish(_with_summary(record, FAILED_OUTCOME, now_ms, ran=True), failed, now_ms)
-    failed_on = {w for s in record["attempts"] if s.outcome == FAILED_OUTCOME for w in s.workers}
-    failed_on.update(member.worker_id for member in record["placement"])
-    verdict: Verdict = failed
-    if len(failed_on) >= FAULTY_JOB_WORKERS:
-        verdict = CannotRun("failed_on_several_workers", True, report.reason)
-        return finish(_with_summary(record, FAILED_OUTCOME, now_ms, ran=True), verdict, now_ms)
-    return _retry(record, FAILED_OUTCOME, failed, limits, now_ms)
+    blamed = report.blamed or report.worker_id
+    ended = _with_summary(record, FAILED_OUTCOME, now_ms, ran=True, blamed=blamed)
+    if len(failed_on(ended)) >= FAULTY_JOB_WORKERS:
+        cannot_run = CannotRun("failed_on_several_workers", True, report.reason)
+        return finish(ended, cannot_run, now_ms)
+    return _retry(record, FAILED_OUTCOME, failed, limits, now_ms, blamed)
 
 
 def _retry(
-    record: JobRecord, outcome: str, verdict: Verdict, limits: Limits, now_ms: int
+    record: JobRecord,
+    outcome: str,
+    verdict: Verdict,
+    limits: Limits,
+    now_ms: int,
+    blamed: str = "",
 ) -> JobRecord | None:
     deadline = record["spec"].deadline_at_ms
     too_late = 0 < deadline <= now_ms
     if record["attempt"] >= limits.max_attempts or too_late:
-        return finish(_with_summary(record, outcome, now_ms, ran=True), verdict, now_ms)
-    return back_to_pending(record, record["attempt"], outcome, now_ms, ran=True)
+        ended = _with_summary(record, outcome, now_ms, ran=True, blamed=blamed)
+        return finish(ended, verdict, now_ms)
+    return back_to_pending(record, record["attempt"], outcome, now_ms, ran=True, blamed=blamed)
 
 
 def expire(record: JobRecord, now_ms: int) -> JobRecord | None:
@@ -233,6 +245,15 @@
     return finish(record, Refused("deadline_passed"), now_ms)
 
 
+def failed_on(record: JobRecord) -> frozenset[str]:
+    """Return the workers that are blamed for failed attempts of the job."""
+    return frozenset(
+        summary.blamed
+        for summary in record["attempts"]
+        if summary.outcome == FAILED_OUTCOME and summary.blamed
+    )
+
+
 def _has_run(record: JobRecord) -> bool:
     return any(summary.started_at_ms for summary in record["attempts"])
 
@@ -241,8 +262,10 @@
     return record["state"] is JobState.STARTED and record["attempt"] == attempt
 
 
-def _with_summary(record: JobRecord, outcome: str, now_ms: int, ran: bool) -> JobRecord:
+def _with_summary(
+    record: JobRecord, outcome: str, now_ms: int, ran: bool, blamed: str = ""
+) -> JobRecord:
     started_at_ms = (record["started_at_ms"] or now_ms) if ran else 0
     workers = tuple(member.worker_id for member in record["placement"])
-    summary = AttemptSummary(record["attempt"], workers, started_at_ms, now_ms, outcome)
+    summary = AttemptSummary(record["attempt"], workers, started_at_ms, now_ms, outcome, blamed)
     return _changed(record, attempts=(*record["attempts"], summary))
--- a/packages/lycheeslip/lycheeslip/entry/planner.py
+++ b/packages/lycheeslip/lycheeslip/entry/planner.py
@@ -16,7 +16,7 @@
 from lycheeslip.entry.blackboard import Blackboard, WaitReason
 from lycheeslip.entry.controls import attempt_ref, control_members
 from lycheeslip.entry.job_table import JobEntry
-from lycheeslip.entry.lifecycle import FAILED_OUTCOME
+from lycheeslip.entry.lifecycle import failed_on
 from lycheeslip.entry.router import Router
 from lycheeslip.policy.model import (
     Act,
@@ -173,19 +173,13 @@
 
 def _waiting_job(job: JobEntry) -> WaitingJob:
     record = job.record
-    failed_on = frozenset(
-        worker
-        for summary in record["attempts"]
-        if summary.outcome == FAILED_OUTCOME
-        for worker in summary.workers
-    )
     return WaitingJob(
         job_id=record["job_id"],
         spec=record["spec"],
         waiting_since_ms=record["accepted_at_ms"],
         expected_run_ms=record["spec"].expected_run_ms,
         attempts=record["attempt"],
-        avoid=failed_on,
+        avoid=failed_on(record),
     )
 
 
--- a/packages/lycheeslip/tests/lifecycle_tests.py
+++ b/packages/lycheeslip/tests/lifecycle_tests.py
@@ -53,7 +53,7 @@
 def test_a_repeatable_job_that_failed_on_three_workers_cannot_run():
     record = make_record()
     for attempt, worker in enumerate(("w1", "w2", "w3"), start=1):
-        failed = report(attempt, ReportState.TASK_FAILED)
+        failed = report(attempt, ReportState.TASK_FAILED)._replace(blamed=worker)
         record = lifecycle.after_report(start(record, worker), failed, LIMITS, 5, 0)
     assert record["verdict"]["tag"] == "cannot_run"
 
@@ -160,4 +160,14 @@
 JobLifecycle.TestCase.settings = settings(
     max_examples=150, stateful_step_count=25, derandomize=True, deadline=None
 )
+
+
+def test_only_the_worker_of_the_failed_member_is_blamed():
+    gang = (MemberPlacement("w1", "i1", (0,)), MemberPlacement("w2", "i2", (0,)))
+    started = lifecycle.start_intent(make_record(), "e1", gang)
+    failed = report(1, ReportState.TASK_FAILED)._replace(blamed="w2")
+    record = lifecycle.after_report(started, failed, LIMITS, 5, 0)
+    assert lifecycle.failed_on(record) == {"w2"}
+
+
 TestJobLifecycle = JobLifecycle.TestCase
--- a/packages/lycheeslip_agent/lycheeslip_agent/runs.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/runs.py
@@ -148,7 +148,8 @@
         if anchor is None:
             await self.forget_task(run.key)
             return
-        self.report(_outcome_report(run, anchor, grant, worker_ids))
+        node_id = self._board.settings.node_id
+        self.report(_outcome_report(run, anchor, grant, node_id, worker_ids))
         loop = asyncio.get_running_loop()
         loop.call_later(ANCHOR_MEMORY_S, self._board.anchors_by_key.pop, run.key, None)
 
@@ -158,7 +159,7 @@
 
 
 def _outcome_report(
-    run: MemberRun, anchor: Anchor, grant: Grant, worker_ids: tuple[str, ...]
+    run: MemberRun, anchor: Anchor, grant: Grant, node_id: str, worker_ids: tuple[str, ...]
 ) -> AttemptReport:
     outcome = anchor.outcome or GangOutcome(GangCause.LOST, 0, "anchor_ended")
     result = run.result
@@ -169,13 +170,14 @@
     return AttemptReport(
         ref=anchor.ref,
         owner=grant.owner,
-        worker_id=worker_ids[outcome.member] if outcome.member < len(worker_ids) else "",
+        worker_id=node_id,
         state=state,
         answer=answer,
         digest=result.digest if answer and result is not None else "",
         checkpoint=run.checkpoint if state is ReportState.INTERRUPTED else "",
         reason=outcome.reason,
         run_ms=result.ran_ms if result is not None else 0,
+        blamed=worker_ids[outcome.member] if outcome.member < len(worker_ids) else "",
     )
 
 
--- a/packages/lycheeslip_common/lycheeslip_common/structure/jobs.py
+++ b/packages/lycheeslip_common/lycheeslip_common/structure/jobs.py
@@ -116,13 +116,17 @@
 
 
 class AttemptSummary(NamedTuple):
-    """One past attempt, for `explain`; times are wall-clock milliseconds."""
+    """One past attempt, for `explain`; times are wall-clock milliseconds.
+
+    `blamed` names the worker whose member failed, "" where none is known.
+    """
 
     attempt: int
     workers: tuple[str, ...]
     started_at_ms: int
     ended_at_ms: int
     outcome: str
+    blamed: str = ""
 
 
 class StoredVerdict(TypedDict):
--- a/packages/lycheeslip_common/lycheeslip_common/wire/messages.py
+++ b/packages/lycheeslip_common/lycheeslip_common/wire/messages.py
@@ -235,7 +235,8 @@
     """State of an attempt; repeated until `AnswerRecorded` for all but RUNNING.
 
     NOT_STARTED proves that no member ran. INTERRUPTED may carry a checkpoint. `worker_id` is
-    the reporting anchor's own worker, which the acknowledgement goes to.
+    the reporting anchor's own worker, which the acknowledgement goes to; `blamed` names the
+    worker whose member failed, where one is.
     """
 
     ref: AttemptRef
@@ -247,6 +248,7 @@
     checkpoint: str
     reason: str
     run_ms: int
+    blamed: str = ""
 
 
 class AnswerRecorded(NamedTuple):
