Decide order, reclaim, reservations, quiet hours and evacuation

Urgent work goes by deadline, work within a guarantee by age, the rest by turns of the accounts weighted by what they have used. Work within a guarantee and urgent work on a full fleet stop borrowers, the cheapest lost work first and no more than needed. The oldest blocked gang holds the workers that drain first. Quiet hours cap each rack; work in a zone out of service or on a leaving worker is checkpointed.

Learned run times, worker health, retry budget, usage and fragmentation are small classes for the entry to feed.

Ruled out: counting only reported grants as taken (gives an accelerator twice within the time of a reservation); letting an urgent job take the free homes of an account whose own guaranteed work waits (that work then starves behind a stream of short urgent jobs).

--- a/packages/lycheeslip/lycheeslip/policy/capacity.py
+++ b/packages/lycheeslip/lycheeslip/policy/capacity.py
@@ -1,61 +1,15 @@
 """Free resources of the fleet, indexed once for each round of planning."""
 
 from collections.abc import Iterable, Iterator
-from typing import NamedTuple
 
-from lycheeslip_common.structure.fleet import Grant, WorkerState
-from lycheeslip_common.structure.jobs import Shape
+from lycheeslip_common.structure.fleet import WorkerState
 
 from lycheeslip.config.model import FleetConfig
+from lycheeslip.policy.free_worker import FreeWorker, Rack, RackKey, Resources, mask_of
 from lycheeslip.policy.model import FleetView
+from lycheeslip.policy.quiet import QuietRule, active_rule
 
-__all__ = [
-    "Capacity",
-    "FreeWorker",
-    "RackKey",
-    "Resources",
-    "mask_of",
-    "used_accelerators",
-    "zone_in_service",
-]
-
-
-class RackKey(NamedTuple):
-    """Names a rack; rack names are unique only within their zone."""
-
-    zone: str
-    rack: str
-
-
-class Resources(NamedTuple):
-    """What a task takes from its worker besides accelerators."""
-
-    slots: int = 0
-    processors: int = 0
-    memory_mb: int = 0
-
-    def plus(self, other: "Resources", times: int = 1) -> "Resources":
-        """Return the sum of this and `times` the other."""
-        return Resources(
-            self.slots + other.slots * times,
-            self.processors + other.processors * times,
-            self.memory_mb + other.memory_mb * times,
-        )
-
-    def at_least(self, other: "Resources") -> "Resources":
-        """Return the larger of both for each resource."""
-        return Resources(*map(max, self, other))
-
-
-NOTHING = Resources()
-
-
-def mask_of(indices: Iterable[int]) -> int:
-    """Return a bit mask with the bits of `indices` set."""
-    mask = 0
-    for index in indices:
-        mask |= 1 << index
-    return mask
+__all__ = ["Capacity", "zone_in_service"]
 
 
 def zone_in_service(config: FleetConfig, zone_id: str) -> bool:
@@ -66,150 +20,80 @@
     return zone is not None and zone.in_service
 
 
-class FreeWorker:
-    """Free resources of one worker that may take new tasks; `free` is an accelerator mask."""
-
-    __slots__ = (
-        "firm",
-        "free",
-        "granted",
-        "guards",
-        "held_by",
-        "held_until_ms",
-        "home_masks",
-        "homeless",
-        "info",
-        "probation",
-        "rack",
-        "resources",
-        "state",
-        "worker_id",
-    )
-
-    def __init__(self, state: WorkerState, homes: tuple[str, ...], probation: bool) -> None:
-        """Index `state`, whose accelerators have the accounts `homes`."""
-        info = state.info
-        self.worker_id = info.worker_id
-        self.info = info
-        self.state = state
-        self.rack = RackKey(info.zone, info.rack)
-        self.probation = probation
-        self.free = (1 << info.accelerators) - 1
-        self.resources = Resources(info.slots, info.processors, info.memory_mb)
-        self.home_masks: dict[str, int] = {}
-        for index, account in enumerate(homes[: info.accelerators]):
-            if account:
-                self.home_masks[account] = self.home_masks.get(account, 0) | 1 << index
-        self.homeless = self.free & ~sum(self.home_masks.values())
-        self.guards: dict[str, Resources] = {}
-        self.firm: dict[str, Resources] = {}
-        self.granted = {(grant.job_id, grant.member) for grant in state.grants}
-        self.held_by = ""
-        self.held_until_ms = 0
-        for grant in state.grants:
-            self._take_grant(grant)
-
-    def _take_grant(self, grant: Grant) -> None:
-        used = Resources(1, grant.processors, grant.memory_mb)
-        self.take(mask_of(grant.accelerators), used, grant.account, grant.interruptible)
-
-    def take(self, mask: int, used: Resources, account: str, interruptible: bool) -> None:
-        """Give out the accelerators of `mask` and the resources `used`."""
-        self.free &= ~mask
-        self.resources = self.resources.plus(used, -1)
-        if self.home_masks and not interruptible:
-            self.firm[account] = self.firm.get(account, NOTHING).plus(used)
-
-    def give_back(self, mask: int, returned: Resources) -> None:
-        """Take back what an interruptible task holds."""
-        self.free |= mask
-        self.resources = self.resources.plus(returned)
-
-    def room_for(self, account: str, interruptible: bool) -> Resources:
-        """Return the resources that a task of `account` may use.
-
-        A task that can't be stopped leaves enough for every guarantee that has homes here.
-        """
-        if interruptible or not self.guards:
-            return self.resources
-        info = self.info
-        spare = Resources(info.slots, info.processors, info.memory_mb)
-        for owner in self.guards.keys() | self.firm.keys():
-            firm = self.firm.get(owner, NOTHING)
-            spare = spare.plus(firm.at_least(self.guards.get(owner, NOTHING)), -1)
-        own_firm = self.firm.get(account, NOTHING)
-        own_guard = self.guards.get(account, NOTHING)
-        own_room = spare.plus(own_guard.at_least(own_firm)).plus(own_firm, -1)
-        return Resources(*map(min, self.resources, own_room))
-
-
 class Capacity:
-    """Workers that may take new tasks, by id and by rack."""
+    """Workers that may take new tasks, by id, by rack and by region."""
 
     def __init__(self, view: FleetView) -> None:
-        """Index the usable workers of `view`."""
+        """Index the usable workers of `view`; every worker counts for its rack's busy ones."""
         self.by_id: dict[str, FreeWorker] = {}
         self.by_rack: dict[RackKey, list[FreeWorker]] = {}
         self.by_region: dict[str, list[FreeWorker]] = {}
-        for worker_id in sorted(view.workers_by_id):
-            state = view.workers_by_id[worker_id]
-            if self._usable(view, state):
-                self._add(view, state)
-        self._take_placements(view)
-
-    def _take_placements(self, view: FleetView) -> None:
-        """Take what has been placed but isn't among the grants that a worker reports yet."""
-        for job in view.running_by_job.values():
-            shape = job.spec.shape
-            used = Resources(1, shape.processors, shape.memory_mb)
-            for member, place in enumerate(job.placement):
-                worker = self.by_id.get(place.worker_id)
-                if worker is None or worker.state.incarnation != place.incarnation:
-                    continue
-                if (job.ref.job_id, member) not in worker.granted:
-                    mask = mask_of(place.accelerators)
-                    worker.take(mask, used, job.spec.account, job.spec.interruptible)
-
-    @staticmethod
-    def _usable(view: FleetView, state: WorkerState) -> bool:
-        if state.leaving or not zone_in_service(view.config, state.info.zone):
-            return False
-        health = view.health_by_worker.get(state.info.worker_id)
-        return health is None or health.quarantined_until_ms <= view.now_ms
-
-    def _add(self, view: FleetView, state: WorkerState) -> None:
-        info = state.info
-        health = view.health_by_worker.get(info.worker_id)
-        homes = view.homes.get(info.worker_id, ())
-        free = FreeWorker(state, homes, health is not None and health.probation)
-        free.guards = _guards(free, view.config)
-        self.by_id[info.worker_id] = free
-        self.by_rack.setdefault(free.rack, []).append(free)
-        self.by_region.setdefault(info.region, []).append(free)
+        self.racks_by_key: dict[RackKey, Rack] = {}
+        self._rules_by_zone: dict[str, QuietRule | None] = {}
+        everyone = {
+            worker_id: self._free_worker(view, view.workers_by_id[worker_id])
+            for worker_id in sorted(view.workers_by_id)
+        }
+        _take_placements(view, everyone)
+        for worker in everyone.values():
+            if _is_usable(view, worker.state):
+                self._add(worker)
 
     def __iter__(self) -> Iterator[FreeWorker]:
         return iter(self.by_id.values())
 
-
-def _guards(worker: FreeWorker, config: FleetConfig) -> dict[str, Resources]:
-    guards = {}
-    for account_id, mask in worker.home_masks.items():
-        account = config.accounts_by_id.get(account_id)
-        if account is not None and account.guarantee is not None:
-            guards[account_id] = _guard(account.guarantee, mask.bit_count())
-    return guards
-
-
-def _guard(guarantee: Shape, homes: int) -> Resources:
-    members = homes // max(1, guarantee.accelerators)
-    return NOTHING.plus(Resources(1, guarantee.processors, guarantee.memory_mb), members)
-
-
-def used_accelerators(view: FleetView) -> dict[str, int]:
-    """Return the accelerators that each account holds in running jobs that aren't stopping."""
-    used: dict[str, int] = {}
+    def _free_worker(self, view: FleetView, state: WorkerState) -> FreeWorker:
+        info = state.info
+        health = view.health_by_worker.get(info.worker_id)
+        homes = view.homes.get(info.worker_id, ())
+        probation = health is not None and health.probation
+        worker = FreeWorker(state, self._rack(view, RackKey(info.zone, info.rack)), probation)
+        worker.set_homes(homes, view.config.accounts_by_id)
+        for grant in state.grants:
+            used = Resources(1, grant.processors, grant.memory_mb)
+            worker.take(mask_of(grant.accelerators), used, grant.account, grant.interruptible)
+        return worker
+
+    def _rack(self, view: FleetView, key: RackKey) -> Rack:
+        rack = self.racks_by_key.get(key)
+        if rack is None:
+            if key.zone not in self._rules_by_zone:
+                zone = view.config.zones_by_id.get(key.zone)
+                self._rules_by_zone[key.zone] = active_rule(zone, view.now_ms)
+            rack = Rack(key, self._rules_by_zone[key.zone])
+            self.racks_by_key[key] = rack
+        return rack
+
+    def _add(self, worker: FreeWorker) -> None:
+        worker.rack.free += worker.info.accelerators
+        self.by_id[worker.worker_id] = worker
+        self.by_rack.setdefault(worker.rack.key, []).append(worker)
+        self.by_region.setdefault(worker.info.region, []).append(worker)
+
+
+def _is_usable(view: FleetView, state: WorkerState) -> bool:
+    if state.leaving or not zone_in_service(view.config, state.info.zone):
+        return False
+    health = view.health_by_worker.get(state.info.worker_id)
+    return health is None or health.quarantined_until_ms <= view.now_ms
+
+
+def _take_placements(view: FleetView, workers: dict[str, FreeWorker]) -> None:
+    """Take what has been placed but isn't among the grants that a worker reports yet."""
+    granted = set(_granted_members(view.workers_by_id.values()))
     for job in view.running_by_job.values():
-        if not job.stopping:
-            account = job.spec.account
-            used[account] = used.get(account, 0) + job.spec.shape.total_accelerators
-    return used
+        shape = job.spec.shape
+        used = Resources(1, shape.processors, shape.memory_mb)
+        for member, place in enumerate(job.placement):
+            if (job.ref.job_id, member) in granted:
+                continue
+            worker = workers.get(place.worker_id)
+            if worker is not None and worker.state.incarnation == place.incarnation:
+                mask = mask_of(place.accelerators)
+                worker.take(mask, used, job.spec.account, job.spec.interruptible)
+
+
+def _granted_members(workers: Iterable[WorkerState]) -> Iterator[tuple[str, int]]:
+    for state in workers:
+        for grant in state.grants:
+            yield grant.job_id, grant.member
--- /dev/null
+++ b/packages/lycheeslip/lycheeslip/policy/explain.py
@@ -0,0 +1,61 @@
+"""Why a waiting job could not be placed."""
+
+from lycheeslip.policy.demand import Demand
+from lycheeslip.policy.model import WaitingJob
+from lycheeslip.policy.placement import fits_now
+from lycheeslip.policy.round import Round
+
+__all__ = ["explain_wait"]
+
+MAX_REASONS_PER_ROUND = 32
+DETAIL_BY_REASON = {
+    "kept_for_gang": "the workers that fit are kept for a gang that has waited longer",
+    "quiet_hours": "quiet hours limit the busy accelerators of the racks that fit",
+    "homes_of_others": "only accelerators that other accounts can reclaim are free, and this"
+    " job can't be stopped",
+    "avoids_workers": "only workers where the job failed before have room",
+    "no_capacity": "no workers have room for the whole gang at once",
+}
+
+
+def explain_wait(round_: Round, job: WaitingJob, demand: Demand) -> None:
+    """Add the reason, found by leaving out one rule after the other."""
+    reason = _reason(round_, demand)
+    detail = DETAIL_BY_REASON[reason]
+    if _misses_deadline(round_, job):
+        detail += "; its deadline can no longer be met"
+    round_.explain(job.job_id, reason, detail)
+
+
+def _misses_deadline(round_: Round, job: WaitingJob) -> bool:
+    deadline_ms = job.spec.deadline_at_ms
+    return bool(deadline_ms) and round_.view.now_ms + job.expected_run_ms > deadline_ms
+
+
+def _reason(round_: Round, demand: Demand) -> str:
+    key = demand.signature()
+    if key not in round_.reason_by_signature:
+        if len(round_.reason_by_signature) >= MAX_REASONS_PER_ROUND:
+            return "no_capacity"
+        round_.reason_by_signature[key] = _find_reason(round_, demand)
+    return round_.reason_by_signature[key]
+
+
+def _find_reason(round_: Round, demand: Demand) -> str:
+    for reason, relaxed in _relaxations(demand):
+        if fits_now(round_.capacity, relaxed):
+            return reason
+    return "no_capacity"
+
+
+def _relaxations(demand: Demand) -> list[tuple[str, Demand]]:
+    relaxations = [
+        ("kept_for_gang", demand._replace(ignore_holds=True)),
+        ("quiet_hours", demand._replace(ignore_holds=True, ignore_quiet=True)),
+    ]
+    if not demand.interruptible or demand.barred_homes:
+        anywhere = demand._replace(interruptible=True, barred_homes=frozenset())
+        relaxations.append(("homes_of_others", anywhere))
+    if demand.avoid:
+        relaxations.append(("avoids_workers", demand._replace(avoid=frozenset())))
+    return relaxations
--- /dev/null
+++ b/packages/lycheeslip/lycheeslip/policy/free_worker.py
@@ -0,0 +1,187 @@
+"""Free resources of one worker and of its rack during a round of planning."""
+
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+from lycheeslip_common.structure.fleet import WorkerState
+
+from lycheeslip.config.model import Account
+from lycheeslip.policy.quiet import QuietRule
+
+__all__ = ["FreeWorker", "Rack", "RackKey", "Resources", "UNLIMITED", "indices_of", "mask_of"]
+
+UNLIMITED = 1 << 30
+
+
+class RackKey(NamedTuple):
+    """Names a rack; rack names are unique only within their zone."""
+
+    zone: str
+    rack: str
+
+
+class Resources(NamedTuple):
+    """What a task takes from its worker besides accelerators."""
+
+    slots: int = 0
+    processors: int = 0
+    memory_mb: int = 0
+
+    def plus(self, other: "Resources", times: int = 1) -> "Resources":
+        """Return the sum of this and `times` the other."""
+        return Resources(
+            self.slots + other.slots * times,
+            self.processors + other.processors * times,
+            self.memory_mb + other.memory_mb * times,
+        )
+
+    def at_least(self, other: "Resources") -> "Resources":
+        """Return the larger of both for each resource."""
+        return Resources(*map(max, self, other))
+
+
+NOTHING = Resources()
+
+
+def mask_of(indices: Iterable[int]) -> int:
+    """Return a bit mask with the bits of `indices` set."""
+    mask = 0
+    for index in indices:
+        mask |= 1 << index
+    return mask
+
+
+def indices_of(mask: int) -> tuple[int, ...]:
+    """Return the positions of the bits of `mask` that are set."""
+    return tuple(index for index in range(mask.bit_length()) if mask >> index & 1)
+
+
+class Rack:
+    """Busy accelerators of a rack and the quiet hours that limit them."""
+
+    __slots__ = ("busy", "firm_busy", "free", "key", "rule")
+
+    def __init__(self, key: RackKey, rule: QuietRule | None) -> None:
+        """Start with nothing busy under the active `rule`."""
+        self.key = key
+        self.rule = rule
+        self.busy = 0
+        self.free = 0
+        self.firm_busy = 0
+
+    def room(self, urgent: bool) -> int:
+        """Return how many more accelerators may be busy now."""
+        if self.rule is None or urgent and self.rule.urgent_exempt:
+            return UNLIMITED
+        return max(0, self.rule.max_busy - self.busy)
+
+
+class FreeWorker:
+    """Free resources of one worker; `free` is a mask of accelerators.
+
+    `claimed` are accelerators that still run but are promised to a waiting job, and
+    `held_by` names the job for which the worker is kept until `held_until_ms`.
+    """
+
+    __slots__ = (
+        "claimed",
+        "firm",
+        "free",
+        "guards",
+        "held_by",
+        "held_until_ms",
+        "home_masks",
+        "homeless",
+        "info",
+        "probation",
+        "rack",
+        "resources",
+        "state",
+        "worker_id",
+    )
+
+    def __init__(self, state: WorkerState, rack: Rack, probation: bool = False) -> None:
+        """Start with everything free and no homes."""
+        info = state.info
+        self.worker_id = info.worker_id
+        self.info = info
+        self.state = state
+        self.rack = rack
+        self.probation = probation
+        self.free = (1 << info.accelerators) - 1
+        self.claimed = 0
+        self.resources = Resources(info.slots, info.processors, info.memory_mb)
+        self.home_masks: dict[str, int] = {}
+        self.homeless = self.free
+        self.guards: dict[str, Resources] = {}
+        self.firm: dict[str, Resources] = {}
+        self.held_by = ""
+        self.held_until_ms = 0
+
+    def set_homes(self, homes: tuple[str, ...], accounts_by_id: Mapping[str, Account]) -> None:
+        """Give the accelerators their home accounts."""
+        for index, account in enumerate(homes[: self.info.accelerators]):
+            if account:
+                self.home_masks[account] = self.home_masks.get(account, 0) | 1 << index
+                self.homeless &= ~(1 << index)
+        for account_id, mask in self.home_masks.items():
+            account_config = accounts_by_id.get(account_id)
+            guarantee = account_config.guarantee if account_config is not None else None
+            if guarantee is not None:
+                members = mask.bit_count() // max(1, guarantee.accelerators)
+                member = Resources(1, guarantee.processors, guarantee.memory_mb)
+                self.guards[account_id] = NOTHING.plus(member, members)
+
+    def take(self, mask: int, used: Resources, account: str, interruptible: bool) -> None:
+        """Give out the accelerators of `mask` and the resources `used`."""
+        slots, processors, memory_mb = self.resources
+        self.resources = Resources(
+            slots - used.slots, processors - used.processors, memory_mb - used.memory_mb
+        )
+        if mask:
+            self.free &= ~mask
+        count = mask.bit_count()
+        self.rack.busy += count
+        self.rack.free -= count
+        if not interruptible:
+            self.rack.firm_busy += count
+            if self.guards:
+                self.firm[account] = self.firm.get(account, NOTHING).plus(used)
+
+    def claim(self, mask: int, used: Resources) -> None:
+        """Promise accelerators, some of which may still run, to a waiting job."""
+        self.free &= ~mask
+        self.claimed |= mask
+        self.resources = self.resources.plus(used, -1)
+
+    def supposing(self) -> "FreeWorker":
+        """Return a copy on which `give_back` can be tried."""
+        trial = FreeWorker.__new__(FreeWorker)
+        for name in FreeWorker.__slots__:
+            setattr(trial, name, getattr(self, name))
+        trial.firm = dict(self.firm)
+        return trial
+
+    def give_back(self, mask: int, returned: Resources, account: str, interruptible: bool) -> None:
+        """Suppose that a task has ended."""
+        self.free |= mask & ~self.claimed
+        self.resources = self.resources.plus(returned)
+        if not interruptible and account in self.firm:
+            self.firm[account] = self.firm[account].plus(returned, -1)
+
+    def room_for(self, account: str, interruptible: bool) -> Resources:
+        """Return the resources that a task of `account` may use.
+
+        A task that can't be stopped leaves enough for every guarantee that has homes here.
+        """
+        if interruptible or not self.guards:
+            return self.resources
+        info = self.info
+        spare = Resources(info.slots, info.processors, info.memory_mb)
+        for owner in self.guards.keys() | self.firm.keys():
+            firm = self.firm.get(owner, NOTHING)
+            spare = spare.plus(firm.at_least(self.guards.get(owner, NOTHING)), -1)
+        own_firm = self.firm.get(account, NOTHING)
+        own_guard = self.guards.get(account, NOTHING)
+        own_room = spare.plus(own_guard.at_least(own_firm)).plus(own_firm, -1)
+        return Resources(*map(min, self.resources, own_room))
--- a/packages/lycheeslip/lycheeslip/policy/homes.py
+++ b/packages/lycheeslip/lycheeslip/policy/homes.py
@@ -1,90 +1,18 @@
 """Maps each account's guarantee to home accelerators."""
 
 from collections.abc import Iterator, Mapping
-from typing import NamedTuple
 
 from lycheeslip_common.structure.fleet import WorkerState
 from lycheeslip_common.structure.jobs import Adjacency, Shape
 
 from lycheeslip.config.model import FleetConfig
-from lycheeslip.policy.capacity import Resources, mask_of, zone_in_service
+from lycheeslip.policy.capacity import zone_in_service
+from lycheeslip.policy.home_site import Claim, Site
 from lycheeslip.policy.model import HomeMap
-from lycheeslip.policy.placement import pick_adjacent
 
 __all__ = ["accounts_without_homes", "assign_homes", "homes_hold_guarantee"]
 
 
-class _Claim(NamedTuple):
-    """One account's guarantee, in the order in which homes are chosen."""
-
-    account: str
-    shape: Shape
-
-
-class _Site:
-    """A worker on which homes may lie, with what is left for further guarantees."""
-
-    def __init__(self, state: WorkerState, previous: tuple[str, ...]) -> None:
-        info = state.info
-        self.worker_id = info.worker_id
-        self.zone = info.zone
-        self.rack = (info.zone, info.rack)
-        self.region = info.region
-        self.left = Resources(info.slots, info.processors, info.memory_mb)
-        self.free = (1 << info.accelerators) - 1
-        self.accounts = [""] * info.accelerators
-        self.previous: dict[str, int] = {}
-        for index, account in enumerate(previous[: info.accelerators]):
-            if account:
-                self.previous[account] = self.previous.get(account, 0) | 1 << index
-        self._firm: dict[str, int] = {}
-        for grant in state.grants:
-            if not grant.interruptible:
-                mask = self._firm.get(grant.account, 0) | mask_of(grant.accelerators)
-                self._firm[grant.account] = mask
-
-    def kept(self, account: str) -> int:
-        """Return the accelerators that were and can stay homes of `account`."""
-        return self.previous.get(account, 0) & self.free
-
-    def usable(self, account: str, caution: int) -> int:
-        """Return where new homes may lie; a higher `caution` leaves out more.
-
-        1 leaves out other accounts' previous homes, 2 also what others hold unstoppably.
-        """
-        mask = self.free
-        for other in self.previous.keys() - {account} if caution >= 1 else ():
-            mask &= ~self.previous[other]
-        for other in self._firm.keys() - {account} if caution >= 2 else ():
-            mask &= ~self._firm[other]
-        return mask | self.kept(account)
-
-    def members(self, claim: _Claim, caution: int) -> int:
-        """Return how many members of the guarantee can have their homes here."""
-        shape = claim.shape
-        limits = [
-            self.left.slots,
-            self.usable(claim.account, caution).bit_count() // shape.accelerators,
-        ]
-        if shape.processors:
-            limits.append(self.left.processors // shape.processors)
-        if shape.memory_mb:
-            limits.append(self.left.memory_mb // shape.memory_mb)
-        return max(0, min(limits))
-
-    def take(self, claim: _Claim, caution: int) -> None:
-        """Make homes for one member, where they were before if possible."""
-        count = claim.shape.accelerators
-        usable = self.usable(claim.account, caution)
-        kept = usable & self.kept(claim.account)
-        indices = pick_adjacent(kept, min(count, kept.bit_count()))
-        indices += pick_adjacent(usable & ~mask_of(indices), count - len(indices))
-        for index in indices:
-            self.accounts[index] = claim.account
-        self.free &= ~mask_of(indices)
-        self.left = self.left.plus(Resources(1, claim.shape.processors, claim.shape.memory_mb), -1)
-
-
 MAX_CAUTION = 2
 
 
@@ -107,7 +35,7 @@
         if _serves(config, state) and worker_id not in unfit_workers:
             accounts = previous.get(worker_id, ())
             kept = tuple(account if account in guaranteed else "" for account in accounts)
-            sites.append(_Site(state, kept))
+            sites.append(Site(state, kept))
     zones_by_account = {claim.account: _assign_first(claim, sites) for claim in claims}
     if config.survive_zone_loss:
         for claim in claims:
@@ -151,9 +79,9 @@
             return region
 
 
-def _claims(config: FleetConfig) -> list[_Claim]:
+def _claims(config: FleetConfig) -> list[Claim]:
     claims = [
-        _Claim(account.account_id, account.guarantee)
+        Claim(account.account_id, account.guarantee)
         for account in config.accounts_by_id.values()
         if account.guarantee is not None and account.guarantee.accelerators
     ]
@@ -164,12 +92,12 @@
     return not state.leaving and zone_in_service(config, state.info.zone)
 
 
-def _assign_first(claim: _Claim, sites: list[_Site]) -> frozenset[str]:
+def _assign_first(claim: Claim, sites: list[Site]) -> frozenset[str]:
     """Give the guarantee its first homes and return their zones."""
     return _assign(claim, sites, claim.shape.members)
 
 
-def _assign_spare(claim: _Claim, sites: list[_Site], zones: frozenset[str]) -> None:
+def _assign_spare(claim: Claim, sites: list[Site], zones: frozenset[str]) -> None:
     """Give the guarantee homes that remain when any one of `zones` is lost."""
     if not zones:
         return
@@ -180,7 +108,7 @@
     _assign(claim, elsewhere, claim.shape.members)
 
 
-def _spread(claim: _Claim, sites: list[_Site]) -> None:
+def _spread(claim: Claim, sites: list[Site]) -> None:
     """Add members, in the zone with the fewest, until any zone can be lost."""
     while not _survives(claim, sites):
         chosen = _next_spread(claim, sites)
@@ -190,7 +118,7 @@
         site.take(claim, caution)
 
 
-def _next_spread(claim: _Claim, sites: list[_Site]) -> tuple[_Site, int] | None:
+def _next_spread(claim: Claim, sites: list[Site]) -> tuple[Site, int] | None:
     by_zone = _members_by_zone(claim, sites)
     for caution in range(MAX_CAUTION, -1, -1):
         usable = [site for site in sites if site.members(claim, caution)]
@@ -208,7 +136,7 @@
     return None
 
 
-def _members_by_zone(claim: _Claim, sites: list[_Site]) -> dict[str, int]:
+def _members_by_zone(claim: Claim, sites: list[Site]) -> dict[str, int]:
     by_zone: dict[str, int] = {}
     for site in sites:
         members = site.accounts.count(claim.account) // claim.shape.accelerators
@@ -216,12 +144,12 @@
     return by_zone
 
 
-def _survives(claim: _Claim, sites: list[_Site]) -> bool:
+def _survives(claim: Claim, sites: list[Site]) -> bool:
     by_zone = _members_by_zone(claim, sites)
     return sum(by_zone.values()) - max(by_zone.values()) >= claim.shape.members
 
 
-def _assign(claim: _Claim, sites: list[_Site], members: int) -> frozenset[str]:
+def _assign(claim: Claim, sites: list[Site], members: int) -> frozenset[str]:
     """Choose homes for one copy of the guarantee; return their zones, none if it fits nowhere."""
     for caution in range(MAX_CAUTION, -1, -1):
         fitting = [
@@ -235,21 +163,21 @@
     return frozenset()
 
 
-def _groups(claim: _Claim, sites: list[_Site]) -> Iterator[list[_Site]]:
-    groups: dict[object, list[_Site]] = {}
+def _groups(claim: Claim, sites: list[Site]) -> Iterator[list[Site]]:
+    groups: dict[object, list[Site]] = {}
     for site in sites:
         key = _group_of(claim.shape, site.worker_id, site.zone, site.rack[1], site.region)
         groups.setdefault(key, []).append(site)
     yield from groups.values()
 
 
-def _preference(claim: _Claim, group: list[_Site]) -> tuple[int, int, str]:
+def _preference(claim: Claim, group: list[Site]) -> tuple[int, int, str]:
     kept = sum(site.kept(claim.account).bit_count() for site in group)
     free = sum(site.free.bit_count() for site in group)
     return -min(kept, claim.shape.total_accelerators), free, group[0].worker_id
 
 
-def _take_members(claim: _Claim, group: list[_Site], members: int, caution: int) -> frozenset[str]:
+def _take_members(claim: Claim, group: list[Site], members: int, caution: int) -> frozenset[str]:
     order = sorted(group, key=lambda site: _take_order(claim, site))
     zones = set()
     for kept_only in (True, False):
@@ -265,5 +193,5 @@
     return frozenset(zones)
 
 
-def _take_order(claim: _Claim, site: _Site) -> tuple[int, int, str]:
+def _take_order(claim: Claim, site: Site) -> tuple[int, int, str]:
     return -site.kept(claim.account).bit_count(), site.free.bit_count(), site.worker_id
--- /dev/null
+++ b/packages/lycheeslip/tests/policy/learning_tests.py
@@ -0,0 +1,109 @@
+import pytest
+from lycheeslip.policy.fragmentation import fragmentation
+from lycheeslip.policy.health import HealthByWorker, is_fault_of_job
+from lycheeslip.policy.learn import RunTimes
+from lycheeslip.policy.order import queue_of
+from lycheeslip.policy.retry_budget import RetryBudget
+from lycheeslip.policy.usage import FleetTotals, UsageByAccount
+
+from .builders import NOW_MS, Account, config, fleet, place, running, shape, spec, view, waiting
+
+
+def test_declared_run_times_count_until_there_is_history():
+    job = spec(accelerators=4)._replace(expected_run_ms=9000)
+    times = RunTimes(min_samples=4)
+    for run_ms in (100, 200, 300, 400):
+        assert times.expected_ms(job) == 9000
+        times.record(job, run_ms)
+    assert times.expected_ms(job) == pytest.approx(300, rel=0.02)
+    assert times.expected_ms(job._replace(account="other")) == 9000
+    assert times.expected_ms(spec(accelerators=8)) == 0
+
+
+def test_a_worker_that_fails_everything_is_quarantined_for_growing_times():
+    health = HealthByWorker()
+    for worker_id in "abcde":
+        health.succeeded(worker_id)
+    assert [health.failed("a", NOW_MS) for _ in range(3)] == [False, False, True]
+    first = health.by_worker()["a"]
+    assert first.probation
+    later = first.quarantined_until_ms
+    assert not health.failed("a", later - 1)
+    assert health.failed("a", later)
+    assert health.by_worker()["a"].quarantined_until_ms - later > later - NOW_MS
+    health.succeeded("a")
+    assert "a" not in health.by_worker()
+
+
+def test_failures_that_happen_everywhere_are_no_workers_fault():
+    health = HealthByWorker()
+    for _ in range(9):
+        assert not any(health.failed(worker_id, NOW_MS) for worker_id in "abcde")
+    assert is_fault_of_job(frozenset("abc"), health.by_worker())
+    assert not is_fault_of_job(frozenset("ab"), health.by_worker())
+
+
+def test_a_job_at_fault_is_not_held_against_workers():
+    health = HealthByWorker()
+    for _ in range(9):
+        health.failed("a", NOW_MS)
+        health.pardon(frozenset("a"))
+    assert not health.by_worker()
+
+
+def test_retries_are_bounded_by_first_attempts():
+    budget = RetryBudget(0.5, minimum=2)
+    assert [budget.spend("a") for _ in range(3)] == [True, True, False]
+    for _ in range(2):
+        budget.earn("a")
+    assert [budget.spend("a") for _ in range(2)] == [True, False]
+    assert not budget.spend("b")
+
+
+def test_use_fades():
+    usage = UsageByAccount(half_life_ms=1000)
+    usage.add("a", 800, 0)
+    usage.add("a", 100, 1000)
+    assert usage.by_account(2000) == {"a": 250}
+
+
+def test_processors_weigh_as_much_as_their_share_of_the_fleet():
+    totals = FleetTotals(80, 600, 1000)
+    assert totals.dominant_accelerators(shape(1, 1, processors=60, memory_mb=0)) == 8
+    assert totals.dominant_accelerators(shape(2, 4, memory_mb=0)) == 8
+
+
+def order(*jobs, **of_view):
+    seen = view(fleet(), jobs, **of_view)
+    return [queued.job.job_id for queued in queue_of(seen, {})]
+
+
+def test_accounts_take_turns_by_what_they_have_used():
+    jobs = [
+        waiting(f"{account}{n}", account=account, run_ms=1000) for account in "ab" for n in "12"
+    ]
+    assert order(*jobs, used={"a": 500}) == ["b1", "a1", "b2", "a2"]
+    heavy = config([], [Account("a", weight=100.0)])
+    assert order(*jobs, used={"a": 500}, config=heavy) == ["b1", "a1", "a2", "b2"]
+
+
+def test_work_within_a_guarantee_and_pressing_deadlines_go_first():
+    accounts = config([], [Account("a", shape(2, 1))])
+    jobs = [
+        waiting("share", account="b", since_ms=-9),
+        waiting("press", account="b", run_ms=1000, deadline_at_ms=NOW_MS + 1200),
+        waiting("own1", account="a"),
+        waiting("own2", account="a"),
+        waiting("over", account="a", since_ms=1),
+        waiting("urgent", account="b", kind="urgent"),
+    ]
+    expected = ["urgent", "own1", "own2", "press"]
+    assert order(*jobs, config=accounts)[:4] == expected
+
+
+def test_fragmentation_counts_free_accelerators_that_the_largest_shape_cannot_use():
+    workers = fleet(workers=2)
+    assert fragmentation(view(workers)) == 0
+    half = [running("r", place(workers, ("w0", range(4))), accelerators=4)]
+    seen = view(workers, [waiting("j", accelerators=8)], half)
+    assert fragmentation(seen) == pytest.approx(4 / 12)
--- /dev/null
+++ b/packages/lycheeslip/tests/policy/reservation_tests.py
@@ -0,0 +1,69 @@
+from lycheeslip.policy.model import Act, Place, RackReservation
+from lycheeslip.policy.plan import next_reservation, plan
+
+from .builders import NOW_MS, fleet, place, running, view, waiting, worker
+
+WORKERS = {"w0": worker("w0", rack="r0"), "w1": worker("w1", rack="r1")}
+GANG = waiting("gang", since_ms=-5000, accelerators=8)
+
+
+def busy(name, worker_id, ends_ms, indices=range(4), started_ms=-60_000, **of_spec):
+    of_spec.setdefault("repeatable", False)
+    where = place(WORKERS, (worker_id, indices))
+    return running(name, where, started_ms, ends_ms, accelerators=len(indices), **of_spec)
+
+
+def placed(actions):
+    return {action.job_id: action.placement for action in actions if isinstance(action, Place)}
+
+
+def stopped(actions):
+    return {action.ref.job_id for action in actions if isinstance(action, Act)}
+
+
+def test_the_rack_that_drains_first_is_kept_for_the_oldest_gang():
+    jobs = [busy("slow", "w0", 90_000), busy("fast", "w1", 20_000)]
+    expected = RackReservation("gang", "a", "r1", NOW_MS + 20_000)
+    assert next_reservation(view(WORKERS, [GANG], jobs)) == expected
+    held = RackReservation("gang", "a", "r0", NOW_MS + 90_000)
+    assert next_reservation(view(WORKERS, [GANG], jobs, reservation=held)) == expected
+    close = [busy("slow", "w0", 20_500), busy("fast", "w1", 20_000)]
+    assert next_reservation(view(WORKERS, [GANG], close, reservation=held)).rack == "r0"
+
+
+def test_only_work_that_ends_in_time_or_can_be_stopped_fills_the_gap():
+    jobs = [busy("slow", "w0", 90_000, range(8)), busy("fast", "w1", 20_000)]
+    small = [
+        waiting("unknown", repeatable=False),
+        waiting("long", repeatable=False, run_ms=30_000),
+        waiting("short", repeatable=False, run_ms=10_000),
+        waiting("stoppable", run_ms=30_000),
+        waiting("large", run_ms=30_000, accelerators=2),
+    ]
+    assert set(placed(plan(view(WORKERS, [GANG, *small], jobs)))) == {"short", "stoppable"}
+
+
+def test_work_that_filled_the_gap_is_stopped_once_the_rest_has_drained():
+    gap = busy("gap", "w1", 60_000, [7], started_ms=-1000, repeatable=True)
+    jobs = [busy("slow", "w0", 90_000), busy("fast", "w1", 20_000), gap]
+    assert not stopped(plan(view(WORKERS, [GANG], jobs)))
+    assert stopped(plan(view(WORKERS, [GANG], [jobs[0], gap]))) == {"gap"}
+
+
+def test_work_that_overstays_makes_way_if_it_can_be_stopped():
+    late = busy("late", "w1", -70_000, [7], started_ms=-130_000, repeatable=True)
+    assert stopped(plan(view(WORKERS, [GANG], [busy("slow", "w0", 90_000), late]))) == {"late"}
+
+
+def test_the_oldest_gang_goes_before_small_work_when_it_fits():
+    small = [waiting(f"s{n}", account=f"acc{n}") for n in range(4)]
+    blocked_by_account = view(WORKERS, [GANG, *small], [busy("slow", "w0", 90_000, range(8))],
+                              used={"acc": 1e9})  # fmt: skip
+    assert set(placed(plan(blocked_by_account))) == {"gang"}
+
+
+def test_a_gang_that_fits_no_rack_holds_nothing():
+    gang = waiting("gang", since_ms=-5000, members=4, accelerators=8, adjacency="same_rack")
+    small = waiting("s", repeatable=False)
+    actions = plan(view(fleet(), [gang, small]))
+    assert set(placed(actions)) == {"s"}
