Plan with learned run times, use, health and a retry budget

Cause: the planner gave the policy no history, so order, reservations and quarantine had nothing to work with. History is learned from job records, so a new planner knows what the last one knew; the reservation of a round comes back as an action instead of a second planning pass. Ruled out: keeping the learned state in the store, which would cost a write for every attempt and tell nothing that the records don't.

--- a/packages/lycheeslip/lycheeslip/app.py
+++ b/packages/lycheeslip/lycheeslip/app.py
@@ -19,6 +19,7 @@
 from lycheeslip.entry.attempts import Attempts
 from lycheeslip.entry.blackboard import Blackboard
 from lycheeslip.entry.config_apply import ConfigApply
+from lycheeslip.entry.history import History
 from lycheeslip.entry.job_store import JobStore
 from lycheeslip.entry.membership import Membership
 from lycheeslip.entry.outcomes import Outcomes
@@ -64,8 +65,12 @@
         self._agents = AgentSessions(self.board, self._router, outcomes)
         self._peers = Peers(self.board, self._router, outcomes, settings.fleet_key, settings.routes)
         self._attempts = attempts = Attempts(self.board, self._router, jobs)
+        history = History(metrics)
+        self.board.jobs.observers.append(history.observe)
         plan = importlib.import_module(settings.policy_module).plan
-        self._planner = Planner(self.board, self._router, attempts, plan, times.plan_every_ms)
+        self._planner = Planner(
+            self.board, self._router, attempts, history, plan, times.plan_every_ms
+        )
         self._recovery = Recovery(
             self.board, self._router, jobs, attempts, times.worker_lost_after_ms
         )
--- a/packages/lycheeslip/lycheeslip/entry/job_table.py
+++ b/packages/lycheeslip/lycheeslip/entry/job_table.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import Counter, defaultdict
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
 from lycheeslip_common.structure.jobs import JobRecord, JobState
@@ -31,6 +31,7 @@
         self.waiting_by_account: Counter[str] = Counter()
         self._ids_by_state: dict[JobState, dict[str, None]] = {state: {} for state in JobState}
         self._changed = changed
+        self.observers: list[Callable[[JobRecord], None]] = []
         self._waiters_by_id: defaultdict[str, set[asyncio.Event]] = defaultdict(set)
 
     def in_state(self, state: JobState) -> Iterator[JobEntry]:
@@ -50,6 +51,8 @@
             self._unindex(known.record)
         self.by_id[job_id] = JobEntry(record, mod_revision)
         self._index(record)
+        for observe in self.observers:
+            observe(record)
         self._wake(job_id)
 
     def remove(self, job_id: str) -> None:
--- a/packages/lycheeslip/lycheeslip/entry/lifecycle.py
+++ b/packages/lycheeslip/lycheeslip/entry/lifecycle.py
@@ -29,6 +29,8 @@
 from lycheeslip.config.model import Limits
 
 __all__ = [
+    "ANSWERED_OUTCOME",
+    "FAILED_OUTCOME",
     "FAULTY_JOB_WORKERS",
     "after_loss",
     "after_report",
@@ -45,6 +47,7 @@
 
 FAULTY_JOB_WORKERS = 3
 WRITER_BYTES = 8
+ANSWERED_OUTCOME = "answered"
 FAILED_OUTCOME = "task_failed"
 
 
@@ -188,7 +191,7 @@
 ) -> JobRecord | None:
     if sha256(report.answer).hexdigest() != report.digest:
         return None
-    ended = _with_summary(record, "answered", now_ms, ran=True)
+    ended = _with_summary(record, ANSWERED_OUTCOME, now_ms, ran=True)
     ended["answer_digest"] = report.digest
     ended["answer_length"] = len(report.answer)
     ended["answer_chunks"] = chunks
--- a/packages/lycheeslip/lycheeslip/entry/planner.py
+++ b/packages/lycheeslip/lycheeslip/entry/planner.py
@@ -15,18 +15,21 @@
 from lycheeslip.entry.attempts import Attempts
 from lycheeslip.entry.blackboard import Blackboard, WaitReason
 from lycheeslip.entry.controls import attempt_ref, control_members
+from lycheeslip.entry.history import History
 from lycheeslip.entry.job_table import JobEntry
-from lycheeslip.entry.lifecycle import failed_on
+from lycheeslip.entry.lifecycle import FAILED_OUTCOME, failed_on
 from lycheeslip.entry.router import Router
 from lycheeslip.policy.model import (
     Act,
     Action,
     Explain,
     FleetView,
+    Hold,
     Place,
     RunningJob,
     WaitingJob,
 )
+from lycheeslip.policy.retry_budget import RetryBudget
 
 __all__ = ["Planner", "PlanFunction", "is_planner", "planner_id"]
 
@@ -59,6 +62,7 @@
         board: Blackboard,
         router: Router,
         attempts: Attempts,
+        history: History,
         plan: PlanFunction,
         plan_every_ms: int,
     ) -> None:
@@ -66,6 +70,8 @@
         self._board = board
         self._router = router
         self._attempts = attempts
+        self._history = history
+        self._retry_budget = RetryBudget(board.config.limits.retry_budget_ratio)
         self._plan = plan
         self._plan_every_s = plan_every_ms / 1000
         self._issued_by_attempt: dict[str, _Issued] = {}
@@ -85,7 +91,9 @@
         if not waiting and not is_planner(self._board):
             return
         started_ms = monotonic_ms()
-        actions = self._plan(self._view(waiting))
+        view = self._view(waiting)
+        self._board.reservation = None
+        actions = self._plan(view)
         self._board.metrics.timing_ms("plan.round", monotonic_ms() - started_ms)
         for action in actions:
             await self._carry_out(action)
@@ -93,8 +101,9 @@
     async def _carry_out(self, action: Action) -> None:
         match action:
             case Place():
-                self._board.wait_reason_by_job.pop(action.job_id, None)
-                self._attempts.start(action)
+                self._place(action)
+            case Hold(reservation):
+                self._board.reservation = reservation
             case Act():
                 await self._act(action)
             case Explain(job_id, reason, detail):
@@ -102,6 +111,27 @@
                     self._board.metrics.count(f"wait.{reason}")
                 self._board.wait_reason_by_job[job_id] = WaitReason(reason, detail)
 
+    def _place(self, place: Place) -> None:
+        job = self._board.jobs.by_id.get(place.job_id)
+        if job is None or not self._may_retry(job):
+            return
+        self._board.wait_reason_by_job.pop(place.job_id, None)
+        self._attempts.start(place)
+
+    def _may_retry(self, job: JobEntry) -> bool:
+        """Take a token of the retry budget for work that has failed; other work needs none."""
+        record = job.record
+        account = record["spec"].account
+        if not record["attempts"]:
+            self._retry_budget.earn(account)
+            return True
+        if record["attempts"][-1].outcome != FAILED_OUTCOME or self._retry_budget.spend(account):
+            return True
+        self._board.metrics.count("wait.retry_budget")
+        reason = WaitReason("retry_budget", "too many retries in proportion to first attempts")
+        self._board.wait_reason_by_job[record["job_id"]] = reason
+        return False
+
     async def _act(self, act: Act) -> None:
         now_ms = monotonic_ms()
         issued = self._issued_by_attempt.get(act.ref.key)
@@ -118,12 +148,23 @@
         now_ms = monotonic_ms()
         recorded_too = is_planner(self._board) and self._board.store_reachable
         return tuple(
-            _waiting_job(job)
+            self._waiting_job(job)
             for job in self._board.jobs.in_state(JobState.PENDING)
             if (recorded_too or not job.is_recorded)
             and not self._attempts.is_held_back(job.record["job_id"], now_ms)
         )
 
+    def _waiting_job(self, job: JobEntry) -> WaitingJob:
+        record = job.record
+        return WaitingJob(
+            job_id=record["job_id"],
+            spec=record["spec"],
+            waiting_since_ms=record["accepted_at_ms"],
+            expected_run_ms=self._history.run_times.expected_ms(record["spec"]),
+            attempts=record["attempt"],
+            avoid=failed_on(record),
+        )
+
     def _view(self, waiting: tuple[WaitingJob, ...]) -> FleetView:
         running = {
             job.record["job_id"]: self._running_job(job)
@@ -136,8 +177,8 @@
             waiting=waiting,
             running_by_job=running,
             homes=self._board.homes.homes,
-            used_accelerator_ms_by_account={},
-            health_by_worker={},
+            used_accelerator_ms_by_account=self._history.usage.by_account(wall_ms()),
+            health_by_worker=self._history.health.by_worker(),
             reservation=self._board.reservation,
         )
 
@@ -150,7 +191,7 @@
             ControlAction.STOP,
         )
         started = record["started_at_ms"] or wall_ms()
-        expected_end = started + record["spec"].expected_run_ms
+        expected_end = started + self._history.run_times.expected_ms(record["spec"])
         return RunningJob(ref, record["spec"], record["placement"], started, expected_end, stopping)
 
     def _workers_with_attempts_under_way(self) -> dict[str, WorkerState]:
@@ -171,18 +212,6 @@
         return states
 
 
-def _waiting_job(job: JobEntry) -> WaitingJob:
-    record = job.record
-    return WaitingJob(
-        job_id=record["job_id"],
-        spec=record["spec"],
-        waiting_since_ms=record["accepted_at_ms"],
-        expected_run_ms=record["spec"].expected_run_ms,
-        attempts=record["attempt"],
-        avoid=failed_on(record),
-    )
-
-
 def _with_grant(
     state: WorkerState, job: JobEntry, member: int, place: MemberPlacement
 ) -> WorkerState:
--- a/packages/lycheeslip/lycheeslip/policy/model.py
+++ b/packages/lycheeslip/lycheeslip/policy/model.py
@@ -15,6 +15,7 @@
     "Act",
     "Explain",
     "FleetView",
+    "Hold",
     "HomeMap",
     "Place",
     "RackReservation",
@@ -112,4 +113,11 @@
     detail: str
 
 
-Action = Place | Act | Explain
+@dataclass(frozen=True, slots=True)
+class Hold:
+    """Carry this reservation in the next view, so that it moves only for a gain."""
+
+    reservation: RackReservation
+
+
+Action = Place | Act | Explain | Hold
--- a/packages/lycheeslip/lycheeslip/policy/plan.py
+++ b/packages/lycheeslip/lycheeslip/policy/plan.py
@@ -5,7 +5,7 @@
 from lycheeslip.policy.explain import explain_wait
 from lycheeslip.policy.fits import can_ever_fit
 from lycheeslip.policy.hush import enforce_quiet_hours
-from lycheeslip.policy.model import Action, FleetView, RackReservation, WaitingJob
+from lycheeslip.policy.model import Action, FleetView, Hold, WaitingJob
 from lycheeslip.policy.order import Queued, Tier, queue_of
 from lycheeslip.policy.placement import find_placement
 from lycheeslip.policy.quiet import strictest_rule
@@ -13,7 +13,7 @@
 from lycheeslip.policy.reservation import hold_for
 from lycheeslip.policy.round import Round
 
-__all__ = ["next_reservation", "plan"]
+__all__ = ["plan"]
 
 MAX_HOLDS = 1
 MAX_PLACEMENTS_PER_ROUND = 64
@@ -23,13 +23,8 @@
 
 def plan(view: FleetView) -> list[Action]:
     """Return what to do now for the waiting and running jobs of `view`."""
-    return _decide(view).actions
-
-
-def next_reservation(view: FleetView) -> RackReservation | None:
-    """Return the reservation that the next view should carry, so that it moves only for a gain."""
-    reservations = _decide(view).reservations
-    return reservations[0] if reservations else None
+    round_ = _decide(view)
+    return [*round_.actions, *map(Hold, round_.reservations)]
 
 
 def _decide(view: FleetView) -> Round:
--- a/packages/lycheeslip/tests/policy/reservation_tests.py
+++ b/packages/lycheeslip/tests/policy/reservation_tests.py
@@ -1,5 +1,5 @@
-from lycheeslip.policy.model import Act, Place, RackReservation
-from lycheeslip.policy.plan import next_reservation, plan
+from lycheeslip.policy.model import Act, Hold, Place, RackReservation
+from lycheeslip.policy.plan import plan
 
 from .builders import NOW_MS, fleet, place, running, view, waiting, worker
 
@@ -21,6 +21,11 @@
     return {action.ref.job_id for action in actions if isinstance(action, Act)}
 
 
+def next_reservation(view):
+    holds = [action for action in plan(view) if isinstance(action, Hold)]
+    return holds[0].reservation if holds else None
+
+
 def test_the_rack_that_drains_first_is_kept_for_the_oldest_gang():
     jobs = [busy("slow", "w0", 90_000), busy("fast", "w1", 20_000)]
     expected = RackReservation("gang", "a", "r1", NOW_MS + 20_000)
