Don't refuse a configuration whose write may still take effect

Cause: after a lost answer the entry read the key back, found the old value and told the operator that nothing had changed, while its own write was still on its way and took effect later. Ruled out: waiting before the read, since no wait bounds a delay. Now the write is repeated: whichever of the two comes first rules the other out by its revision. If a later revision stands in the key instead, the write may have been in force before it, and the operator is told so. A stand-in store can now delay the writes of one prefix.

--- a/packages/lycheeslip/lycheeslip/entry/config_apply.py
+++ b/packages/lycheeslip/lycheeslip/entry/config_apply.py
@@ -8,7 +8,6 @@
 from lycheeslip_common.store.outcomes import (
     Conflict,
     KeyValue,
-    ReadResult,
     Unreachable,
     Written,
 )
@@ -117,24 +116,28 @@
         value = encode_config(stored)
         outcome = await self._store.write_if(CONFIG_KEY, value, mod_revision)
         if isinstance(outcome, Unreachable) and outcome.may_have_run:
-            outcome = await self._resolve_lost_answer(stored, outcome)
+            outcome = await self._resolve_lost_answer(stored, mod_revision, outcome)
         if isinstance(outcome, Written):
             await self._store.write_if(history_key(stored["revision"]), value, 0)
         return outcome
 
     async def _resolve_lost_answer(
-        self, stored: StoredConfig, lost: Unreachable
+        self, stored: StoredConfig, mod_revision: int, lost: Unreachable
     ) -> Written | Conflict | Unreachable:
+        """Repeat the write, since one that has not taken effect may still be on its way.
+
+        Whichever of the two comes first rules the other out. A later revision in their
+        place may have replaced this one, so it proves nothing.
+        """
         self._board.metrics.count("retry.store.lost_answer")
-        read = await self._store.read(CONFIG_KEY)
-        if not isinstance(read, ReadResult):
-            return lost
-        if not read.items:
-            return Conflict(None)
-        current = read.items[0]
-        if decode_config(current.value)["writer"] == stored["writer"]:
-            return Written(current.mod_revision)
-        return Conflict(current)
+        value = encode_config(stored)
+        outcome = await self._store.write_if(CONFIG_KEY, value, mod_revision)
+        if not isinstance(outcome, Conflict) or outcome.current is None:
+            return lost if isinstance(outcome, Unreachable) else outcome
+        current = decode_config(outcome.current.value)
+        if current["writer"] == stored["writer"]:
+            return Written(outcome.current.mod_revision)
+        return outcome if current["revision"] <= stored["revision"] else lost
 
     async def _wait_for_peers(self, revision: int) -> tuple[str, ...]:
         """Wait until every leased entry confirms `revision`, or all older permits have ended."""
--- a/packages/lycheeslip_standins/lycheeslip_standins/store_faults.py
+++ b/packages/lycheeslip_standins/lycheeslip_standins/store_faults.py
@@ -13,13 +13,15 @@
 
     `down` cuts each connection before its call takes effect. `lose_next_answers` writes
     that touch `lose_answers_of_prefix` take effect, then their connection is cut.
-    `delay_ms` passes before each call takes effect.
+    `delay_ms` passes before each call takes effect, or, with `delay_writes_of_prefix`, only
+    before writes that touch such keys.
     """
 
     down: bool = False
     delay_ms: int = 0
     lose_next_answers: int = 0
     lose_answers_of_prefix: str = ""
+    delay_writes_of_prefix: str = ""
 
 
 class CallCounts:
