Don't say "not run" of a job without a record that was interrupted

Cause: a job that is served on its caller's connection while the store is down was refused as not run when the caller's wait ended while it waited for another attempt, although an earlier attempt had started. Seen by reading, then by a unit test of the transition; the two cases now are one pure function beside the other transitions.

--- a/packages/lycheeslip/lycheeslip/entry/lifecycle.py
+++ b/packages/lycheeslip/lycheeslip/entry/lifecycle.py
@@ -38,6 +38,7 @@
     "expire",
     "failed_on",
     "finish",
+    "give_up",
     "mark_running",
     "new_record",
     "request_cancel",
@@ -257,6 +258,13 @@
     )
 
 
+def give_up(record: JobRecord, reason: str, now_ms: int) -> JobRecord | None:
+    """End a job that nobody waits for any more; refused only if no attempt can have run."""
+    if record["state"] is JobState.PENDING and not _has_run(record):
+        return finish(record, Refused(reason), now_ms)
+    return finish(record, Unknown(reason), now_ms)
+
+
 def _has_run(record: JobRecord) -> bool:
     return any(summary.started_at_ms for summary in record["attempts"])
 
--- a/packages/lycheeslip/lycheeslip/http/job_handlers.py
+++ b/packages/lycheeslip/lycheeslip/http/job_handlers.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 from lycheeslip_common.store.outcomes import Unreachable
 from lycheeslip_common.structure.jobs import JobRecord, JobState
-from lycheeslip_common.structure.verdicts import Refused, Unknown, from_stored
+from lycheeslip_common.structure.verdicts import Unknown, from_stored
 from lycheeslip_common.utils.clock import monotonic_ms, wall_ms
 from lycheeslip_common.utils.logs import log_event
 from lycheeslip_common.wire.messages import ControlAction
@@ -184,14 +184,10 @@
         job = self._board.jobs.by_id[job_id]
         if job.record["state"] is JobState.DONE:
             return
-        if job.record["state"] is JobState.PENDING:
-            verdict: Refused | Unknown = Refused("wait_expired")
-        else:
-            verdict = Unknown("wait_expired")
+        if job.record["state"] is JobState.STARTED:
             await control_members(self._router, job.record, ControlAction.STOP, 0, "caller_gone")
-        await self._jobs.update(
-            job_id, partial(lifecycle.finish, verdict=verdict, now_ms=wall_ms())
-        )
+        give_up = partial(lifecycle.give_up, reason="wait_expired", now_ms=wall_ms())
+        await self._jobs.update(job_id, give_up)
 
     def _unrecorded_response(self, job_id: str) -> web.Response:
         job = self._board.jobs.by_id[job_id]
--- a/packages/lycheeslip/tests/lifecycle_tests.py
+++ b/packages/lycheeslip/tests/lifecycle_tests.py
@@ -45,6 +45,15 @@
     assert not record["verdict"]["may_have_run"]
 
 
+def test_giving_up_after_an_interrupted_attempt_does_not_say_not_run():
+    interrupted = report(1, ReportState.INTERRUPTED)
+    waiting = lifecycle.after_report(start(make_record()), interrupted, LIMITS, 5, 0)
+    assert waiting["state"] is JobState.PENDING
+    assert lifecycle.give_up(waiting, "wait_expired", 9)["verdict"]["may_have_run"]
+    assert not lifecycle.give_up(make_record(), "wait_expired", 9)["verdict"]["may_have_run"]
+    assert lifecycle.give_up(start(make_record()), "wait_expired", 9)["verdict"]["may_have_run"]
+
+
 def test_a_lost_attempt_of_a_job_that_is_not_repeatable_is_unknown():
     record = lifecycle.after_loss(start(make_record(repeatable=False)), 1, LIMITS, 5, "gone")
     assert record["verdict"]["tag"] == "unknown"
