--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES := packages/lycheeslip_common packages/lycheeslip packages/lycheeslip_agent packages/lycheeslip_standins
 CODE := $(wildcard packages tests benchmarks)
 
-.PHONY: setup test lint format demo
+.PHONY: prove setup test lint format demo
 
 setup: $(VENV)/.ready
 
@@ -28,3 +28,6 @@
 
 demo: setup
 	$(BIN)/python -m lycheeslip_standins.demo
+
+prove: setup
+	$(BIN)/python -m tests.prove --seed $(or $(SEED),1) --trials $(or $(TRIALS),1)
--- a/packages/lycheeslip_standins/lycheeslip_standins/checker.py
+++ b/packages/lycheeslip_standins/lycheeslip_standins/checker.py
@@ -35,6 +35,7 @@
 
 STARTED = "started"
 FINISHED = "finished"
+LOST_TAGS = ("unknown", "failed")
 ANSWERED = "answered"
 
 
@@ -187,13 +188,22 @@
 
 
 def judge_cut_off(records: Iterable[CallerRecord]) -> Finding:
-    """Check that no request in progress was cut off, where processes left gracefully."""
+    """Check that no request in progress was cut off, where processes left gracefully.
+
+    A connection that broke counts, and so does work whose end was lost or cut short.
+    """
     records = list(records)
     violations = [
         Violation(record.job_id, f"{record.cut_off} connections cut off")
         for record in records
         if record.cut_off
     ]
+    violations += [
+        Violation(record.job_id, f"ended as {verdict.tag}")
+        for record in records
+        for verdict in record.verdicts
+        if verdict.tag in LOST_TAGS
+    ]
     return Finding(
         "graceful shutdown cuts off nothing",
         len(records),
--- a/packages/lycheeslip_standins/tests/checker_tests.py
+++ b/packages/lycheeslip_standins/tests/checker_tests.py
@@ -149,8 +149,9 @@
 
 
 def test_cut_off():
-    records = [once(), once(cut_off=1)]
-    assert len(checker.judge_cut_off(records).violations) == 1
+    records = [once(verdicts=(ANSWERED,)), once(verdicts=(NOT_RUN,)), once(cut_off=1)]
+    records += [once(verdicts=(RecordedVerdict(tag, True),)) for tag in ("unknown", "failed")]
+    assert len(checker.judge_cut_off(records).violations) == 3
 
 
 @pytest.mark.parametrize(
--- /dev/null
+++ b/tests/promises_tests.py
@@ -0,0 +1,38 @@
+"""The short fixed part of the proofs, each with one seed; `make prove` runs them all."""
+
+import pytest
+import pytest_asyncio
+
+from tests.harness.fleet import Fleet, FleetLayout
+from tests.prove import all_scenarios
+from tests.prove.trial import run_trial, violations_of
+
+pytestmark = [pytest.mark.processes, pytest.mark.asyncio(loop_scope="module")]
+
+SEED = 1
+FIXED = [
+    ("no start in a zone taken out", "its agents cut off from all entries"),
+    ("not repeatable: at most once", "an entry frozen past its lease"),
+    ("not repeatable: at most once", "one key at two entries at once"),
+    ("not run is true", "a wave of cancellations under lost answers"),
+    ("no partial gang", "agents killed and restarted at once"),
+    ("whole answer, right caller", "large answers on connections that break"),
+    ("configuration in force, never reverts", "a write that lands after it was refused"),
+]
+
+
+@pytest_asyncio.fixture(scope="module", loop_scope="module")
+async def fleet(tmp_path_factory):
+    fleet = Fleet(FleetLayout(), tmp_path_factory.mktemp("fleet"))
+    try:
+        await fleet.start()
+        yield fleet
+    finally:
+        await fleet.stop()
+
+
+@pytest.mark.parametrize(("promise", "fault"), FIXED)
+async def test_a_promise_holds(fleet, promise, fault):
+    proof = next(p for p in all_scenarios() if (p.promise, p.fault) == (promise, fault))
+    findings, _ = await run_trial(fleet, proof, SEED)
+    assert violations_of(findings) == []
