--- a/packages/lycheeslip_agent/lycheeslip_agent/adoption.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/adoption.py
@@ -100,6 +100,8 @@
         state = ReportState.LOST
     elif not document.started:
         state = ReportState.NOT_STARTED
+    elif state is ReportState.ANSWERED and document.fault_of_answer():
+        state = ReportState.TASK_FAILED
     answered = state is ReportState.ANSWERED
     return AttemptReport(
         ref=AttemptRef(grant.job_id, grant.epoch, grant.attempt),
--- a/packages/lycheeslip_agent/lycheeslip_agent/backend.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/backend.py
@@ -2,9 +2,11 @@
 
 import base64
 from dataclasses import dataclass
+from hashlib import sha256
 from typing import Any, NamedTuple
 
 import aiohttp
+from lycheeslip_common.structure.jobs import MAX_ANSWER_BYTES
 from pydantic import TypeAdapter, ValidationError
 
 __all__ = ["BackendClient", "BackendError", "ServerDocument", "TaskDocument", "TaskLoad"]
@@ -67,6 +69,16 @@
         """Return the decoded result; raises ValueError for one that is not base64."""
         return base64.b64decode(self.result, validate=True)
 
+    def fault_of_answer(self) -> str:
+        """Return what is wrong with the result of a finished task, or ""."""
+        try:
+            answer = self.answer()
+        except ValueError:
+            return "malformed_answer"
+        if sha256(answer).hexdigest() != self.digest:
+            return "damaged_answer"
+        return "answer_too_large" if len(answer) > MAX_ANSWER_BYTES else ""
+
 
 _server_adapter = TypeAdapter(ServerDocument)
 _task_adapter = TypeAdapter(TaskDocument)
--- a/packages/lycheeslip_agent/lycheeslip_agent/blackboard.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/blackboard.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from lycheeslip_common.structure.fleet import EntryInfo, WorkerInfo, WorkerState
+from lycheeslip_common.utils.clock import wall_ms
 from lycheeslip_common.utils.metrics import Metrics
 
 from lycheeslip_agent.gang import Anchor
@@ -47,6 +48,24 @@
         """Return what the worker offers, or None until the backend server has said so."""
         return self.grants.info
 
+    def reason_against_start(self, key: MemberKey, now_ms: int) -> str:
+        """Return why a prepared member may not start now, or "" if it may."""
+        directive = self.permit.directive
+        if directive is None:
+            return "no_directive"
+        return self.permit.reason_against(now_ms) or self.grants.reason_against_start(
+            key, now_ms, directive
+        )
+
+    def start(self, key: MemberKey, now_ms: int) -> str:
+        """Record that a member is about to start, or return why it may not."""
+        directive = self.permit.directive
+        if directive is None:
+            return "no_directive"
+        return self.permit.reason_against(now_ms) or self.grants.start(
+            key, now_ms, wall_ms(), directive
+        )
+
     def refuse(self, reason: str) -> None:
         """Count a refusal."""
         self.metrics.count(f"refuse.{reason.split(':')[0]}")
--- a/packages/lycheeslip_agent/lycheeslip_agent/grants.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/grants.py
@@ -87,8 +87,17 @@
         held.grant = held.grant._replace(state=GrantState.PREPARED)
         return ""
 
-    def start(self, key: MemberKey, now_ms: int, wall_now_ms: int) -> str:
+    def start(self, key: MemberKey, now_ms: int, wall_now_ms: int, directive: Directive) -> str:
         """Record that a prepared member is about to start; return "" once, then a reason."""
+        reason = self.reason_against_start(key, now_ms, directive)
+        if not reason:
+            self.remember_start(key)
+            held = self.held_by_key[key]
+            held.grant = held.grant._replace(state=GrantState.RUNNING, started_at_ms=wall_now_ms)
+        return reason
+
+    def reason_against_start(self, key: MemberKey, now_ms: int, directive: Directive) -> str:
+        """Return why a member may not start, or "" if it may."""
         held = self.held_by_key.get(key)
         if held is None:
             return "not_prepared"
@@ -100,9 +109,7 @@
             return "leaving"
         if now_ms >= held.until_ms:
             return "start_expired"
-        self.remember_start(key)
-        held.grant = held.grant._replace(state=GrantState.RUNNING, started_at_ms=wall_now_ms)
-        return ""
+        return _reason_of_homes(held.grant, directive)
 
     def adopt(self, grant: Grant) -> None:
         """Take over a task that an earlier incarnation started."""
@@ -204,12 +211,12 @@
         return ""
 
 
-def _reason_of_homes(message: Reserve, directive: Directive) -> str:
-    if message.interruptible:
+def _reason_of_homes(wanted: Reserve | Grant, directive: Directive) -> str:
+    if wanted.interruptible:
         return ""
-    for index in message.accelerators:
+    for index in wanted.accelerators:
         home = directive.homes[index] if index < len(directive.homes) else ""
-        if home not in ("", message.account):
+        if home not in ("", wanted.account):
             return "home_of_other_account"
     return ""
 
--- a/packages/lycheeslip_agent/lycheeslip_agent/runner.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/runner.py
@@ -1,10 +1,9 @@
 """Drives one member of an attempt at the backend server, from its load to its end."""
 
 import asyncio
-from hashlib import sha256
 
 from lycheeslip_common.structure.fleet import Grant
-from lycheeslip_common.utils.clock import monotonic_ms, wall_ms
+from lycheeslip_common.utils.clock import monotonic_ms
 from lycheeslip_common.utils.logs import log_event
 from lycheeslip_common.wire.messages import Control, ControlAction, GangPhase
 
@@ -119,7 +118,7 @@
     async def _cycle(self) -> None:
         now_ms = monotonic_ms()
         self.member.step(now_ms)
-        ping = self.member.ping(now_ms, self._board.permit.reason_against(now_ms))
+        ping = self.member.ping(now_ms, self._board.reason_against_start(self.key, now_ms))
         lease = await self._link.exchange(ping, max(1, self.lease_ms // 2))
         now_ms = monotonic_ms()
         if lease is not None:
@@ -148,8 +147,7 @@
 
     async def _start(self) -> None:
         now_ms = monotonic_ms()
-        reason = self._board.permit.reason_against(now_ms)
-        reason = reason or self._board.grants.start(self.key, now_ms, wall_ms())
+        reason = self._board.start(self.key, now_ms)
         if reason:
             self._board.refuse(reason)
             self.member.fail(reason)
@@ -207,10 +205,10 @@
     def _take_result(self, document: TaskDocument) -> None:
         self.result = document
         match document.state:
-            case "finished" if _is_whole(document):
-                self.member.finished()
+            case "finished" if document.fault_of_answer():
+                self.member.fail(f"task_failed:{document.fault_of_answer()}")
             case "finished":
-                self.member.fail("task_failed:damaged_answer")
+                self.member.finished()
             case "failed":
                 self.member.fail("task_failed")
             case "lapsed":
@@ -266,10 +264,3 @@
             return
         self._board.grants.set_throttled(self.key, throttled)
         self._board.touch()
-
-
-def _is_whole(document: TaskDocument) -> bool:
-    try:
-        return sha256(document.answer()).hexdigest() == document.digest
-    except ValueError:
-        return False
--- a/packages/lycheeslip_agent/lycheeslip_agent/runs.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/runs.py
@@ -52,7 +52,10 @@
             self._loading_by_key[key] = loading
             loading.add_done_callback(lambda _: self._loading_by_key.pop(key, None))
         waiting = self._loading_by_key.get(key)
-        return await asyncio.shield(waiting) if waiting is not None else ""
+        if waiting is not None:
+            return await asyncio.shield(waiting)
+        run = self._board.runs_by_key.get(key)
+        return run.member.reason if run is not None and not run.maybe_started else ""
 
     async def _load(self, message: Prepare, grant: Grant, start_by_ms: int) -> str:
         lease_ms = self._lease_ms(grant.members)
@@ -179,10 +182,13 @@
 
 
 def _state_of(outcome: GangOutcome, run: MemberRun, members: int) -> ReportState:
-    """Return the reported state; a gang of one is proven unstarted by its backend server."""
+    """Return the reported state; for a gang of one its backend server has the last word."""
     if outcome.cause is None:
         return ReportState.ANSWERED
-    unstarted = run.result is not None and not run.result.started
+    result = run.result
+    if members == 1 and result is not None and result.state == "finished":
+        return ReportState.TASK_FAILED if result.fault_of_answer() else ReportState.ANSWERED
+    unstarted = result is not None and not result.started
     if members == 1 and (unstarted or not run.maybe_started):
         return ReportState.NOT_STARTED
     return _STATE_BY_CAUSE[outcome.cause]
--- a/packages/lycheeslip_agent/lycheeslip_agent/sessions.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/sessions.py
@@ -29,8 +29,8 @@
 PING_INTERVAL_S = 0.8
 SILENCE_LIMIT_MS = 3_000
 AVOID_MS = 5_000
-MOVE_DELAY_MS = 5_000
-MOVE_JITTER_MS = 5_000
+MIN_MOVE_DELAY_S = 5.0
+MAX_MOVE_DELAY_S = 10.0
 GATHER_CHANGES_S = 0.01
 
 
@@ -55,7 +55,8 @@
         self._avoid_until_ms_by_address: dict[str, int] = {}
         self._announced: set[MemberKey] = set()
         self._heard_ms = 0
-        self._move_after_ms = 0
+        self._next_session: Session | None = None
+        self._redirected = False
         self._seed_index = random.randrange(len(board.settings.entry_addresses))
         self.sent_bytes = 0
         self.received_bytes = 0
@@ -65,11 +66,11 @@
         while True:
             address = self._choose_address()
             try:
-                settings = self._board.settings
-                session = await dial(address, settings.fleet_key, "agent", settings.node_id)
+                session = self._next_session or await self._dial(address)
             except SessionError as error:
                 await self._wait_after_failure(address, error)
                 continue
+            self._next_session = None
             try:
                 await self._serve(session)
             except SessionError as error:
@@ -81,10 +82,13 @@
                 self.received_bytes += session.received_bytes
                 await session.close()
 
+    async def _dial(self, address: str) -> Session:
+        settings = self._board.settings
+        return await dial(address, settings.fleet_key, "agent", settings.node_id)
+
     def _choose_address(self) -> str:
-        now_ms = monotonic_ms()
         for entry in self._ranked():
-            if now_ms >= self._avoid_until_ms_by_address.get(entry.session_address, 0):
+            if self._usable(entry):
                 return entry.session_address
         seeds = self._board.settings.entry_addresses
         self._seed_index = (self._seed_index + 1) % len(seeds)
@@ -97,6 +101,7 @@
 
     async def _wait_after_failure(self, address: str, error: SessionError) -> None:
         self._avoid_until_ms_by_address[address] = monotonic_ms() + AVOID_MS
+        self._redirected = False
         delay_s = self._backoff.next_delay_s()
         log_warning("waiting_for_entry", address=address, delay_s=f"{delay_s:.2f}", reason=error)
         self._board.metrics.count("retry.session")
@@ -106,13 +111,12 @@
         """Use a session until it fails, or until another entry is preferred."""
         if session.entries:
             self._board.entries_by_id = {entry.entry_id: entry for entry in session.entries}
-        best = self._ranked()[:1]
-        if best and best[0].entry_id != session.node_id and self._usable(best[0]):
+        if self._better_than(session) is not None and not self._redirected:
+            self._redirected = True
             return
         log_event("session_opened", entry=session.node_id)
         self._announced.clear()
         self._heard_ms = monotonic_ms()
-        self._move_after_ms = 0
         self._board.outbox.send_again()
         self._board.touch()
         try:
@@ -120,11 +124,19 @@
                 group.create_task(self._receive(session))
                 group.create_task(self._ping(session))
                 group.create_task(self._announce(session))
+                group.create_task(self._move_when_better(session))
         except* SessionError as errors:
             raise SessionError(str(errors.exceptions[0])) from None
         except* _MoveError:
             log_event("session_moves", from_entry=session.node_id)
 
+    def _better_than(self, session: Session) -> EntryInfo | None:
+        """Return the preferred entry if it is another one and has not failed lately."""
+        best = next(iter(self._ranked()), None)
+        if best is None or best.entry_id == session.node_id or not self._usable(best):
+            return None
+        return best
+
     def _usable(self, entry: EntryInfo) -> bool:
         avoid_until_ms = self._avoid_until_ms_by_address.get(entry.session_address, 0)
         return monotonic_ms() >= avoid_until_ms
@@ -146,19 +158,23 @@
             now_ms = monotonic_ms()
             if now_ms - self._heard_ms > SILENCE_LIMIT_MS:
                 raise SessionError("no pong in time")
-            self._move_if_due(session, now_ms)
             directive = self._board.permit.directive
             await session.send(Ping(now_ms, directive.version if directive is not None else 0))
             await asyncio.sleep(PING_INTERVAL_S)
 
-    def _move_if_due(self, session: Session, now_ms: int) -> None:
-        """Move to a preferred entry that has appeared, after a while and not all at once."""
-        best = self._ranked()[:1]
-        if not best or best[0].entry_id == session.node_id or not self._usable(best[0]):
-            self._move_after_ms = 0
-        elif not self._move_after_ms:
-            self._move_after_ms = now_ms + MOVE_DELAY_MS + random.randrange(MOVE_JITTER_MS)
-        elif now_ms >= self._move_after_ms:
+    async def _move_when_better(self, session: Session) -> None:
+        """End this session once one to a preferred entry is open; not all agents at once."""
+        while True:
+            await asyncio.sleep(random.uniform(MIN_MOVE_DELAY_S, MAX_MOVE_DELAY_S))
+            best = self._better_than(session)
+            if best is None:
+                continue
+            address = best.session_address
+            try:
+                self._next_session = await self._dial(address)
+            except SessionError:
+                self._avoid_until_ms_by_address[address] = monotonic_ms() + AVOID_MS
+                continue
             raise _MoveError
 
     async def _announce(self, session: Session) -> None:
