Generate the reference of the configuration and of entry settings

Cause: a page that is written by hand comes to differ from what is checked. Ruled out: JSON Schema, which can't say that a value needs a unit.

--- a/packages/lycheeslip/lycheeslip/config/diff.py
+++ b/packages/lycheeslip/lycheeslip/config/diff.py
@@ -7,14 +7,12 @@
 
 from lycheeslip.config.model import Account, FleetConfig, Limits, QuietHours, Zone
 from lycheeslip.config.schema import WEEKDAYS
-from lycheeslip.config.units import format_duration
+from lycheeslip.config.units import format_duration, format_memory, format_minute, format_utc_offset
 
 __all__ = ["Change", "describe_changes", "describe_quiet_hours", "describe_shape"]
 
 T = TypeVar("T")
 
-MINUTES_PER_HOUR = 60
-MEGABYTES_PER_GIGABYTE = 1_024
 MILLISECONDS_PER_SECOND = 1_000
 
 
@@ -47,7 +45,7 @@
     parts = [
         f"{members} with {shape.accelerators} accelerators",
         f"{shape.processors} processors",
-        f"{_format_memory(shape.memory_mb)} each",
+        f"{format_memory(shape.memory_mb)} each",
     ]
     if shape.adjacency is not Adjacency.ANY:
         parts.append(shape.adjacency.value.replace("_", " "))
@@ -58,7 +56,7 @@
     """Return quiet hours such as `22:00 to 07:00 on mon, at most 2 accelerators per rack`."""
     all_days = len(set(quiet.weekdays)) == len(WEEKDAYS)
     days = "every day" if all_days else "on " + ", ".join(WEEKDAYS[day] for day in quiet.weekdays)
-    times = f"{_format_minute(quiet.from_minute)} to {_format_minute(quiet.to_minute)}"
+    times = f"{format_minute(quiet.from_minute)} to {format_minute(quiet.to_minute)}"
     parts = [f"{times} {days}", f"at most {quiet.max_busy_per_rack} accelerators per rack"]
     if quiet.throttle:
         parts.append("throttled")
@@ -98,7 +96,7 @@
         "offset from UTC",
         old.utc_offset_minutes,
         new.utc_offset_minutes,
-        _format_utc_offset,
+        format_utc_offset,
     )
     yield from _quiet_changes(subject, old.quiet_hours, new.quiet_hours)
 
@@ -177,17 +175,3 @@
         return
     word = "withdrawn" if not new else "changed" if old else "declared"
     yield Change(subject, f"token {word}")
-
-
-def _format_minute(minute: int) -> str:
-    return f"{minute // MINUTES_PER_HOUR:02}:{minute % MINUTES_PER_HOUR:02}"
-
-
-def _format_utc_offset(minutes: int) -> str:
-    return f"{'-' if minutes < 0 else '+'}{_format_minute(abs(minutes))}"
-
-
-def _format_memory(megabytes: int) -> str:
-    if megabytes % MEGABYTES_PER_GIGABYTE == 0:
-        return f"{megabytes // MEGABYTES_PER_GIGABYTE}GB"
-    return f"{megabytes}MB"
--- a/packages/lycheeslip/lycheeslip/config/schema.py
+++ b/packages/lycheeslip/lycheeslip/config/schema.py
@@ -2,6 +2,7 @@
 
 from typing import Annotated, Literal, NamedTuple
 
+from lycheeslip_common.config.reference import Shown
 from lycheeslip_common.config.validation import Count, Section, Switch
 from lycheeslip_common.structure.jobs import MAX_MEMBERS, Adjacency, Identifier
 from pydantic import Field
@@ -20,7 +21,7 @@
 
 WEEKDAYS: tuple[Weekday, ...] = ("mon", "tue", "wed", "thu", "fri", "sat", "sun")
 
-Digest = Annotated[str, Field(pattern=r"^([0-9a-f]{64})?$")]
+Digest = Annotated[str, Field(pattern=r"^([0-9a-f]{64})?$"), Shown("64 hexadecimal digits")]
 
 
 class GuaranteeForm(NamedTuple):
@@ -50,8 +51,13 @@
     ] = None
     weight: Annotated[
         float,
-        Field(gt=0, le=1000, allow_inf_nan=False, strict=True),
-        Field(description="Share of what is not guaranteed, relative to other accounts."),
+        Field(
+            gt=0,
+            le=1000,
+            allow_inf_nan=False,
+            strict=True,
+            description="Share of what is not guaranteed, relative to other accounts.",
+        ),
     ] = 1.0
     token_sha256: Annotated[
         Digest, Field(description="SHA-256 digest of the account's bearer token.")
@@ -107,17 +113,17 @@
     reclaim_grace: Annotated[
         DurationMs,
         between_durations("0ms", "60s"),
-        Field(description="Time to checkpoint before a task that borrows is stopped."),
+        Field(description="Time to checkpoint before a borrower is stopped; 0ms to 60s."),
     ] = 800
     task_lease: Annotated[
         DurationMs,
         between_durations("1s", "10m"),
-        Field(description="Lease of a running task."),
+        Field(description="Lease of a running task; 1s to 10m."),
     ] = 10_000
     gang_lease: Annotated[
         DurationMs,
         between_durations("200ms", "60s"),
-        Field(description="Lease of each member of a running gang."),
+        Field(description="Lease of each member of a running gang; 200ms to 60s."),
     ] = 1_500
     max_waiting_jobs: Annotated[
         Count, Field(ge=1, le=10_000_000, description="Jobs that may wait at once.")
@@ -125,13 +131,18 @@
     max_attempts: Annotated[Count, Field(ge=1, le=100, description="Attempts at one job.")] = 5
     retry_budget_ratio: Annotated[
         float,
-        Field(ge=0, le=1, allow_inf_nan=False, strict=True),
-        Field(description="Retries that are allowed for each first attempt."),
+        Field(
+            ge=0,
+            le=1,
+            allow_inf_nan=False,
+            strict=True,
+            description="Retries that are allowed for each first attempt.",
+        ),
     ] = 0.1
     answer_retention: Annotated[
         DurationMs,
         between_durations("1m", "30d"),
-        Field(description="How long an answer is kept after its job is done."),
+        Field(description="How long a done job and its answer are kept; 1m to 30d."),
     ] = 86_400_000
 
 
--- a/packages/lycheeslip/lycheeslip/config/units.py
+++ b/packages/lycheeslip/lycheeslip/config/units.py
@@ -3,6 +3,7 @@
 import re
 from typing import Annotated
 
+from lycheeslip_common.config.reference import Shown
 from lycheeslip_common.config.validation import refusal
 from pydantic import AfterValidator, BeforeValidator, Field
 
@@ -13,6 +14,11 @@
     "UtcOffsetMinutes",
     "between_durations",
     "format_duration",
+    "format_memory",
+    "format_minute",
+    "format_utc_offset",
+    "parse_duration",
+    "parse_memory",
 ]
 
 MILLISECONDS_BY_UNIT = {"ms": 1, "s": 1_000, "m": 60_000, "h": 3_600_000, "d": 86_400_000}
@@ -39,10 +45,12 @@
 
 
 def parse_duration(value: object) -> int:
+    """Return the milliseconds of a duration such as 10s; raises ValueError."""
     return _quantity(value, MILLISECONDS_BY_UNIT, "800ms, 10s, 5m, 12h or 1d")
 
 
 def parse_memory(value: object) -> int:
+    """Return the megabytes of an amount such as 16GB; raises ValueError."""
     return _quantity(value, MEGABYTES_BY_UNIT, "512MB or 16GB")
 
 
@@ -92,14 +100,45 @@
     return f"{milliseconds}ms"
 
 
-DurationMs = Annotated[int, BeforeValidator(parse_duration)]
+def format_memory(megabytes: int) -> str:
+    """Return an amount of memory in the largest unit that divides it."""
+    for unit, scale in reversed(MEGABYTES_BY_UNIT.items()):
+        if megabytes and megabytes % scale == 0:
+            return f"{megabytes // scale}{unit}"
+    return f"{megabytes}MB"
+
+
+def format_minute(minute: int) -> str:
+    """Return minutes after midnight as a time such as 07:00."""
+    return f"{minute // MINUTES_PER_HOUR:02}:{minute % MINUTES_PER_HOUR:02}"
+
+
+def format_utc_offset(minutes: int) -> str:
+    """Return an offset from UTC such as +05:30."""
+    return f"{'-' if minutes < 0 else '+'}{format_minute(abs(minutes))}"
+
+
+DurationMs = Annotated[
+    int,
+    BeforeValidator(parse_duration),
+    Shown("duration: 800ms, 10s, 5m, 12h, 1d", format_duration),
+]
 """A duration such as 800ms, 10s, 5m, 12h or 1d."""
 
-MemoryMb = Annotated[int, Field(le=64 * 1_024 * 1_024), BeforeValidator(parse_memory)]
+MemoryMb = Annotated[
+    int,
+    Field(le=64 * 1_024 * 1_024),
+    BeforeValidator(parse_memory),
+    Shown("memory: 512MB, 16GB, 1TB", format_memory),
+]
 """An amount of memory such as 512MB or 16GB (1GB is 1024MB)."""
 
-MinuteOfDay = Annotated[int, BeforeValidator(_parse_minute_of_day)]
+MinuteOfDay = Annotated[
+    int, BeforeValidator(_parse_minute_of_day), Shown('local time: "22:00"', format_minute)
+]
 """A local time of day such as "22:00"; "24:00" ends a day."""
 
-UtcOffsetMinutes = Annotated[int, BeforeValidator(_parse_utc_offset)]
+UtcOffsetMinutes = Annotated[
+    int, BeforeValidator(_parse_utc_offset), Shown('offset: "+05:30"', format_utc_offset)
+]
 """An offset from UTC such as "+05:30"."""
