Hold the HTTP interface to its contract against a real entry

Cause: bad input must be refused as not run with a reason, and lose no job. Store, backend server, agent and entry run as processes; tables hold the fault cases, and hypothesis feeds JSON and bytes. Not in these tables, since the entry takes them today: values of the wrong type that pydantic converts, such as "repeatable": 0 or a list as the shape.

--- /dev/null
+++ b/tests/http_contract_tests.py
@@ -0,0 +1,424 @@
+import base64
+import hashlib
+import http.client
+import json
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+import pytest
+import yaml
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+from lycheeslip_standins.backend_server import expected_answer
+
+pytestmark = pytest.mark.processes
+
+WAIT_S = 15
+FLEET_KEY = "a fleet key for tests only"
+TOKENS = {"a": "token-a", "b": "token-b", "operator": "token-operator"}
+PROBLEM_KEYS = {"type", "title", "status", "detail", "reason", "may_have_run", "retry_at_ms"}
+MAX_BODY_BYTES = 512 * 1024
+
+
+def digest(token):
+    return hashlib.sha256(token.encode()).hexdigest()
+
+
+CONFIG = f"""\
+operator_token_sha256: {digest("token-operator")}
+accounts:
+  a: {{token_sha256: {digest("token-a")}, max_waiting_jobs: 100000}}
+  b: {{token_sha256: {digest("token-b")}}}
+zones:
+  z1: {{accelerators: 8, accelerators_per_worker: 8, workers_per_rack: 1}}
+"""
+
+
+def free_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class Cell:
+    """A store, an entry, a backend server and an agent, each as a process."""
+
+    def __init__(self, directory):
+        self.directory = directory
+        self.processes = {}
+        self.port = free_port()
+
+    def start(self):
+        store, sessions, backend = (f"127.0.0.1:{free_port()}" for _ in range(3))
+        self._spawn("store", "lycheeslip_standins.platform_store", "--address", store)
+        server = "lycheeslip_standins.backend_server"
+        self._spawn("backend", server, "--zone", "z1", "--address", backend)
+        node = {"region": "r1", "zone": "z1", "fleet_key": FLEET_KEY}
+        entry = node | {"node_id": "e1", "http_address": f"127.0.0.1:{self.port}"}
+        entry |= {"session_address": sessions, "store_addresses": [store]}
+        self._spawn("entry", "lycheeslip", "entry", "--settings", self._write("e1", entry))
+        agent = node | {"node_id": "w1", "rack": "k1", "address": "127.0.0.1:0"}
+        agent |= {"entry_addresses": [sessions], "backend_address": backend}
+        self._spawn("agent", "lycheeslip_agent", "--settings", self._write("w1", agent))
+        self._until(lambda: self.call("GET", "/readyz")[0] == 200)
+        self._until(lambda: self.json("GET", "/v1/fleet")["workers"])
+        status, _, _ = self.call("PUT", "/v1/config", CONFIG, {"If-Match": '"0"'})
+        assert status == 200
+
+    def stop(self):
+        for process in self.processes.values():
+            process.kill()
+            process.wait()
+
+    def call(self, method, path, body=None, headers=None, holder="operator"):
+        connection = http.client.HTTPConnection("127.0.0.1", self.port, timeout=WAIT_S)
+        token = {"Authorization": f"Bearer {TOKENS[holder]}"} if holder else {}
+        if isinstance(body, dict | list):
+            body = json.dumps(body)
+        body = body.encode() if isinstance(body, str) else body
+        try:
+            connection.request(method, path, body, token | (headers or {}))
+            response = connection.getresponse()
+            return response.status, response.headers, response.read()
+        finally:
+            connection.close()
+
+    def json(self, *arguments, **options):
+        return json.loads(self.call(*arguments, **options)[2])
+
+    def raw(self, data):
+        """Send bytes as they are and return the beginning of what comes back."""
+        with socket.create_connection(("127.0.0.1", self.port), timeout=WAIT_S) as connection:
+            connection.sendall(data)
+            connection.shutdown(socket.SHUT_WR)
+            try:
+                return connection.recv(65_536)
+            except ConnectionResetError:
+                return b""
+
+    def is_alive(self):
+        return self.call("GET", "/healthz")[0] == 200 and self.processes["entry"].poll() is None
+
+    def job_count(self):
+        return len(self.json("GET", "/v1/jobs?limit=1000")["jobs"])
+
+    def _spawn(self, name, module, *arguments):
+        log = (self.directory / f"{name}.log").open("wb")
+        command = [sys.executable, "-m", module, *arguments]
+        self.processes[name] = subprocess.Popen(command, stderr=log)
+
+    def _write(self, name, document):
+        path = self.directory / f"{name}.yaml"
+        path.write_text(yaml.safe_dump(document))
+        return str(path)
+
+    def _until(self, condition):
+        deadline = time.monotonic() + WAIT_S
+        while time.monotonic() < deadline:
+            try:
+                if condition():
+                    return
+            except (OSError, KeyError):
+                pass
+            time.sleep(0.05)
+        raise TimeoutError
+
+
+@pytest.fixture(scope="module")
+def cell(tmp_path_factory):
+    cell = Cell(tmp_path_factory.mktemp("cell"))
+    try:
+        cell.start()
+        yield cell
+    finally:
+        cell.stop()
+
+
+def job(**changes):
+    return {"account": "a", "payload": '{"run_ms": 20}'} | changes
+
+
+def check_problem(status, headers, body):
+    document = json.loads(body)
+    assert headers.get_content_type() == "application/problem+json"
+    assert document.keys() >= PROBLEM_KEYS
+    assert document["status"] == status
+    assert "Traceback" not in body.decode()
+    return document
+
+
+BAD_JOBS = [
+    ("{", 400, "malformed_body"),
+    ("", 400, "malformed_body"),
+    ("[]", 400, "malformed_body"),
+    ("null", 400, "malformed_body"),
+    (b"\xff\xfe{}", 400, "malformed_body"),
+    ("[" * 100_000, 400, "malformed_body"),
+    ('{"account": "a", "label": "\\ud800"}', 422, "invalid_job"),
+    ({}, 422, "invalid_job"),
+    (job(account=5), 422, "invalid_job"),
+    (job(account=""), 422, "invalid_job"),
+    (job(account="a b"), 422, "invalid_job"),
+    (job(acount="a"), 422, "invalid_job"),
+    (job(kind="soon"), 422, "invalid_job"),
+    (job(payload=5), 422, "invalid_job"),
+    (job(payload="x" * (256 * 1024 + 1)), 422, "invalid_job"),
+    (job(label="x" * 129), 422, "invalid_job"),
+    (job(repeatable="maybe"), 422, "invalid_job"),
+    (job(deadline_in_ms=-1), 422, "invalid_job"),
+    (job(deadline_in_ms=1.5), 422, "invalid_job"),
+    (job(expected_run_ms=10**30), 422, "invalid_job"),
+    (job(shape={"members": 0}), 422, "invalid_job"),
+    (job(shape={"members": 129}), 422, "invalid_job"),
+    (job(shape={"accelerators": 65}), 422, "invalid_job"),
+    (job(shape={"gpus": 1}), 422, "invalid_job"),
+    (job(shape={"adjacency": "near"}), 422, "invalid_job"),
+    (job(payload="x" * MAX_BODY_BYTES), 413, "body_too_large"),
+    (job(account="c"), 422, "unknown_account"),
+    (job(shape={"accelerators": 9}), 422, "impossible_shape"),
+    (
+        job(shape={"members": 2, "accelerators": 8, "adjacency": "same_worker"}),
+        422,
+        "impossible_shape",
+    ),
+]
+
+
+@pytest.mark.parametrize(("body", "status", "reason"), BAD_JOBS)
+def test_bad_job_is_refused_as_not_run(cell, body, status, reason):
+    before = cell.job_count()
+    found = cell.call("POST", "/v1/jobs", body)
+    document = check_problem(*found)
+    assert (found[0], document["reason"], document["may_have_run"]) == (status, reason, False)
+    assert cell.job_count() == before
+
+
+BAD_REQUESTS = [
+    ("POST", "/v1/jobs?wait_ms=x", job(), {}, "a", 400, "malformed_query"),
+    ("POST", "/v1/jobs?wait_ms=-1", job(), {}, "a", 400, "malformed_query"),
+    ("POST", "/v1/jobs", job(), {"Idempotency-Key": "k" * 300}, "a", 400, "malformed_key"),
+    ("POST", "/v1/jobs", job(account="b"), {}, "a", 403, "other_account"),
+    ("POST", "/v1/jobs", job(), {}, "", 401, "unauthenticated"),
+    ("POST", "/v1/jobs", job(), {"Authorization": "Bearer x"}, "", 401, "unauthenticated"),
+    ("POST", "/v1/jobs", job(), {"Authorization": "Basic x"}, "", 401, "unauthenticated"),
+    ("GET", "/v1/jobs", None, {}, "", 401, "unauthenticated"),
+    ("GET", "/v1/jobs?limit=many", None, {}, "a", 400, "malformed_query"),
+    ("GET", "/v1/jobs/none", None, {}, "a", 404, "unknown_job"),
+    ("GET", "/v1/jobs/none/answer", None, {}, "a", 404, "unknown_job"),
+    ("GET", "/v1/jobs/%00%ff", None, {}, "a", 404, "unknown_job"),
+    ("DELETE", "/v1/jobs/none", None, {}, "a", 404, "unknown_job"),
+    ("GET", "/v1/nothing", None, {}, "a", 404, "not_found"),
+    ("PATCH", "/v1/jobs", None, {}, "a", 405, "method_not_allowed"),
+    ("GET", "/v1/config", None, {}, "a", 403, "operators_only"),
+    ("PUT", "/v1/config", "", {"If-Match": '"1"'}, "a", 403, "operators_only"),
+    ("POST", "/v1/workers/w1/drain", None, {}, "a", 403, "operators_only"),
+    ("POST", "/v1/workers/none/drain", None, {}, "operator", 404, "unknown_worker"),
+    ("PUT", "/v1/config", CONFIG, {}, "operator", 428, "revision_required"),
+    ("PUT", "/v1/config", CONFIG, {"If-Match": '"x"'}, "operator", 428, "revision_required"),
+    ("PUT", "/v1/config", CONFIG, {"If-Match": '"0"'}, "operator", 412, "revision_conflict"),
+    ("PUT", "/v1/config", CONFIG, {"If-Match": '"9"'}, "operator", 412, "revision_conflict"),
+    ("PUT", "/v1/config", b"\xff", {"If-Match": '"1"'}, "operator", 400, "malformed_body"),
+    ("PUT", "/v1/config", "zones: [", {"If-Match": '"1"'}, "operator", 422, "invalid_config"),
+    (
+        "PUT",
+        "/v1/config",
+        "#" * (MAX_BODY_BYTES + 1),
+        {"If-Match": '"1"'},
+        "operator",
+        413,
+        "body_too_large",
+    ),
+]
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "body", "headers", "holder", "status", "reason"), BAD_REQUESTS
+)
+def test_bad_request_changes_nothing(cell, method, path, body, headers, holder, status, reason):
+    found = cell.call(method, path, body, headers, holder)
+    document = check_problem(*found)
+    assert (found[0], document["reason"], document["may_have_run"]) == (status, reason, False)
+    assert cell.json("GET", "/v1/config")["revision"] == 1
+
+
+def test_conflict_names_both_revisions(cell):
+    found = cell.call("PUT", "/v1/config", CONFIG, {"If-Match": '"7"'})
+    detail = check_problem(*found)["detail"]
+    assert "7" in detail
+    assert "1" in detail
+
+
+def test_invalid_configuration_is_refused_by_line_and_key(cell):
+    text = CONFIG + "limits:\n  task_lease: 5\nzone: {}\n"
+    found = cell.call("PUT", "/v1/config", text, {"If-Match": '"1"'})
+    errors = check_problem(*found)["errors"]
+    assert [(error["line"], error["key"]) for error in errors] == [
+        (8, "limits.task_lease"),
+        (9, "zone"),
+    ]
+
+
+def run_job(cell, key, **changes):
+    headers = {"Idempotency-Key": key}
+    return cell.call("POST", "/v1/jobs?wait_ms=10000", job(**changes), headers, "a")
+
+
+def test_whole_answer_with_its_digest(cell):
+    payload = '{"run_ms": 20, "answer_bytes": 700000}'
+    status, _, body = run_job(cell, "whole", payload=payload)
+    document = json.loads(body)
+    path = f"/v1/jobs/{document['job_id']}"
+    answered, headers, answer = cell.call("GET", f"{path}/answer", holder="a")
+    wanted = expected_answer(payload)
+    assert (status, document["state"], document["verdict"]["tag"]) == (200, "done", "answered")
+    assert (answered, answer == wanted) == (200, True)
+    assert document["answer"] == {"digest": digest_of(wanted), "length": len(wanted)}
+    encoded = base64.b64encode(hashlib.sha256(wanted).digest()).decode()
+    assert headers["Repr-Digest"] == f"sha-256=:{encoded}:"
+    assert (headers["Lycheeslip-Job"], headers["Lycheeslip-Attempt"]) == (document["job_id"], "1")
+
+
+def digest_of(content):
+    return hashlib.sha256(content).hexdigest()
+
+
+def test_same_key_and_body_is_the_same_job(cell):
+    first, second = json.loads(run_job(cell, "same")[2]), json.loads(run_job(cell, "same")[2])
+    assert first["job_id"] == second["job_id"]
+    assert len(second["attempts"]) == 1
+
+
+def test_reused_key_with_another_body_is_refused(cell):
+    run_job(cell, "reused")
+    found = run_job(cell, "reused", label="other")
+    document = check_problem(*found)
+    assert (found[0], document["reason"], document["may_have_run"]) == (409, "key_reused", False)
+
+
+def test_another_account_sees_and_cancels_nothing(cell):
+    job_id = json.loads(run_job(cell, "private")[2])["job_id"]
+    for method, path in (("GET", ""), ("GET", "/answer"), ("DELETE", "")):
+        found = cell.call(method, f"/v1/jobs/{job_id}{path}", holder="b")
+        assert check_problem(*found)["reason"] == "unknown_job"
+    assert cell.json("GET", "/v1/jobs", holder="b")["jobs"] == []
+    assert cell.json("GET", "/v1/jobs?account=a", holder="b")["jobs"] == []
+
+
+def test_deadline_that_passes_before_the_start_is_a_refusal(cell):
+    held = [run_async(cell, f"hold{n}") for n in range(8)]
+    for job_id in held:
+        wait_until_started(cell, job_id)
+    found = run_job(cell, "late", deadline_in_ms=1)
+    verdict = json.loads(found[2])["verdict"]
+    assert (verdict["tag"], verdict["may_have_run"]) == ("refused", False)
+    for job_id in held:
+        assert cell.call("DELETE", f"/v1/jobs/{job_id}", holder="a")[0] == 202
+
+
+def wait_until_started(cell, job_id):
+    deadline = time.monotonic() + WAIT_S
+    while cell.json("GET", f"/v1/jobs/{job_id}")["state"] != "started":
+        assert time.monotonic() < deadline
+        time.sleep(0.02)
+
+
+def run_async(cell, key):
+    body = job(payload='{"run_ms": 60000}')
+    found = cell.call("POST", "/v1/jobs", body, {"Idempotency-Key": key}, "a")
+    assert found[0] == 202
+    return json.loads(found[2])["job_id"]
+
+
+def test_cancelled_job_has_no_answer(cell):
+    job_id = run_async(cell, "cancel")
+    assert cell.call("DELETE", f"/v1/jobs/{job_id}", holder="a")[0] == 202
+    document = cell.json("GET", f"/v1/jobs/{job_id}?wait_ms=10000", holder="a")
+    assert document["verdict"]["tag"] == "cancelled"
+    found = cell.call("GET", f"/v1/jobs/{job_id}/answer", holder="a")
+    assert (found[0], check_problem(*found)["reason"]) == (409, document["verdict"]["reason"])
+
+
+REQUEST_LINE = b"POST /v1/jobs HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer token-a\r\n"
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"\x00\x01\x02",
+        b"GET\r\n\r\n",
+        b"GET / HTTP/9.9\r\n\r\n",
+        b"GET /v1/jobs HTTP/1.1\r\n" + b"A: " + b"x" * 100_000,
+        REQUEST_LINE + b'Content-Length: 500\r\n\r\n{"account": "a"',
+        REQUEST_LINE + b"Content-Length: -5\r\n\r\n{}",
+        REQUEST_LINE + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+        REQUEST_LINE + b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n{}",
+        REQUEST_LINE + b"Content-Length: 4\r\nContent-Encoding: gzip\r\n\r\nabcd",
+    ],
+)
+def test_truncated_or_malformed_request_leaves_no_job(cell, data):
+    before = cell.job_count()
+    answer = cell.raw(data)
+    assert b"Traceback" not in answer
+    assert answer == b"" or answer.startswith((b"HTTP/1.1 4", b"HTTP/1.0 4"))
+    assert (cell.is_alive(), cell.job_count()) == (True, before)
+
+
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=8), inner),
+    max_leaves=5,
+)
+JOB_KEYS = [*job(), "kind", "shape", "repeatable", "deadline_in_ms", "expected_run_ms", "label"]
+SHAPE_KEYS = ["members", "accelerators", "processors", "memory_mb", "adjacency"]
+fuzz = settings(
+    derandomize=True,
+    max_examples=80,
+    deadline=None,
+    suppress_health_check=[HealthCheck.function_scoped_fixture],
+)
+
+
+def check_any(cell, found):
+    status, headers, body = found
+    if status not in (200, 202):
+        document = check_problem(status, headers, body)
+        assert status in (400, 404, 405, 409, 413, 422, 429)
+        assert document["may_have_run"] is False
+    assert cell.processes["entry"].poll() is None
+
+
+@fuzz
+@given(st.dictionaries(st.sampled_from(JOB_KEYS), JSON_VALUES, max_size=3))
+def test_any_json_in_a_job_is_taken_or_refused(cell, changes):
+    check_any(cell, cell.call("POST", "/v1/jobs", job(**changes)))
+
+
+@fuzz
+@given(st.dictionaries(st.sampled_from(SHAPE_KEYS), JSON_VALUES, max_size=2))
+def test_any_json_in_a_shape_is_taken_or_refused(cell, shape):
+    check_any(cell, cell.call("POST", "/v1/jobs", job(shape=shape)))
+
+
+@fuzz
+@given(st.binary(max_size=64), st.sampled_from(["/v1/jobs", "/v1/config"]))
+def test_any_bytes_are_refused(cell, body, path):
+    method = "POST" if path == "/v1/jobs" else "PUT"
+    found = cell.call(method, path, body, {"If-Match": '"1000000"'})
+    assert found[0] in (400, 412, 422)
+    check_problem(*found)
+
+
+def test_graceful_shutdown_answers_the_open_request_whole(cell):
+    connection = http.client.HTTPConnection("127.0.0.1", cell.port, timeout=WAIT_S)
+    headers = {"Authorization": "Bearer token-a", "Idempotency-Key": "last"}
+    body = json.dumps(job(payload='{"run_ms": 60000}'))
+    connection.request("POST", "/v1/jobs?wait_ms=20000", body, headers)
+    time.sleep(0.3)
+    cell.processes["entry"].send_signal(signal.SIGTERM)
+    response = connection.getresponse()
+    document = json.loads(response.read())
+    assert (response.status, document["verdict"], document["recorded"]) == (202, None, True)
+    assert cell.processes["entry"].wait(WAIT_S) == 0
