Don't take work of unknown run time for overstaying

An occupant without an expected run time counted as overdue from its start, so a blocked gang stopped it at once. The test fails without the change.

--- a/packages/lycheeslip/lycheeslip/policy/reservation.py
+++ b/packages/lycheeslip/lycheeslip/policy/reservation.py
@@ -107,7 +107,8 @@
         return now_ms + round_.view.config.limits.reclaim_grace_ms
     if occupant.expected_end_at_ms > now_ms:
         return occupant.expected_end_at_ms
-    return now_ms + max(1, now_ms - occupant.expected_end_at_ms)
+    known_until_ms = max(occupant.started_at_ms, occupant.expected_end_at_ms)
+    return now_ms + max(1, now_ms - known_until_ms)
 
 
 def _gives_way(round_: Round, job: WaitingJob, occupant: RunningJob) -> bool:
@@ -122,4 +123,4 @@
     expected_ms = occupant.expected_end_at_ms - occupant.started_at_ms
     run_ms = round_.view.now_ms - occupant.started_at_ms
     is_backfill = occupant.started_at_ms > job.waiting_since_ms
-    return is_backfill or run_ms > OVERSTAY_RATIO * expected_ms
+    return is_backfill or 0 < OVERSTAY_RATIO * expected_ms < run_ms
--- a/packages/lycheeslip/tests/policy/reservation_tests.py
+++ b/packages/lycheeslip/tests/policy/reservation_tests.py
@@ -53,6 +53,8 @@
 def test_work_that_overstays_makes_way_if_it_can_be_stopped():
     late = busy("late", "w1", -70_000, [7], started_ms=-130_000, repeatable=True)
     assert stopped(plan(view(WORKERS, [GANG], [busy("slow", "w0", 90_000), late]))) == {"late"}
+    unknown = late._replace(expected_end_at_ms=late.started_at_ms)
+    assert not stopped(plan(view(WORKERS, [GANG], [busy("slow", "w0", 90_000), unknown])))
 
 
 def test_the_oldest_gang_goes_before_small_work_when_it_fits():
