--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES := packages/lycheeslip_common packages/lycheeslip packages/lycheeslip_agent packages/lycheeslip_standins
 CODE := $(wildcard packages tests benchmarks)
 
-.PHONY: setup test lint format demo
+.PHONY: setup test lint format demo bench
 
 setup: $(VENV)/.ready
 
@@ -28,3 +28,7 @@
 
 demo: setup
 	$(BIN)/python -m lycheeslip_standins.demo
+
+bench: setup
+	$(BIN)/python -m benchmarks.run --size hooghly --out results/hooghly
+	$(BIN)/python -m benchmarks.run --size kite --out results/kite
--- /dev/null
+++ b/benchmarks/baselines/backfill.py
@@ -0,0 +1,41 @@
+"""Backfill by declared run times: the oldest blocked job has a reservation that others respect."""
+
+from lycheeslip.policy.demand import Demand, demand_of
+from lycheeslip.policy.model import Action, Explain, FleetView, Place
+from lycheeslip.policy.reservation import hold_for
+from lycheeslip.policy.round import Round
+
+from benchmarks.baselines.first_fit import place_first
+
+__all__ = ["plan"]
+
+
+def plan(view: FleetView) -> list[Action]:
+    """Start jobs by age; past a blocked one only those that end before its reservation."""
+    declared = {
+        job_id: job._replace(spec=job.spec._replace(repeatable=False))
+        for job_id, job in view.running_by_job.items()
+    }
+    round_ = Round(view._replace(running_by_job=declared))
+    actions: list[Action] = []
+    has_reservation = False
+    for job in sorted(view.waiting, key=lambda job: (job.waiting_since_ms, job.job_id)):
+        demand = demand_of(job._replace(expected_run_ms=job.spec.expected_run_ms), view.now_ms)
+        placement = place_first(round_.capacity, _without_late_holds(round_, demand))
+        if placement:
+            actions.append(Place(job.job_id, placement))
+            continue
+        actions.append(Explain(job.job_id, "no_capacity", "does not fit now"))
+        if not has_reservation:
+            has_reservation = hold_for(round_, job, demand)
+    return actions
+
+
+def _without_late_holds(round_: Round, demand: Demand) -> Demand:
+    """Keep the demand from workers that it wouldn't leave in time."""
+    late = {
+        worker.worker_id
+        for worker in round_.capacity
+        if worker.held_by and not 0 < demand.ends_at_ms <= worker.held_until_ms
+    }
+    return demand._replace(avoid=demand.avoid | late)
--- /dev/null
+++ b/benchmarks/baselines/first_fit.py
@@ -0,0 +1,40 @@
+"""First-fit placement, shared by the baselines; agents' own rules are kept."""
+
+from lycheeslip.policy.capacity import Capacity
+from lycheeslip.policy.demand import Demand, members_that_fit, rack_room, usable_mask
+from lycheeslip.policy.free_worker import FreeWorker, indices_of, mask_of
+from lycheeslip.policy.placement import groups
+from lycheeslip_common.structure.jobs import MemberPlacement
+
+__all__ = ["place_first"]
+
+
+def place_first(capacity: Capacity, demand: Demand) -> tuple[MemberPlacement, ...]:
+    """Take the first group that holds the gang, lowest indices first; empty if none does."""
+    for group in groups(capacity, demand.shape):
+        fits = [(worker, members_that_fit(worker, demand)) for worker in group]
+        if sum(fit for _, fit in fits) < demand.shape.members or not _is_quiet_enough(
+            group, demand
+        ):
+            continue
+        return _take(fits, demand)
+    return ()
+
+
+def _is_quiet_enough(group: list[FreeWorker], demand: Demand) -> bool:
+    needed = demand.shape.total_accelerators
+    return all(rack_room(worker, demand) >= needed for worker in group)
+
+
+def _take(fits: list[tuple[FreeWorker, int]], demand: Demand) -> tuple[MemberPlacement, ...]:
+    placement: list[MemberPlacement] = []
+    for worker, fit in fits:
+        for _ in range(min(fit, demand.shape.members - len(placement))):
+            indices = indices_of(usable_mask(worker, demand))[: demand.shape.accelerators]
+            used = demand.member_resources
+            worker.take(mask_of(indices), used, demand.account, demand.interruptible)
+            state = worker.state
+            placement.append(
+                MemberPlacement(worker.worker_id, state.incarnation, indices, state.info.address)
+            )
+    return tuple(placement)
