--- a/packages/lycheeslip/lycheeslip/policy/reclaim.py
+++ b/packages/lycheeslip/lycheeslip/policy/reclaim.py
@@ -1,5 +1,6 @@
 """Takes accelerators back from borrowers for guaranteed and for urgent work."""
 
+from heapq import nsmallest
 from typing import NamedTuple
 
 from lycheeslip_common.structure.jobs import JobKind
@@ -17,6 +18,7 @@
 
 MAX_CLAIMS_PER_ROUND = 8
 MAX_PRUNED = 64
+MAX_COMPARED = 4
 
 
 class _Victims(NamedTuple):
@@ -52,16 +54,15 @@
 
 
 def _cheapest(round_: Round, demand: Demand) -> _Victims | None:
-    best: _Victims | None = None
-    best_cost: tuple[int, int, int] | None = None
+    """Return the cheapest way to make room; only the best few are worked out exactly."""
+    found = []
     for group in groups(round_.capacity, demand.shape):
         jobs = _victims_in(round_, demand, group)
-        if jobs is None:
-            continue
-        cost = _cost(round_, jobs)
-        if best_cost is None or cost < best_cost:
-            best, best_cost = _Victims(group, jobs), cost
-    return best
+        if jobs is not None:
+            found.append(_Victims(group, jobs))
+    nearly_best = nsmallest(MAX_COMPARED, found, key=lambda victims: _cost(round_, victims.jobs))
+    exact = [_pruned(round_, demand, victims) for victims in nearly_best]
+    return min(exact, key=lambda victims: _cost(round_, victims.jobs), default=None)
 
 
 def _cost(round_: Round, jobs: list[RunningJob]) -> tuple[int, int, int]:
@@ -86,9 +87,7 @@
         if not round_.is_stopping(job):
             size = job.spec.shape.total_accelerators
             taken[job.spec.account] = taken.get(job.spec.account, 0) + size
-    if not trial.fits():
-        return None
-    return _pruned(round_, demand, group, chosen)
+    return chosen if trial.fits() else None
 
 
 def _candidates(round_: Round, demand: Demand, group: list[FreeWorker]) -> list[RunningJob]:
@@ -140,20 +139,18 @@
     )
 
 
-def _pruned(
-    round_: Round, demand: Demand, group: list[FreeWorker], chosen: list[RunningJob]
-) -> list[RunningJob]:
+def _pruned(round_: Round, demand: Demand, victims: _Victims) -> _Victims:
     """Leave out the jobs that needn't be stopped after all, the costliest first."""
-    if len(chosen) > MAX_PRUNED:
-        return chosen
-    kept = list(chosen)
-    for job in reversed(chosen):
+    if len(victims.jobs) > MAX_PRUNED:
+        return victims
+    kept = victims.jobs
+    for job in reversed(victims.jobs):
         if round_.is_stopping(job):
             continue
         fewer = [other for other in kept if other is not job]
-        trial = WhatIf(group, demand, round_.occupants)
+        trial = WhatIf(victims.group, demand, round_.occupants)
         for other in fewer:
             trial.release(other)
         if trial.fits():
             kept = fewer
-    return kept
+    return _Victims(victims.group, kept)
