--- a/packages/lycheeslip/tests/policy/learning_tests.py
+++ b/packages/lycheeslip/tests/policy/learning_tests.py
@@ -1,7 +1,6 @@
 import pytest
 from lycheeslip.policy.fragmentation import fragmentation
 from lycheeslip.policy.health import HealthByWorker, is_fault_of_job
-from lycheeslip.policy.history import EndedAttempt, History
 from lycheeslip.policy.learn import RunTimes
 from lycheeslip.policy.order import queue_of
 from lycheeslip.policy.retry_budget import RetryBudget
@@ -74,21 +73,6 @@
     assert totals.dominant_accelerators(shape(2, 4, memory_mb=0)) == 8
 
 
-def test_history_learns_from_ended_attempts():
-    history = History()
-    totals = FleetTotals(80, 600, 2_500_000)
-    job = spec(accelerators=2)
-    for _ in range(5):
-        history.add(EndedAttempt(job, ("a",), 1000, NOW_MS, is_whole=True), totals)
-    cut_short = EndedAttempt(job, ("a",), 10, NOW_MS, is_whole=False)
-    history.add(cut_short, totals)
-    assert history.expected_run_ms(job) == pytest.approx(1000, rel=0.01)
-    assert history.used_accelerator_ms_by_account(NOW_MS) == {"acc": 2 * 5010}
-    for _ in range(9):
-        history.add(cut_short._replace(blamed="b"), totals)
-    assert set(history.health_by_worker()) == {"b"}
-
-
 def order(*jobs, **of_view):
     seen = view(fleet(), jobs, **of_view)
     return [queued.job.job_id for queued in queue_of(seen, {})]
