Let a guaranteed gang that can't reclaim hold a rack

Work within a guarantee that no set of borrowers can make room for was left out of the reservations, so it could wait behind small work for ever. The test fails without the change. Gangs that fit nowhere are tried once for each shape, at most eight shapes a round.

--- a/packages/lycheeslip/lycheeslip/policy/plan.py
+++ b/packages/lycheeslip/lycheeslip/policy/plan.py
@@ -1,5 +1,7 @@
 """One round of planning: from what is known of the fleet to a list of actions."""
 
+from collections.abc import Hashable
+
 from lycheeslip.policy.demand import Demand, demand_of, is_large
 from lycheeslip.policy.evacuate import evacuate
 from lycheeslip.policy.explain import explain_wait
@@ -16,6 +18,7 @@
 __all__ = ["plan"]
 
 MAX_HOLDS = 1
+MAX_UNFIT_GANGS = 8
 MAX_PLACEMENTS_PER_ROUND = 64
 PATIENCE_MS = 1_000
 UNKNOWN_RUN_MS = 3_600_000
@@ -39,12 +42,14 @@
     for queued in queue:
         if queued.tier is Tier.URGENT:
             _serve(round_, queued, frozenset(waits_entitled - {queued.job.spec.account}))
-    blocked = set()
-    for queued in queue:
-        if queued.tier is Tier.ENTITLED and not _serve(round_, queued, frozenset()):
-            blocked.add(queued.job.spec.account)
+    unserved = [
+        queued
+        for queued in queue
+        if queued.tier is Tier.ENTITLED and not _serve(round_, queued, frozenset())
+    ]
+    blocked = {queued.job.spec.account for queued in unserved}
     rest = [queued for queued in queue if queued.tier > Tier.ENTITLED]
-    served = _serve_oldest_gangs(round_, rest, blocked)
+    served = _serve_oldest_gangs(round_, unserved + rest, blocked)
     for queued in rest:
         if queued.job.job_id not in served:
             _serve(round_, queued, frozenset(blocked - {queued.job.spec.account}))
@@ -82,18 +87,26 @@
     gangs.sort(key=lambda queued: (queued.job.waiting_since_ms, queued.job.job_id))
     done: set[str] = set()
     holds = 0
+    unfit: set[Hashable] = set()
     for queued in gangs:
         job = queued.job
-        if holds >= MAX_HOLDS or round_.view.now_ms - job.waiting_since_ms < PATIENCE_MS:
+        if holds >= MAX_HOLDS or len(unfit) >= MAX_UNFIT_GANGS:
+            break
+        if round_.view.now_ms - job.waiting_since_ms < PATIENCE_MS:
             break
         demand = _demand(round_, queued, frozenset(blocked - {job.spec.account}))
         if _place(round_, job, demand):
             done.add(job.job_id)
             break
-        if hold_for(round_, job, demand):
+        if demand.signature() in unfit:
+            continue
+        if not hold_for(round_, job, demand):
+            unfit.add(demand.signature())
+        else:
             holds += 1
-            explain_wait(round_, job, demand)
             done.add(job.job_id)
+            if queued.tier is not Tier.ENTITLED:
+                explain_wait(round_, job, demand)
     return done
 
 
--- a/packages/lycheeslip/tests/policy/reservation_tests.py
+++ b/packages/lycheeslip/tests/policy/reservation_tests.py
@@ -1,7 +1,7 @@
 from lycheeslip.policy.model import Act, Hold, Place, RackReservation
 from lycheeslip.policy.plan import plan
 
-from .builders import NOW_MS, fleet, place, running, view, waiting, worker
+from .builders import NOW_MS, Account, config, fleet, place, running, shape, view, waiting, worker
 
 WORKERS = {"w0": worker("w0", rack="r0"), "w1": worker("w1", rack="r1")}
 GANG = waiting("gang", since_ms=-5000, accelerators=8)
@@ -74,3 +74,10 @@
     small = waiting("s", repeatable=False)
     actions = plan(view(fleet(), [gang, small]))
     assert set(placed(actions)) == {"s"}
+
+
+def test_a_guaranteed_gang_that_cannot_reclaim_holds_a_rack():
+    accounts = config([], [Account("acc", shape(2, 8))])
+    jobs = [busy("slow", "w0", 90_000), busy("fast", "w1", 20_000)]
+    seen = view(WORKERS, [GANG], jobs, accounts, homes={})
+    assert next_reservation(seen).rack == "r1"
