Measure the cost of each role as the fleet grows; push directives only when they change

Cause: at 10 and 20 agents an idle entry spent 1.44 and 1.56 % of a core and the planner 1.50 and 1.87 % (8 s each, machine at load 4 to 7): each entry compared a fresh directive for each session ten times a second, and the planner built its view five times a second with nothing waiting. Ruled out: the pings themselves, which are 1.25 frames a second for each agent and 37 bytes. Directives are compared only when the configuration or the home map has changed, and an idle planner plans once a second.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES := packages/lycheeslip_common packages/lycheeslip packages/lycheeslip_agent packages/lycheeslip_standins
 CODE := $(wildcard packages tests benchmarks)
 
-.PHONY: prove setup test lint format demo bench
+.PHONY: setup test lint format demo prove bench slopes
 
 setup: $(VENV)/.ready
 
@@ -35,3 +35,6 @@
 bench: setup
 	$(BIN)/python -m benchmarks.run --size hooghly --out results/hooghly
 	$(BIN)/python -m benchmarks.run --size kite --out results/kite
+
+slopes: setup
+	$(BIN)/python -m benchmarks.slopes
--- a/packages/lycheeslip/lycheeslip/entry/agent_sessions.py
+++ b/packages/lycheeslip/lycheeslip/entry/agent_sessions.py
@@ -51,6 +51,7 @@
         self._outcomes = outcomes
         self._sent_directive_by_worker: dict[str, Directive] = {}
         self._entries_sent_by_worker: dict[str, tuple[EntryInfo, ...]] = {}
+        self._pushed_source = (0, 0)
 
     async def serve(self, session: Session) -> None:
         """Serve one agent until its session ends."""
@@ -69,7 +70,11 @@
             await self._end(session)
 
     async def push_directives(self) -> None:
-        """Send each agent whose directive has changed the new one."""
+        """Send each agent whose directive has changed the new one, if any can have changed."""
+        source = (self._board.config.revision, self._board.homes.version)
+        if source == self._pushed_source:
+            return
+        self._pushed_source = source
         for worker_id, session in list(self._router.sessions_by_worker.items()):
             view = self._board.workers_by_id.get(worker_id)
             if view is not None:
--- a/packages/lycheeslip/lycheeslip/entry/planner.py
+++ b/packages/lycheeslip/lycheeslip/entry/planner.py
@@ -36,6 +36,7 @@
 PlanFunction = Callable[[FleetView], list[Action]]
 PLANNER_KEY = "planner"
 MIN_ROUND_GAP_S = 0.02
+IDLE_ROUND_S = 1.0
 REPEAT_ACT_MS = 2_000
 
 
@@ -66,7 +67,7 @@
         plan: PlanFunction,
         plan_every_ms: int,
     ) -> None:
-        """Run `plan` on each change, and every `plan_every_ms` without one."""
+        """Run `plan` on each change, and every `plan_every_ms` while jobs wait without one."""
         self._board = board
         self._router = router
         self._attempts = attempts
@@ -79,12 +80,16 @@
     async def run(self) -> None:
         """Plan for ever; rounds that many changes ask for at once are merged."""
         while True:
+            pause_s = self._plan_every_s if self._some_wait() else IDLE_ROUND_S
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._board.plan_wanted.wait(), self._plan_every_s)
+                await asyncio.wait_for(self._board.plan_wanted.wait(), pause_s)
             self._board.plan_wanted.clear()
             await self.step()
             await asyncio.sleep(MIN_ROUND_GAP_S)
 
+    def _some_wait(self) -> bool:
+        return next(self._board.jobs.in_state(JobState.PENDING), None) is not None
+
     async def step(self) -> None:
         """Run one planning round."""
         waiting = self._waiting()
--- a/packages/lycheeslip/lycheeslip/entry/router.py
+++ b/packages/lycheeslip/lycheeslip/entry/router.py
@@ -73,6 +73,20 @@
         finally:
             del self._pending_by_request[request_id]
 
+    def traffic(self) -> dict[str, int]:
+        """Return the frames and bytes of the open sessions with agents and with peers."""
+        totals: dict[str, int] = {}
+        for role, sessions in (
+            ("agents", self.sessions_by_worker),
+            ("peers", self.sessions_by_peer),
+        ):
+            counted = list(sessions.values())
+            totals[f"{role}_frames"] = sum(session.frames for session in counted)
+            totals[f"{role}_bytes"] = sum(
+                session.sent_bytes + session.received_bytes for session in counted
+            )
+        return totals
+
     async def take_reply(self, reply: Reply) -> None:
         """Give a reply to the request that waits for it, here or at the entry that asked."""
         future = self._pending_by_request.get(reply.request_id)
--- a/packages/lycheeslip/lycheeslip/http/operator_handlers.py
+++ b/packages/lycheeslip/lycheeslip/http/operator_handlers.py
@@ -112,8 +112,9 @@
         return web.json_response({"worker_id": worker_id}, status=202)
 
     async def counters(self, request: web.Request) -> web.StreamResponse:
-        """Return this entry's counters."""
-        return web.json_response({"counts": dict(self._board.metrics.counts)})
+        """Return this entry's counters and the traffic of its open sessions."""
+        counts = dict(self._board.metrics.counts)
+        return web.json_response({"counts": counts, "sessions": self._router.traffic()})
 
     async def health(self, request: web.Request) -> web.StreamResponse:
         """Say that the process serves requests."""
--- a/packages/lycheeslip_common/lycheeslip_common/wire/session.py
+++ b/packages/lycheeslip_common/lycheeslip_common/wire/session.py
@@ -46,6 +46,7 @@
         self.entries: tuple[EntryInfo, ...] = ()
         self.sent_bytes = 0
         self.received_bytes = 0
+        self.frames = 0
 
     async def send(self, message: Message) -> None:
         """Send one message."""
@@ -58,6 +59,7 @@
         except (ConnectionClosed, OSError) as error:
             raise SessionError(str(error)) from error
         self.sent_bytes += len(frame)
+        self.frames += 1
 
     async def receive(self) -> Message:
         """Return the next message; a malformed frame closes the session."""
@@ -66,6 +68,7 @@
         except (ConnectionClosed, OSError) as error:
             raise SessionError(str(error)) from error
         self.received_bytes += len(frame)
+        self.frames += 1
         try:
             return decode(frame)
         except MalformedFrameError as error:
--- a/tests/harness/processes.py
+++ b/tests/harness/processes.py
@@ -63,6 +63,11 @@
         """Return what tells this start of the process from earlier ones."""
         return f"{self.name}.{self._starts}"
 
+    @property
+    def pid(self) -> int:
+        """Return the number of the running process, 0 if it has never been started."""
+        return self._process.pid if self._process is not None else 0
+
     @property
     def is_running(self) -> bool:
         """Return whether the process has not ended."""
