--- a/packages/lycheeslip/lycheeslip/entry/recovery.py
+++ b/packages/lycheeslip/lycheeslip/entry/recovery.py
@@ -15,7 +15,6 @@
     ControlAction,
     Fence,
     FenceReply,
-    FenceStatus,
     Message,
 )
 
@@ -25,6 +24,7 @@
 from lycheeslip.entry.controls import attempt_ref, control_members
 from lycheeslip.entry.job_store import JobStore, Updated
 from lycheeslip.entry.job_table import JobEntry
+from lycheeslip.entry.loss import is_member_lost, proves_no_start
 from lycheeslip.entry.planner import is_planner
 from lycheeslip.entry.router import Router
 
@@ -56,7 +56,6 @@
         self._worker_lost_after_ms = worker_lost_after_ms
         self._absent_since_by_attempt: dict[str, int] = {}
         self._taken_over: set[AttemptRef] = set()
-        self._settled_this_step = 0
 
     async def run(self) -> None:
         """Check for ever."""
@@ -69,11 +68,13 @@
         for job in self._board.jobs.in_state(JobState.PENDING):
             if self._is_mine(job):
                 await self._expire(job)
-        self._settled_this_step = 0
+        missing: list[JobRecord] = []
         for job in self._board.jobs.in_state(JobState.STARTED):
             under_way = job.record["job_id"] in self._attempts.placement_by_job
-            if not under_way and self._is_mine(job):
-                await self._check_started(job)
+            if not under_way and self._is_mine(job) and await self._is_missing(job.record):
+                missing.append(job.record)
+        batch = missing[:MAX_SETTLED_PER_STEP]
+        await asyncio.gather(*(self._settle(record) for record in batch))
 
     def _is_mine(self, job: JobEntry) -> bool:
         if not job.is_recorded:
@@ -94,20 +95,16 @@
             )
             self._board.metrics.count("refuse.deadline_passed")
 
-    async def _check_started(self, job: JobEntry) -> None:
-        record = job.record
+    async def _is_missing(self, record: JobRecord) -> bool:
+        """Return whether some member has been held by no live worker for a while."""
         if record["cancel_requested"]:
             await self._stop_members(record, "cancelled")
         key = attempt_ref(record).key
         if all(self._holds(place, record) for place in record["placement"]):
             self._absent_since_by_attempt.pop(key, None)
-            return
+            return False
         since_ms = self._absent_since_by_attempt.setdefault(key, monotonic_ms())
-        if monotonic_ms() - since_ms < ABSENT_BEFORE_FENCE_MS:
-            return
-        if self._settled_this_step < MAX_SETTLED_PER_STEP:
-            self._settled_this_step += 1
-            await self._settle(record)
+        return monotonic_ms() - since_ms >= ABSENT_BEFORE_FENCE_MS
 
     def _holds(self, place: MemberPlacement, record: JobRecord) -> bool:
         """Return whether a live worker says that it holds this member of the attempt."""
@@ -132,7 +129,7 @@
             self._taken_over.add(attempt_ref(record))
         replies = await self._fence_all(record)
         log_event("attempt_fenced", job=record["job_id"], attempt=record["attempt"])
-        if self._proves_no_start(record, replies):
+        if proves_no_start(record, replies):
             await self._end(record, proven_not_started=True)
         elif self._is_lost(record, replies):
             await self._stop_members(record, "attempt_lost")
@@ -150,39 +147,16 @@
         )
         return [reply if isinstance(reply, FenceReply) else None for reply in replies]
 
-    def _proves_no_start(self, record: JobRecord, replies: list[FenceReply | None]) -> bool:
-        """Return whether every member's own incarnation says that it never started."""
-        return all(
-            reply is not None
-            and reply.incarnation == place.incarnation
-            and reply.status is FenceStatus.NEVER_STARTED
-            for place, reply in zip(record["placement"], replies, strict=True)
-        )
-
     def _is_lost(self, record: JobRecord, replies: list[FenceReply | None]) -> bool:
         """Return whether some member has gone for good, so that the gang can't go on."""
-        members = zip(record["placement"], replies, strict=True)
-        return any(self._is_member_lost(record, place, reply) for place, reply in members)
-
-    def _is_member_lost(
-        self, record: JobRecord, place: MemberPlacement, reply: FenceReply | None
-    ) -> bool:
-        if reply is not None:
-            return reply.status is FenceStatus.NEVER_STARTED
-        view = self._board.workers_by_id.get(place.worker_id)
-        if view is not None and (not view.gone_at_ms or self._is_cut_off(view.home_entry)):
-            return False
         now_ms = monotonic_ms()
-        absent_since_ms = self._absent_since_by_attempt.get(attempt_ref(record).key, now_ms)
-        gone_at_ms = view.gone_at_ms if view is not None else absent_since_ms
-        lost_after_ms = self._worker_lost_after_ms + self._board.config.limits.task_lease_ms
-        return now_ms - gone_at_ms > lost_after_ms
-
-    def _is_cut_off(self, entry_id: str) -> bool:
-        """Return whether an entry lives by its lease, though this one has no session to it."""
-        if entry_id == self._board.info.entry_id:
-            return False
-        return entry_id in self._board.entries_by_id.keys() - self._board.reachable_entries()
+        since_ms = self._absent_since_by_attempt.get(attempt_ref(record).key, now_ms)
+        return any(
+            is_member_lost(
+                self._board, record, place, reply, since_ms, self._worker_lost_after_ms, now_ms
+            )
+            for place, reply in zip(record["placement"], replies, strict=True)
+        )
 
     async def _end(self, record: JobRecord, proven_not_started: bool) -> None:
         attempt = record["attempt"]
--- a/packages/lycheeslip/lycheeslip/entry/router.py
+++ b/packages/lycheeslip/lycheeslip/entry/router.py
@@ -113,7 +113,9 @@
         if session is not None:
             return await self._send(session, frame)
         view = self._board.workers_by_id.get(worker_id)
-        peer = self.sessions_by_peer.get(view.home_entry) if view is not None else None
+        if view is None or view.gone_at_ms:
+            return False
+        peer = self.sessions_by_peer.get(view.home_entry)
         if peer is None:
             return False
         return await self._send(peer, encode(Relay(worker_id, "", from_node, frame)))
--- a/packages/lycheeslip/lycheeslip/http/access.py
+++ b/packages/lycheeslip/lycheeslip/http/access.py
@@ -14,7 +14,7 @@
 __all__ = ["caller_of", "make_middleware"]
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
-CALLER_KEY = "lycheeslip_caller"
+CALLER_KEY = web.RequestKey("caller", Caller)
 OPEN_PATHS = frozenset({"/healthz", "/readyz"})
 OPERATOR_PATHS = ("/v1/config", "/v1/workers", "/v1/counters")
 
