Spread the proofs' gangs over workers and load zones past the bound

Two kinds of proofs could not fail. Gangs of 4 members with 2 accelerators each fitted one worker, so no fault could part them; their worst partial run was 99 ms whatever was done. The load on a zone ended before the bound of 3 s had passed.

--- a/tests/harness/fleet.py
+++ b/tests/harness/fleet.py
@@ -145,6 +145,11 @@
         killed = [e._replace(event="killed", monotonic_ms=now_ms) for e in running.values()]
         self._saved_events += [*events, *killed]
 
+    async def kill_instance(self, worker_id: str) -> None:
+        """Kill an agent and its backend server."""
+        self.agents_by_id[worker_id].kill()
+        await self.kill_backend(worker_id)
+
     async def events(self) -> list[BackendEvent]:
         """Return what all backend servers recorded, dead ones included."""
         alive = [w for w, process in self.backends_by_id.items() if process.is_running]
--- a/tests/prove/gangs.py
+++ b/tests/prove/gangs.py
@@ -6,11 +6,12 @@
 __all__: list[str] = []
 
 PROMISE = "no partial gang"
-GANGS = 12
+GANGS = 8
+ACCELERATORS = 5  # of the 8 of a worker, so that each member has a worker of its own
 
 
 def _load(trial: Trial) -> None:
-    trial.load(GANGS, over_s=2.0, members=4, run_ms=2500, accelerators=2)
+    trial.load(GANGS, over_s=2.0, members=3, run_ms=3000, accelerators=ACCELERATORS)
 
 
 async def _running_workers(fleet: Fleet) -> list[str]:
@@ -72,6 +73,29 @@
             await trial.fleet.kill_backend(worker)
 
 
+@scenario(PROMISE, "whole instances killed")
+async def instances_killed(trial: Trial) -> None:
+    """Kill the agent and the backend server of a member, so that nobody says that it is gone."""
+    _load(trial)
+    for _ in range(2):
+        await trial.pause(0.5, 1.5)
+        for worker in await _victims(trial, 1):
+            await trial.fleet.kill_instance(worker)
+    await trial.pause(5.0)
+
+
+@scenario(PROMISE, "instances cut off from all others")
+async def instances_isolated(trial: Trial) -> None:
+    """Cut the agents of members off from entries and from all other agents."""
+    _load(trial)
+    await trial.pause(0.5, 1.5)
+    for worker in await _victims(trial, 2):
+        cut = {"cut_to_client": True, "cut_to_target": True}
+        await trial.fleet.set_routes(f"{worker}.", **cut)
+        await trial.fleet.set_routes("worker", f".{worker}", **cut)
+    await trial.pause(4.0, 6.0)
+
+
 @scenario(PROMISE, "members cut off from their anchors")
 async def members_cut(trial: Trial) -> None:
     """Hold or drop bytes between agents, one way or both."""
--- a/tests/prove/once.py
+++ b/tests/prove/once.py
@@ -77,6 +77,16 @@
         await trial.fleet.kill_backend(worker)
 
 
+@scenario(PROMISE, "whole instances killed")
+async def instances_killed(trial: Trial) -> None:
+    """Kill agents together with their backend servers."""
+    _load(trial)
+    for worker in trial.rng.sample(sorted(trial.fleet.zone_by_worker), 3):
+        await trial.pause(0.2, 1.0)
+        await trial.fleet.kill_instance(worker)
+    await trial.pause(2.0)
+
+
 @scenario(PROMISE, "answers of the store lost")
 async def store_answers_lost(trial: Trial) -> None:
     """Let writes of job records take effect without an answer."""
--- a/tests/prove/zones.py
+++ b/tests/prove/zones.py
@@ -9,6 +9,7 @@
 PROMISE = "no start in a zone taken out"
 ZONE = "zone-a"
 OUT_S = 5.0
+LOAD_S = 12.0
 
 
 async def _take_out(trial: Trial) -> None:
@@ -19,7 +20,7 @@
 
 
 def _load(trial: Trial) -> None:
-    trial.load(80, over_s=OUT_S, run_ms=200)
+    trial.load(200, over_s=LOAD_S, run_ms=200)
 
 
 def _workers(trial: Trial) -> list[str]:
