--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES := packages/lycheeslip_common packages/lycheeslip packages/lycheeslip_agent packages/lycheeslip_standins
 CODE := $(wildcard packages tests benchmarks)
 
-.PHONY: prove setup test lint format demo
+.PHONY: prove setup test lint format demo bench
 
 setup: $(VENV)/.ready
 
@@ -31,3 +31,7 @@
 
 prove: setup
 	$(BIN)/python -m tests.prove --seed $(or $(SEED),1) --trials $(or $(TRIALS),1)
+
+bench: setup
+	$(BIN)/python -m benchmarks.run --size hooghly --out results/hooghly
+	$(BIN)/python -m benchmarks.run --size kite --out results/kite
