Fail a gang member at once when its backend server refuses connections

A refused connection on the same instance proves that the server has ended, and its tasks with it. Ruled out: shorter leases, which cost messages on every gang for the sake of a rare death.

--- a/packages/lycheeslip_agent/lycheeslip_agent/backend.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/backend.py
@@ -12,6 +12,7 @@
 __all__ = ["BackendClient", "BackendError", "ServerDocument", "TaskDocument", "TaskLoad"]
 
 CALL_TIMEOUT_S = 5.0
+REFUSED = "connection_refused"
 WATCH_MS = 20_000
 MAX_CONNECTIONS = 40
 
@@ -23,6 +24,11 @@
     status: int
     reason: str
 
+    @property
+    def is_refused(self) -> bool:
+        """Return whether nothing listens any more; tasks don't outlive their server."""
+        return self.reason == REFUSED
+
 
 class ServerDocument(NamedTuple):
     """What the backend server offers."""
@@ -166,6 +172,8 @@
                 method, self._base + path, json=body, timeout=timeout
             ) as response:
                 document = await response.json()
+        except aiohttp.ClientConnectorError as error:
+            raise BackendError(0, REFUSED) from error
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
             raise BackendError(0, f"no_answer: {error}") from error
         if not isinstance(document, dict):
--- a/packages/lycheeslip_agent/lycheeslip_agent/runner.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/runner.py
@@ -196,6 +196,9 @@
                 if error.status == 404:
                     self.abort("task_lost")
                     return
+                if error.is_refused:
+                    self.abort("backend_lost")
+                    return
                 await asyncio.sleep(RETRY_S)
                 continue
             if document.ended:
