Prove that urgent work goes on in a store outage and that its end brings no stampede

The store's own counts per second are taken from the end of the outage on. One urgent gang of twenty was refused after its caller's wait of 1 s; callers of urgent work now wait 3 s.

--- a/tests/harness/fleet.py
+++ b/tests/harness/fleet.py
@@ -103,6 +103,14 @@
         """Let all leases of the store lapse at once."""
         await self._post(f"http://{self.store_address}/admin/lapse_leases", {})
 
+    async def reset_store_counters(self) -> None:
+        """Start to count the store's calls anew."""
+        await self._post(f"http://{self.store_address}/admin/counters/reset", {})
+
+    async def store_counters(self) -> dict[str, Any]:
+        """Return the store's calls and their peaks per second."""
+        return await self.get(self.store_address, "/admin/counters")
+
     async def compact_store(self) -> None:
         """Let the store forget its history."""
         await self._post(f"http://{self.store_address}/admin/compact", {})
--- a/tests/prove/__main__.py
+++ b/tests/prove/__main__.py
@@ -9,7 +9,7 @@
 
 from tests.harness.fleet import Fleet, FleetLayout
 from tests.prove import all_scenarios
-from tests.prove.report import Row, format_rows, make_row
+from tests.prove.report import Row, format_rows, make_extra_rows, make_row
 from tests.prove.trial import Scenario, run_trial, violations_of
 
 __all__: list[str] = []
@@ -29,6 +29,7 @@
                     print(f"VIOLATION {proof.fault} seed={seed + number} {line}", flush=True)
                 results.append(findings)
             rows.append(make_row(proof.promise, proof.fault, results))
+            rows += make_extra_rows(proof.fault, results)
     finally:
         await fleet.stop()
     return rows
--- a/tests/prove/answers.py
+++ b/tests/prove/answers.py
@@ -1,11 +1,17 @@
 """Proofs that each caller gets the whole answer to its own request, and exactly one."""
 
+from lycheeslip_standins.checker import Finding, Violation
+
+from tests.harness.callers import Callers
 from tests.prove.trial import Trial, scenario
 
 __all__: list[str] = []
 
 PROMISE = "whole answer, right caller"
 ONE = "exactly one true answer"
+URGENT_WAIT_MS = 3_000  # an urgent start within 1.6 s, the run and some rounds
+STORE_READS_PER_S = 2_000
+STORE_WRITES_PER_S = 300
 
 
 @scenario(PROMISE, "large answers on connections that break")
@@ -75,3 +81,34 @@
     await trial.pause(1.0, 4.0)
     for entry in trial.fleet.entries_by_id.values():
         entry.start()
+
+
+@scenario(ONE, "a store outage under urgent work, then its return")
+async def outage_rates(trial: Trial) -> None:
+    """Check that urgent repeatable work goes on and that the store isn't stampeded on return."""
+    trial.load(60, over_s=4.0, run_ms=800)
+    await trial.pause(2.0)
+    trial.cut_entries |= trial.fleet.entries_by_id.keys()
+    await trial.fleet.set_store(down=True)
+    await trial.pause(2.0)
+    urgent = Callers(trial.callers.addresses, trial.rng.getrandbits(32))
+    options = {"kind": "urgent", "repeatable": True, "run_ms": 100, "wait_ms": URGENT_WAIT_MS}
+    requests = [trial.request(**options) for _ in range(20)]
+    await urgent.run_all(requests, 20)
+    served = [record for record in urgent.records() if record.answers]
+    await trial.pause(4.0)
+    await trial.fleet.reset_store_counters()
+    await trial.fleet.set_store()
+    await trial.pause(4.0)
+    peaks = (await trial.fleet.store_counters())["peak_per_s"]
+    reads, writes = peaks.get("range", 0), peaks.get("txn", 0)
+    trial.extra += [
+        _limit("urgent work served in an outage", len(requests) - len(served), 0, "unserved"),
+        _limit("store reads after an outage", reads, STORE_READS_PER_S, "reads/s"),
+        _limit("store writes after an outage", writes, STORE_WRITES_PER_S, "writes/s"),
+    ]
+
+
+def _limit(name: str, figure: int, bound: int, unit: str) -> Finding:
+    violations = (Violation(name, f"{figure} {unit}"),) if figure > bound else ()
+    return Finding(name, 1, violations, figure, bound, unit)
