Test the agent as a process: kill, restart, drain, freeze, bad frames and keys

Cause: the state machines are tested alone; what a process does to them when it dies, restarts or stands still was not. Found: an agent thawed after a freeze took its own pause for an entry's silence, closed a working session and lost the messages that waited in it; it now counts silence only while it has pinged in time.

--- a/packages/lycheeslip_agent/lycheeslip_agent/sessions.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/sessions.py
@@ -28,6 +28,7 @@
 
 PING_INTERVAL_S = 0.8
 SILENCE_LIMIT_MS = 3_000
+PAUSED_MS = 2_000
 AVOID_MS = 5_000
 MIN_MOVE_DELAY_S = 5.0
 MAX_MOVE_DELAY_S = 10.0
@@ -154,12 +155,16 @@
             await self._messages.handle(message, reply)
 
     async def _ping(self, session: Session) -> None:
+        pinged_ms = monotonic_ms()
         while True:
             now_ms = monotonic_ms()
+            if now_ms - pinged_ms > PAUSED_MS:
+                self._heard_ms = now_ms
             if now_ms - self._heard_ms > SILENCE_LIMIT_MS:
                 raise SessionError("no pong in time")
             directive = self._board.permit.directive
             await session.send(Ping(now_ms, directive.version if directive is not None else 0))
+            pinged_ms = now_ms
             await asyncio.sleep(PING_INTERVAL_S)
 
     async def _move_when_better(self, session: Session) -> None:
--- a/tests/agent_processes_tests.py
+++ b/tests/agent_processes_tests.py
@@ -9,12 +9,17 @@
 import yaml
 from lycheeslip_common.structure.fleet import EntryInfo, WorkerState
 from lycheeslip_common.structure.jobs import AttemptRef, JobKind, MemberPlacement
+from lycheeslip_common.utils.clock import monotonic_ms
 from lycheeslip_common.utils.metrics import Metrics
 from lycheeslip_common.wire.messages import (
     AnswerRecorded,
     AttemptReport,
+    Control,
+    ControlAction,
     Directive,
+    Fence,
     FenceReply,
+    FenceStatus,
     Ping,
     Pong,
     Prepare,
@@ -24,8 +29,8 @@
     ReserveReply,
     WorkerUpdate,
 )
-from lycheeslip_common.wire.session import Session, listen
-from lycheeslip_standins.backend_server import expected_answer
+from lycheeslip_common.wire.session import Session, SessionError, dial, listen
+from lycheeslip_standins.backend_server import BackendCapacity, BackendServer, expected_answer
 
 pytestmark = pytest.mark.processes
 
@@ -34,6 +39,7 @@
 GANG_LEASE_MS = 800
 PERMIT_MS = 3_000
 WAIT_S = 8
+TOLERANCE_MS = 400
 
 
 class FakeEntry:
@@ -153,12 +159,13 @@
 
 
 class Cell:
-    """An entry inside the test, and processes of agents and backend servers."""
+    """An entry and backend servers inside the test, and agents as processes."""
 
     def __init__(self, directory: Path):
         self.directory = directory
         self.processes: dict[str, asyncio.subprocess.Process] = {}
         self.backends: dict[str, str] = {}
+        self.servers: dict[str, BackendServer] = {}
         self.entry = FakeEntry()
 
     async def spawn(self, name, *args):
@@ -168,9 +175,17 @@
         )
 
     async def add_worker(self, worker, key=KEY):
-        await self.spawn(f"b-{worker}", "lycheeslip_standins.backend_server", "--zone", "z1")
-        address = await self.logged(f"b-{worker}", "backend_server_listening", "address")
-        self.backends[worker] = address
+        server = BackendServer("127.0.0.1:0", BackendCapacity("z1"))
+        await server.start()
+        self.servers[worker] = server
+        await self.add_agent(worker, server.address, key)
+
+    async def add_workers(self, *workers):
+        await asyncio.gather(*(self.add_worker(worker) for worker in workers))
+        await self.entry.up(*workers)
+
+    async def add_agent(self, worker, backend_address, key=KEY):
+        self.backends[worker] = backend_address
         settings = {
             "node_id": worker,
             "region": "r1",
@@ -178,7 +193,7 @@
             "rack": "k1",
             "address": "127.0.0.1:0",
             "entry_addresses": [self.entry.address],
-            "backend_address": address,
+            "backend_address": backend_address,
             "fleet_key": key,
         }
         (self.directory / f"{worker}.yaml").write_text(yaml.safe_dump(settings))
@@ -208,6 +223,14 @@
         ):
             return (await response.json())["events"]
 
+    async def ended(self, worker, ref, member):
+        path = f"/v1/tasks/{ref.key}.{member}?wait_ms=8000"
+        async with (
+            aiohttp.ClientSession() as http,
+            http.get(f"http://{self.backends[worker]}{path}") as response,
+        ):
+            return await response.json()
+
     async def kinds(self, worker):
         return [event["event"] for event in await self.events(worker)]
 
@@ -216,6 +239,8 @@
             if process.returncode is None:
                 process.kill()
                 await process.wait()
+        for server in self.servers.values():
+            await server.stop()
         await self.entry.stop()
 
 
@@ -232,7 +257,9 @@
 
 
 async def test_a_job_runs_and_its_answer_is_reported_until_it_is_recorded(cell):
-    await cell.add_worker("w1")
+    await cell.spawn("b1", "lycheeslip_standins.backend_server", "--zone", "z1")
+    address = await cell.logged("b1", "backend_server_listening", "address")
+    await cell.add_agent("w1", address)
     await cell.entry.up("w1")
     cell.entry.records = False
     ref = AttemptRef("j1", 1, 1)
@@ -247,12 +274,198 @@
 
 async def test_a_gang_starts_and_answers_as_one(cell):
     workers = ["w1", "w2", "w3"]
-    for worker in workers:
-        await cell.add_worker(worker)
-    await cell.entry.up(*workers)
+    await cell.add_workers(*workers)
     ref = AttemptRef("j1", 1, 1)
     assert await cell.entry.run(workers, ref, payload(400)) == ["", "", ""]
     report = await cell.entry.outcome(ref)
     assert (report.state, report.answer) == (ReportState.ANSWERED, expected_answer(payload(400)))
     for worker in workers:
         assert await cell.kinds(worker) == ["prepared", "started", "finished"]
+
+
+async def test_a_restarted_agent_adopts_what_runs(cell):
+    await cell.add_workers("w1")
+    ref = AttemptRef("j1", 1, 1)
+    await cell.entry.run(["w1"], ref, payload(1_500))
+    await cell.entry.ran(ref)
+    first = cell.entry.states["w1"].incarnation
+    await cell.kill("w1")
+    await cell.start_agent("w1")
+    await cell.entry.until(lambda: cell.entry.states["w1"].incarnation != first)
+    assert [grant.job_id for grant in cell.entry.states["w1"].grants] == ["j1"]
+    report = await cell.entry.outcome(ref)
+    assert (report.state, report.answer) == (ReportState.ANSWERED, expected_answer(payload(1_500)))
+    assert await cell.kinds("w1") == ["prepared", "started", "finished"]
+
+
+async def test_a_restarted_agent_reports_an_answer_that_nobody_has_recorded(cell):
+    await cell.add_workers("w1")
+    cell.entry.records = False
+    ref = AttemptRef("j1", 1, 1)
+    await cell.entry.run(["w1"], ref, payload())
+    report = await cell.entry.outcome(ref)
+    await cell.kill("w1")
+    cell.entry.reports.clear()
+    await cell.start_agent("w1")
+    assert (await cell.entry.outcome(ref)) == report
+
+
+async def test_a_restarted_agent_refuses_what_names_its_old_incarnation(cell):
+    await cell.add_workers("w1")
+    ref, reserved = AttemptRef("j1", 1, 1), AttemptRef("j2", 1, 1)
+    assert await cell.entry.reserve("w1", ref) == ""
+    old = cell.entry.states["w1"]
+    await cell.kill("w1")
+    await cell.start_agent("w1")
+    await cell.entry.until(lambda: cell.entry.states["w1"].incarnation != old.incarnation)
+    await cell.entry.up("w1")
+    stale = {"incarnation": old.incarnation}
+    assert await cell.entry.reserve("w1", reserved, **stale) == "other_incarnation"
+    cell.entry.states["w1"] = old
+    assert await cell.entry.prepare(["w1"], ref, payload()) == "other_incarnation"
+    assert await cell.kinds("w1") == []
+
+
+@pytest.mark.parametrize("victim", ["w1", "w2"])
+async def test_a_gang_that_loses_an_agent_stops_within_a_lease(cell, victim):
+    workers = ["w1", "w2"]
+    await cell.add_workers(*workers)
+    ref = AttemptRef("j1", 1, 1)
+    await cell.entry.run(workers, ref, payload(20_000))
+    await cell.entry.ran(ref)
+    killed_at_ms = monotonic_ms()
+    await cell.kill(victim)
+    ended_at_ms = []
+    for member, worker in enumerate(workers):
+        await cell.ended(worker, ref, member)
+        ended_at_ms.append((await cell.events(worker))[-1]["monotonic_ms"])
+    assert max(ended_at_ms) - killed_at_ms <= GANG_LEASE_MS + TOLERANCE_MS
+    if victim == "w2":
+        report = await cell.entry.outcome(ref)
+        assert (report.state, report.worker_id) == (ReportState.LOST, "w2")
+        return
+    await cell.start_agent(victim)
+    assert (await cell.entry.outcome(ref)).state is ReportState.LOST
+
+
+async def test_sigterm_lets_a_task_end_and_takes_no_other(cell):
+    await cell.add_workers("w1")
+    ref = AttemptRef("j1", 1, 1)
+    await cell.entry.run(["w1"], ref, payload(1_000))
+    await cell.entry.ran(ref)
+    cell.processes["w1"].send_signal(signal.SIGTERM)
+    await cell.entry.until(lambda: cell.entry.states["w1"].leaving)
+    late = AttemptRef("j2", 1, 1)
+    assert await cell.entry.reserve("w1", late, accelerators=(1,)) == "leaving"
+    assert (await cell.entry.outcome(ref)).state is ReportState.ANSWERED
+    assert await asyncio.wait_for(cell.processes["w1"].wait(), WAIT_S) == 0
+
+
+async def test_a_drained_agent_stays_but_takes_nothing(cell):
+    await cell.add_workers("w1")
+    ref = AttemptRef("j1", 1, 1)
+    assert await cell.entry.reserve("w1", ref) == ""
+    drain = Control(AttemptRef("", 0, 0), 0, ControlAction.STOP, 0, "drain")
+    await cell.entry.sessions["w1"].send(drain)
+    await cell.entry.until(lambda: cell.entry.states["w1"].leaving)
+    assert await cell.entry.prepare(["w1"], ref, payload()) == "leaving"
+    assert cell.processes["w1"].returncode is None
+
+
+async def test_a_frozen_agent_neither_runs_on_nor_starts_late(cell):
+    workers = ["w1", "w2"]
+    await cell.add_workers(*workers)
+    ref, held = AttemptRef("j1", 1, 1), AttemptRef("j2", 1, 1)
+    await cell.entry.run(workers, ref, payload(20_000))
+    await cell.entry.ran(ref)
+    assert await cell.entry.reserve("w2", held, accelerators=(1,), hold_ms=60_000) == ""
+    frozen_at_ms = monotonic_ms()
+    cell.processes["w2"].send_signal(signal.SIGSTOP)
+    for member, worker in enumerate(workers):
+        await cell.ended(worker, ref, member)
+    assert monotonic_ms() - frozen_at_ms <= GANG_LEASE_MS + TOLERANCE_MS
+    assert (await cell.entry.outcome(ref)).state is ReportState.LOST
+    await asyncio.sleep((frozen_at_ms + PERMIT_MS - monotonic_ms()) / 1000)
+    cell.entry.permit_ms = 0
+    cell.processes["w2"].send_signal(signal.SIGCONT)
+    await cell.entry.prepare(["w2"], held, payload(), accelerators=(1,))
+    assert (await cell.entry.outcome(held)).state is ReportState.NOT_STARTED
+    assert await cell.kinds("w2") == ["prepared", "started", "lapsed", "prepared", "stopped"]
+
+
+async def test_a_zone_taken_out_starts_nothing(cell):
+    await cell.add_workers("w1")
+    reserved, late = AttemptRef("j1", 1, 1), AttemptRef("j2", 1, 1)
+    assert await cell.entry.reserve("w1", reserved) == ""
+    cell.entry.in_service = False
+    directive = cell.entry.directive()
+    await cell.entry.sessions["w1"].send(directive)
+    await cell.entry.until(lambda: cell.entry.states["w1"].directive_version == directive.version)
+    assert await cell.entry.reserve("w1", late, accelerators=(1,)) == "zone_out_of_service"
+    assert await cell.entry.prepare(["w1"], reserved, payload()) == ""
+    assert (await cell.entry.outcome(reserved)).state is ReportState.NOT_STARTED
+    assert await cell.kinds("w1") == ["prepared", "stopped"]
+
+
+async def test_a_fenced_reservation_never_starts(cell):
+    await cell.add_workers("w1")
+    ref = AttemptRef("j1", 1, 1)
+    assert await cell.entry.reserve("w1", ref) == ""
+    reply = await cell.entry.ask("w1", lambda r: Fence(r, "j1", 2, 1))
+    assert reply.status is FenceStatus.NEVER_STARTED
+    assert reply.incarnation == cell.entry.states["w1"].incarnation
+    assert await cell.entry.prepare(["w1"], ref, payload()) == "fenced_epoch"
+    assert await cell.kinds("w1") == []
+
+
+async def test_a_checkpoint_is_reported_and_resumed(cell):
+    await cell.add_workers("w1")
+    ref = AttemptRef("j1", 1, 1)
+    await cell.entry.run(["w1"], ref, payload(20_000))
+    await cell.entry.ran(ref)
+    await asyncio.sleep(0.1)
+    control = Control(ref, 0, ControlAction.CHECKPOINT, 500, "reclaim")
+    await cell.entry.sessions["w1"].send(control)
+    report = await cell.entry.outcome(ref)
+    assert (report.state, report.reason) == (ReportState.INTERRUPTED, "interrupted:reclaim")
+    assert 50 <= int(report.checkpoint) < 2_000
+
+
+async def test_a_malformed_frame_ends_the_session_and_nothing_else(cell):
+    await cell.add_workers("w1")
+    incarnation = cell.entry.states["w1"].incarnation
+    session = cell.entry.sessions["w1"]
+    await session.send_frame(b"\xff not a message")
+    await cell.entry.until(lambda: cell.entry.sessions["w1"] is not session)
+    ref = AttemptRef("j1", 1, 1)
+    await cell.entry.up("w1")
+    await cell.entry.run(["w1"], ref, payload())
+    assert (await cell.entry.outcome(ref)).state is ReportState.ANSWERED
+    member = await dial(cell.entry.states["w1"].info.address, KEY, "member", "w9")
+    await member.send_frame(b"\xff not a message")
+    with pytest.raises(SessionError):
+        await member.receive()
+    assert cell.entry.states["w1"].incarnation == incarnation
+    assert cell.processes["w1"].returncode is None
+
+
+async def test_a_wrong_key_opens_no_session_either_way(cell):
+    await cell.add_worker("w1", "another key of this fleet")
+    await cell.logged("w1", "waiting_for_entry", "address")
+    assert cell.entry.sessions == {}
+    address = await cell.logged("w1", "agent_listening", "address")
+    with pytest.raises(SessionError):
+        await dial(address, KEY, "member", "w9")
+    member = await dial(address, "another key of this fleet", "entry", "w9")
+    with pytest.raises(SessionError):
+        await member.receive()
+
+
+async def test_an_agent_waits_for_an_entry_and_comes_back(cell):
+    await cell.add_workers("w1")
+    address = cell.entry.address
+    await cell.entry.stop()
+    await cell.logged("w1", "waiting_for_entry", "address")
+    cell.entry = FakeEntry()
+    await cell.entry.start(address)
+    await cell.entry.up("w1")
