--- a/packages/lycheeslip/tests/policy/reservation_tests.py
+++ b/packages/lycheeslip/tests/policy/reservation_tests.py
@@ -1,7 +1,7 @@
 from lycheeslip.policy.model import Act, Hold, Place, RackReservation
 from lycheeslip.policy.plan import plan
 
-from .builders import NOW_MS, fleet, place, running, view, waiting, worker
+from .builders import NOW_MS, Account, config, fleet, place, running, shape, view, waiting, worker
 
 WORKERS = {"w0": worker("w0", rack="r0"), "w1": worker("w1", rack="r1")}
 GANG = waiting("gang", since_ms=-5000, accelerators=8)
@@ -58,6 +58,8 @@
 def test_work_that_overstays_makes_way_if_it_can_be_stopped():
     late = busy("late", "w1", -70_000, [7], started_ms=-130_000, repeatable=True)
     assert stopped(plan(view(WORKERS, [GANG], [busy("slow", "w0", 90_000), late]))) == {"late"}
+    unknown = late._replace(expected_end_at_ms=late.started_at_ms)
+    assert not stopped(plan(view(WORKERS, [GANG], [busy("slow", "w0", 90_000), unknown])))
 
 
 def test_the_oldest_gang_goes_before_small_work_when_it_fits():
@@ -72,3 +74,10 @@
     small = waiting("s", repeatable=False)
     actions = plan(view(fleet(), [gang, small]))
     assert set(placed(actions)) == {"s"}
+
+
+def test_a_guaranteed_gang_that_cannot_reclaim_holds_a_rack():
+    accounts = config([], [Account("acc", shape(2, 8))])
+    jobs = [busy("slow", "w0", 90_000), busy("fast", "w1", 20_000)]
+    seen = view(WORKERS, [GANG], jobs, accounts, homes={})
+    assert next_reservation(seen).rack == "r1"
