--- a/tests/harness/fleet.py
+++ b/tests/harness/fleet.py
@@ -103,6 +103,14 @@
         """Let all leases of the store lapse at once."""
         await self._post(f"http://{self.store_address}/admin/lapse_leases", {})
 
+    async def reset_store_counters(self) -> None:
+        """Start to count the store's calls anew."""
+        await self._post(f"http://{self.store_address}/admin/counters/reset", {})
+
+    async def store_counters(self) -> dict[str, Any]:
+        """Return the store's calls and their peaks per second."""
+        return await self.get(self.store_address, "/admin/counters")
+
     async def compact_store(self) -> None:
         """Let the store forget its history."""
         await self._post(f"http://{self.store_address}/admin/compact", {})
@@ -145,6 +153,11 @@
         killed = [e._replace(event="killed", monotonic_ms=now_ms) for e in running.values()]
         self._saved_events += [*events, *killed]
 
+    async def kill_instance(self, worker_id: str) -> None:
+        """Kill an agent and its backend server."""
+        self.agents_by_id[worker_id].kill()
+        await self.kill_backend(worker_id)
+
     async def events(self) -> list[BackendEvent]:
         """Return what all backend servers recorded, dead ones included."""
         alive = [w for w, process in self.backends_by_id.items() if process.is_running]
