--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES := packages/lycheeslip_common packages/lycheeslip packages/lycheeslip_agent packages/lycheeslip_standins
 CODE := $(wildcard packages tests benchmarks)
 
-.PHONY: setup test lint format demo bench
+.PHONY: bench prove setup test lint format demo
 
 setup: $(VENV)/.ready
 
@@ -32,3 +32,6 @@
 bench: setup
 	$(BIN)/python -m benchmarks.run --size hooghly --out results/hooghly
 	$(BIN)/python -m benchmarks.run --size kite --out results/kite
+
+prove: setup
+	$(BIN)/python -m tests.prove --seed $(or $(SEED),1) --trials $(or $(TRIALS),1)
