Let a blocked job displace only much smaller work, whatever its size

Any job of two or more accelerators counted as large, so half of the small jobs could neither fill the gap before a gang's start nor make way for it. Sizes are compared instead: what has at most half of the accelerators may be stopped, which still keeps two jobs from stopping each other in turns.

--- a/packages/lycheeslip/lycheeslip/policy/demand.py
+++ b/packages/lycheeslip/lycheeslip/policy/demand.py
@@ -8,7 +8,18 @@
 from lycheeslip.policy.free_worker import UNLIMITED, FreeWorker, Resources
 from lycheeslip.policy.model import WaitingJob
 
-__all__ = ["Demand", "demand_of", "is_large", "members_that_fit", "rack_room", "usable_mask"]
+__all__ = [
+    "Demand",
+    "demand_of",
+    "is_large",
+    "may_displace",
+    "members_that_fit",
+    "rack_room",
+    "usable_mask",
+]
+
+
+DISPLACING_RATIO = 2
 
 
 class Demand(NamedTuple):
@@ -72,6 +83,14 @@
     return shape.members > 1 or shape.accelerators > 1
 
 
+def may_displace(size: int, occupant_size: int) -> bool:
+    """Return whether a blocked job may stop one that fills its gap, by their accelerators.
+
+    Only a much smaller job makes way, so that two jobs never stop each other in turns.
+    """
+    return occupant_size * DISPLACING_RATIO <= size
+
+
 def usable_mask(worker: FreeWorker, demand: Demand) -> int:
     """Return the free accelerators of `worker` that the demand may use."""
     if not demand.interruptible:
@@ -122,7 +141,10 @@
 
 def _may_backfill(worker: FreeWorker, demand: Demand) -> bool:
     """Return whether the demand leaves the worker in time to the job that it is held for."""
-    if worker.held_by == demand.job_id or demand.interruptible and not is_large(demand.shape):
+    if worker.held_by == demand.job_id:
+        return True
+    size = demand.shape.total_accelerators
+    if demand.interruptible and may_displace(worker.held_size, size):
         return True
     return 0 < demand.ends_at_ms <= worker.held_until_ms
 
--- a/packages/lycheeslip/lycheeslip/policy/free_worker.py
+++ b/packages/lycheeslip/lycheeslip/policy/free_worker.py
@@ -80,7 +80,8 @@
     """Free resources of one worker; `free` is a mask of accelerators.
 
     `claimed` are accelerators that still run but are promised to a waiting job, and
-    `held_by` names the job for which the worker is kept until `held_until_ms`.
+    `held_by` names the job of `held_size` accelerators for which the worker is kept until
+    `held_until_ms`.
     """
 
     __slots__ = (
@@ -89,6 +90,7 @@
         "free",
         "guards",
         "held_by",
+        "held_size",
         "held_until_ms",
         "home_masks",
         "homeless",
@@ -116,6 +118,7 @@
         self.guards: dict[str, Resources] = {}
         self.firm: dict[str, Resources] = {}
         self.held_by = ""
+        self.held_size = 0
         self.held_until_ms = 0
 
     def set_homes(self, homes: tuple[str, ...], accounts_by_id: Mapping[str, Account]) -> None:
--- a/packages/lycheeslip/lycheeslip/policy/reservation.py
+++ b/packages/lycheeslip/lycheeslip/policy/reservation.py
@@ -5,7 +5,7 @@
 from lycheeslip_common.structure.jobs import JobKind
 from lycheeslip_common.wire.messages import ControlAction
 
-from lycheeslip.policy.demand import Demand, is_large
+from lycheeslip.policy.demand import Demand, may_displace
 from lycheeslip.policy.free_worker import FreeWorker
 from lycheeslip.policy.model import RackReservation, RunningJob, WaitingJob
 from lycheeslip.policy.placement import groups
@@ -43,6 +43,7 @@
     for share in shares:
         worker = round_.capacity.by_id[share.worker.worker_id]
         worker.held_by = job.job_id
+        worker.held_size = demand.shape.total_accelerators
         worker.held_until_ms = drain.ends_at_ms
     if shares:
         key = shares[0].worker.rack.key
@@ -118,7 +119,8 @@
     spec = occupant.spec
     if not spec.interruptible or spec.kind is JobKind.URGENT:
         return False
-    if is_large(spec.shape) or not round_.borrows(spec.account):
+    size, occupant_size = job.spec.shape.total_accelerators, spec.shape.total_accelerators
+    if not may_displace(size, occupant_size) or not round_.borrows(spec.account):
         return False
     expected_ms = occupant.expected_end_at_ms - occupant.started_at_ms
     run_ms = round_.view.now_ms - occupant.started_at_ms
