--- a/Makefile
+++ b/Makefile
@@ -32,13 +32,9 @@
 prove: setup
 	$(BIN)/python -m tests.prove --seed $(or $(SEED),1) --trials $(or $(TRIALS),1)
 
-
 bench: setup
 	$(BIN)/python -m benchmarks.run --size hooghly --out results/hooghly
 	$(BIN)/python -m benchmarks.run --size kite --out results/kite
 
 slopes: setup
 	$(BIN)/python -m benchmarks.slopes
-
-prove: setup
-	$(BIN)/python -m tests.prove --seed $(or $(SEED),1) --trials $(or $(TRIALS),1)
