Ask for permits as often as their length needs

Cause: each agent pinged its entry every 0.8 s whatever the permit's length, so a larger fleet with longer permits would have paid the same for each agent.

--- a/packages/lycheeslip_agent/lycheeslip_agent/permit.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/permit.py
@@ -4,6 +4,11 @@
 
 __all__ = ["ZonePermit"]
 
+PINGS_PER_PERMIT = 3
+DEFAULT_PING_INTERVAL_MS = 800
+MIN_PING_INTERVAL_MS = 250
+MAX_PING_INTERVAL_MS = 4_000
+
 
 class ZonePermit:
     """Keeps the newest directive and the deadline up to which it is known to be current."""
@@ -13,6 +18,7 @@
         self.directive: Directive | None = None
         self.deadline_ms = 0
         self.config_revision = 0
+        self._granted_ms = 0
         self._newest_echo_ms = -1
 
     def on_directive(self, directive: Directive) -> bool:
@@ -29,10 +35,21 @@
         if pong.echo_ms > now_ms or pong.echo_ms < self._newest_echo_ms:
             return False
         self._newest_echo_ms = pong.echo_ms
-        self.deadline_ms = pong.echo_ms + max(0, pong.permit_remaining_ms)
+        self._granted_ms = max(0, pong.permit_remaining_ms)
+        self.deadline_ms = pong.echo_ms + self._granted_ms
         self.config_revision = max(self.config_revision, pong.config_revision)
         return True
 
+    def ping_interval_ms(self) -> int:
+        """Return how often to ask for a new permit, so that two lost answers do no harm.
+
+        Entries of a large fleet give longer permits and so are asked less often.
+        """
+        if not self._granted_ms:
+            return DEFAULT_PING_INTERVAL_MS
+        interval_ms = self._granted_ms // PINGS_PER_PERMIT
+        return max(MIN_PING_INTERVAL_MS, min(MAX_PING_INTERVAL_MS, interval_ms))
+
     def reason_against(self, now_ms: int) -> str:
         """Return why no task may start now, or "" if one may until `deadline_ms`."""
         if self.directive is None:
--- a/packages/lycheeslip_agent/lycheeslip_agent/sessions.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/sessions.py
@@ -26,9 +26,11 @@
 
 __all__ = ["EntrySessions", "rank_entries"]
 
-PING_INTERVAL_S = 0.8
-SILENCE_LIMIT_MS = 3_000
-PAUSED_MS = 2_000
+ANNOUNCE_INTERVAL_S = 0.8
+MIN_SILENCE_MS = 3_000
+MIN_PAUSE_MS = 2_000
+INTERVALS_OF_SILENCE = 4
+INTERVALS_OF_PAUSE = 3
 AVOID_MS = 5_000
 MIN_MOVE_DELAY_S = 5.0
 MAX_MOVE_DELAY_S = 10.0
@@ -159,14 +161,16 @@
         pinged_ms = monotonic_ms()
         while True:
             now_ms = monotonic_ms()
-            if now_ms - pinged_ms > PAUSED_MS:
+            interval_ms = self._board.permit.ping_interval_ms()
+            if now_ms - pinged_ms > max(MIN_PAUSE_MS, INTERVALS_OF_PAUSE * interval_ms):
                 self._heard_ms = now_ms
-            if now_ms - self._heard_ms > SILENCE_LIMIT_MS:
+            silence_ms = max(MIN_SILENCE_MS, INTERVALS_OF_SILENCE * interval_ms)
+            if now_ms - self._heard_ms > silence_ms:
                 raise SessionError("no pong in time")
             directive = self._board.permit.directive
             await session.send(Ping(now_ms, directive.version if directive is not None else 0))
             pinged_ms = now_ms
-            await asyncio.sleep(PING_INTERVAL_S)
+            await asyncio.sleep(interval_ms / 1000)
 
     async def _move_when_better(self, session: Session) -> None:
         """End this session once one to a preferred entry is open; not all agents at once."""
@@ -194,7 +198,7 @@
             for report in [*self._new_running(), *board.outbox.take_due(monotonic_ms())]:
                 await session.send(report)
             try:
-                async with asyncio.timeout(PING_INTERVAL_S):
+                async with asyncio.timeout(ANNOUNCE_INTERVAL_S):
                     await board.changed.wait()
                 await asyncio.sleep(GATHER_CHANGES_S)
             except TimeoutError:
--- a/packages/lycheeslip_agent/tests/permit_tests.py
+++ b/packages/lycheeslip_agent/tests/permit_tests.py
@@ -94,3 +94,13 @@
     derandomize=True, max_examples=150, stateful_step_count=40, deadline=None
 )
 TestPermits = Permits.TestCase
+
+
+@pytest.mark.parametrize(
+    ("granted_ms", "interval_ms"),
+    [(0, 800), (-5, 800), (300, 250), (2_400, 800), (7_500, 2_500), (60_000, 4_000)],
+)
+def test_longer_permits_are_asked_for_less_often(granted_ms, interval_ms):
+    permit = ZonePermit()
+    permit.on_pong(Pong(0, 1, granted_ms), 1)
+    assert permit.ping_interval_ms() == interval_ms
