Refuse a configuration that would lock the operators out

Cause: with account tokens declared but none for operators, every request needs a token and none may apply the next configuration. Ruled out: letting everybody operate in that case, which a token holder would not expect.

--- a/packages/lycheeslip/lycheeslip/config/loader.py
+++ b/packages/lycheeslip/lycheeslip/config/loader.py
@@ -104,6 +104,10 @@
     for account_id, account in form.accounts.items():
         paths_by_digest[account.token_sha256].append(("accounts", account_id, "token_sha256"))
     paths_by_digest.pop("", None)
+    if paths_by_digest and not form.operator_token_sha256:
+        path = next(iter(paths_by_digest.values()))[0]
+        message = "needs operator_token_sha256 too, or nobody can apply the next configuration"
+        return [document.problem_at(path, message)]
     return [
         document.problem_at(path, f"is the same token as {'.'.join(paths[0])}")
         for paths in paths_by_digest.values()
--- a/packages/lycheeslip/tests/config_diff_tests.py
+++ b/packages/lycheeslip/tests/config_diff_tests.py
@@ -43,8 +43,8 @@
         ),
         ("accounts: {a: {}}", "accounts: {a: {weight: 2}}", "account a: weight from 1 to 2"),
         (
-            "accounts: {a: {}}",
-            f"accounts: {{a: {{token_sha256: {'a' * 64}}}}}",
+            f"operator_token_sha256: {'b' * 64}\naccounts: {{a: {{}}}}",
+            f"operator_token_sha256: {'b' * 64}\naccounts: {{a: {{token_sha256: {'a' * 64}}}}}",
             "account a: token declared",
         ),
         (
--- a/packages/lycheeslip/tests/config_loader_tests.py
+++ b/packages/lycheeslip/tests/config_loader_tests.py
@@ -8,6 +8,7 @@
 DIGEST = "a" * 64
 
 WHOLE = f"""\
+operator_token_sha256: {"b" * 64}
 accounts:
   hooghly:
     guarantee: {{members: 4, accelerators: 2, processors: 2, memory: 16GB, adjacency: same_rack}}
@@ -143,6 +144,12 @@
     assert refusals(text) == [(3, "accounts.a.token_sha256", message)]
 
 
+def test_account_tokens_without_one_for_operators_are_refused():
+    text = f"accounts:\n  a:\n    token_sha256: {DIGEST}\n"
+    message = "needs operator_token_sha256 too, or nobody can apply the next configuration"
+    assert refusals(text) == [(3, "accounts.a.token_sha256", message)]
+
+
 HARDWARE = "{accelerators: 16, accelerators_per_worker: 8, workers_per_rack: 2}"
 TWO_ZONES = f"zones:\n  x: {HARDWARE}\n  y: {HARDWARE}\n"
 
