Blame no worker for an answer

Cause: an answered attempt named its anchor's worker as blamed, and a report after the agent's restart did not, so the same outcome read differently. Two process tests showed it; the one on a lost member now also holds the reporter to be the anchor's worker. Run: tests/agent_processes_tests.py passes whole.

--- a/packages/lycheeslip_agent/lycheeslip_agent/runs.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/runs.py
@@ -180,10 +180,16 @@
         checkpoint=run.checkpoint if state is ReportState.INTERRUPTED else "",
         reason=outcome.reason,
         run_ms=result.ran_ms if result is not None else 0,
-        blamed=worker_ids[outcome.member] if outcome.member < len(worker_ids) else "",
+        blamed=_blamed(outcome, worker_ids),
     )
 
 
+def _blamed(outcome: GangOutcome, worker_ids: tuple[str, ...]) -> str:
+    if outcome.cause is None or outcome.member >= len(worker_ids):
+        return ""
+    return worker_ids[outcome.member]
+
+
 def _state_of(outcome: GangOutcome, run: MemberRun, members: int) -> ReportState:
     """Return the reported state; for a gang of one its backend server has the last word."""
     if outcome.cause is None:
--- a/tests/agent_processes_tests.py
+++ b/tests/agent_processes_tests.py
@@ -342,7 +342,8 @@
     assert max(ended_at_ms) - killed_at_ms <= GANG_LEASE_MS + TOLERANCE_MS
     if victim == "w2":
         report = await cell.entry.outcome(ref)
-        assert (report.state, report.worker_id) == (ReportState.LOST, "w2")
+        assert (report.state, report.blamed) == (ReportState.LOST, "w2")
+        assert report.worker_id == "w1"
         return
     await cell.start_agent(victim)
     assert (await cell.entry.outcome(ref)).state is ReportState.LOST
