Refuse values of the wrong type in a submitted job

Cause: pydantic converted "repeatable": 0 or "no" to false, "members": "2" to 2, and took a list as the shape, so a job other than the one meant was accepted. Ruled out: strict validation of the parsed object, which refuses the names of kinds and adjacencies; strict validation of the JSON text takes them.

--- a/packages/lycheeslip/lycheeslip/http/submission.py
+++ b/packages/lycheeslip/lycheeslip/http/submission.py
@@ -15,7 +15,7 @@
     derive_job_id,
 )
 from lycheeslip_common.utils.clock import wall_ms
-from pydantic import Field, TypeAdapter, ValidationError
+from pydantic import BeforeValidator, Field, TypeAdapter, ValidationError
 
 from lycheeslip.entry.blackboard import Blackboard
 from lycheeslip.http.problems import ProblemItem, problem
@@ -30,10 +30,17 @@
 RANDOM_KEY_BYTES = 16
 
 
+def _require_object(value: object) -> object:
+    """Refuse a list, which would be taken as values without their keys."""
+    if not isinstance(value, dict):
+        raise ValueError("must be an object")
+    return value
+
+
 class _Body(NamedTuple):
     account: Identifier
     kind: JobKind = JobKind.DEFERRABLE
-    shape: Shape = Shape()
+    shape: Annotated[Shape, BeforeValidator(_require_object)] = Shape()
     payload: Annotated[str, Field(max_length=MAX_PAYLOAD_BYTES)] = ""
     repeatable: bool = True
     deadline_in_ms: Annotated[int, Field(ge=0, le=MAX_RUN_MS)] = 0
@@ -61,7 +68,7 @@
         document = json.loads(raw)
         if not isinstance(document, dict):
             return problem(400, "malformed_body", "The body is not a JSON object.")
-        body = _bodies.validate_python(document)
+        body = _bodies.validate_json(raw, strict=True)
     except ValidationError as error:
         return problem(
             422, "invalid_job", "The job did not run; see errors.", errors=_problem_items(error)
