Start no job after its deadline

The contract test failed first. Ruled out: filtering in the planner, which leaves the time from there to the record.

--- a/packages/lycheeslip/lycheeslip/entry/attempts.py
+++ b/packages/lycheeslip/lycheeslip/entry/attempts.py
@@ -89,7 +89,9 @@
             await self._release(ref, place.placement)
             return reason
         owner = self._board.info.entry_id
-        intent = partial(lifecycle.start_intent, owner=owner, placement=place.placement)
+        intent = partial(
+            lifecycle.start_intent, owner=owner, placement=place.placement, now_ms=wall_ms()
+        )
         outcome = await self._jobs.update(place.job_id, intent)
         match outcome:
             case Updated(record):
--- a/packages/lycheeslip/lycheeslip/entry/lifecycle.py
+++ b/packages/lycheeslip/lycheeslip/entry/lifecycle.py
@@ -83,11 +83,13 @@
 
 
 def start_intent(
-    record: JobRecord, owner: str, placement: tuple[MemberPlacement, ...]
+    record: JobRecord, owner: str, placement: tuple[MemberPlacement, ...], now_ms: int
 ) -> JobRecord | None:
     """Record that the next attempt may start on `placement`, before any agent is asked to."""
     if record["state"] is not JobState.PENDING or record["cancel_requested"]:
         return None
+    if _is_past_deadline(record, now_ms):
+        return None
     return _changed(
         record,
         state=JobState.STARTED,
@@ -231,8 +233,7 @@
     now_ms: int,
     blamed: str = "",
 ) -> JobRecord | None:
-    deadline = record["spec"].deadline_at_ms
-    too_late = 0 < deadline <= now_ms
+    too_late = _is_past_deadline(record, now_ms)
     if record["attempt"] >= limits.max_attempts or too_late:
         ended = _with_summary(record, outcome, now_ms, ran=True, blamed=blamed)
         return finish(ended, verdict, now_ms)
@@ -241,8 +242,7 @@
 
 def expire(record: JobRecord, now_ms: int) -> JobRecord | None:
     """End a waiting job whose deadline has passed."""
-    deadline = record["spec"].deadline_at_ms
-    if record["state"] is not JobState.PENDING or not 0 < deadline <= now_ms:
+    if record["state"] is not JobState.PENDING or not _is_past_deadline(record, now_ms):
         return None
     if _has_run(record):
         return finish(record, Failed("deadline_passed"), now_ms)
@@ -265,6 +265,10 @@
     return finish(record, Unknown(reason), now_ms)
 
 
+def _is_past_deadline(record: JobRecord, now_ms: int) -> bool:
+    return 0 < record["spec"].deadline_at_ms <= now_ms
+
+
 def _has_run(record: JobRecord) -> bool:
     return any(summary.started_at_ms for summary in record["attempts"])
 
--- a/packages/lycheeslip/tests/lifecycle_tests.py
+++ b/packages/lycheeslip/tests/lifecycle_tests.py
@@ -36,7 +36,7 @@
 
 
 def start(record, worker="w1"):
-    return lifecycle.start_intent(record, "e1", place(worker))
+    return lifecycle.start_intent(record, "e1", place(worker), 1)
 
 
 def test_a_cancelled_waiting_job_did_not_run():
@@ -109,8 +109,10 @@
 
     @rule(worker=st.sampled_from(["w1", "w2", "w3", "w4"]))
     def intend(self, worker):
-        changed = lifecycle.start_intent(self.record, "e1", place(worker))
+        changed = lifecycle.start_intent(self.record, "e1", place(worker), self.now_ms)
         if changed is not None:
+            deadline_ms = self.record["spec"].deadline_at_ms
+            assert deadline_ms == 0 or self.now_ms < deadline_ms
             self.starts += 1
             assert changed["attempt"] == self.starts
         self.take(changed)
@@ -173,7 +175,7 @@
 
 def test_only_the_worker_of_the_failed_member_is_blamed():
     gang = (MemberPlacement("w1", "i1", (0,)), MemberPlacement("w2", "i2", (0,)))
-    started = lifecycle.start_intent(make_record(), "e1", gang)
+    started = lifecycle.start_intent(make_record(), "e1", gang, 1)
     failed = report(1, ReportState.TASK_FAILED)._replace(blamed="w2")
     record = lifecycle.after_report(started, failed, LIMITS, 5, 0)
     assert lifecycle.failed_on(record) == {"w2"}
--- a/tests/http_contract_tests.py
+++ b/tests/http_contract_tests.py
@@ -324,6 +324,14 @@
         assert cell.call("DELETE", f"/v1/jobs/{job_id}", holder="a")[0] == 202
 
 
+def test_job_is_not_started_after_its_deadline(cell):
+    for number in range(5):
+        document = json.loads(run_job(cell, f"past{number}", deadline_in_ms=1)[2])
+        verdict = document["verdict"]
+        assert (verdict["reason"], verdict["may_have_run"]) == ("deadline_passed", False)
+        assert document["attempts"] == []
+
+
 def wait_until_started(cell, job_id):
     deadline = time.monotonic() + WAIT_S
     while cell.json("GET", f"/v1/jobs/{job_id}")["state"] != "started":
