--- a/packages/lycheeslip_agent/tests/runner_tests.py
+++ b/packages/lycheeslip_agent/tests/runner_tests.py
@@ -4,7 +4,7 @@
 from lycheeslip_agent.blackboard import Blackboard
 from lycheeslip_agent.gang import Member
 from lycheeslip_agent.runner import MemberRun
-from lycheeslip_agent.settings import AgentSettings
+from lycheeslip_common.config.settings import AgentSettings
 from lycheeslip_common.structure.fleet import Grant, GrantState
 from lycheeslip_common.structure.jobs import AttemptRef, JobKind
 from lycheeslip_common.utils.clock import monotonic_ms
