--- a/tests/harness/fleet.py
+++ b/tests/harness/fleet.py
@@ -16,6 +16,7 @@
 
 FLEET_KEY = "key-of-the-test-fleet"
 REGION = "region-1"
+SPARE_ENTRY = "entry-spare"  # prepared, and started only by proofs that need it
 WORKERS_PER_RACK = 3
 READY_TIMEOUT_S = 40.0
 POLL_S = 0.05
@@ -51,6 +52,7 @@
         self.route_by_name: dict[str, str] = {}
         self._addresses = ReservedAddresses()
         self.store_address = self._addresses.take()
+        self.spare_address = self._addresses.take()
         self._proxy_admin = self._addresses.take()
         self._saved_events: list[BackendEvent] = []
 
@@ -78,7 +80,7 @@
 
     async def stop(self) -> None:
         """End every process that this fleet started."""
-        processes = [self.store, self.proxy]
+        processes = [self.store, self.proxy, self.spare_entry]
         for group in (self.entries_by_id, self.agents_by_id, self.backends_by_id):
             processes += group.values()
         for process in processes:
@@ -133,6 +135,7 @@
         """End all faults, thaw and restart all processes, and wait until all know each other."""
         await self.set_routes()
         await self.set_store()
+        self.spare_entry.stop()
         for group in (self.entries_by_id, self.backends_by_id, self.agents_by_id):
             for process in group.values():
                 process.thaw()
@@ -201,27 +204,35 @@
 
     async def _prepare_entries(self) -> None:
         names = [f"entry-{number}" for number in range(1, self.layout.entries + 1)]
-        for name in names:
-            self.http_by_entry[name] = self._addresses.take()
+        for name in [*names, SPARE_ENTRY]:
             self.sessions_by_entry[name] = self._addresses.take()
         for number, name in enumerate(names):
-            store = await self._add_route(f"{name}.store", self.store_address)
+            self.http_by_entry[name] = self._addresses.take()
+            zone = self.layout.zones[number % len(self.layout.zones)]
+            self.entries_by_id[name] = await self._prepare_entry(
+                name, zone, self.http_by_entry[name]
+            )
             http = await self._add_route(f"{name}.http", self.http_by_entry[name])
             self.http_route_by_entry[name] = http
-            settings = {
-                "node_id": name,
-                "region": REGION,
-                "zone": self.layout.zones[number % len(self.layout.zones)],
-                "http_address": self.http_by_entry[name],
-                "session_address": self.sessions_by_entry[name],
-                "store_addresses": [store],
-                "fleet_key": FLEET_KEY,
-                "routes": await self._entry_routes(name),
-            }
-            if self.layout.times:
-                settings["times"] = self.layout.times
-            command = [str(BIN / "lycheeslip"), "entry", "--settings"]
-            self.entries_by_id[name] = self._process(name, [*command, self._write(name, settings)])
+        self.spare_entry = await self._prepare_entry(
+            SPARE_ENTRY, self.layout.zones[0], self.spare_address
+        )
+
+    async def _prepare_entry(self, name: str, zone: str, http_address: str) -> ManagedProcess:
+        settings = {
+            "node_id": name,
+            "region": REGION,
+            "zone": zone,
+            "http_address": http_address,
+            "session_address": self.sessions_by_entry[name],
+            "store_addresses": [await self._add_route(f"{name}.store", self.store_address)],
+            "fleet_key": FLEET_KEY,
+            "routes": await self._entry_routes(name),
+        }
+        if self.layout.times:
+            settings["times"] = self.layout.times
+        command = [str(BIN / "lycheeslip"), "entry", "--settings"]
+        return self._process(name, [*command, self._write(name, settings)])
 
     async def _prepare_workers(self) -> None:
         names = [f"worker-{number:02}" for number in range(1, self.layout.workers + 1)]
@@ -244,7 +255,7 @@
                 "zone": zone,
                 "rack": f"{zone}-rack-{number // len(zones) // WORKERS_PER_RACK + 1}",
                 "address": self.agent_by_worker[name],
-                "entry_addresses": list(self.sessions_by_entry.values()),
+                "entry_addresses": [self.sessions_by_entry[name] for name in self.entries_by_id],
                 "backend_address": backend,
                 "fleet_key": FLEET_KEY,
                 "routes": await self._agent_routes(name, names),
--- a/tests/promises_tests.py
+++ b/tests/promises_tests.py
@@ -12,6 +12,7 @@
 SEED = 1
 FIXED = [
     ("no start in a zone taken out", "its agents cut off from all entries"),
+    ("no start in a zone taken out", "a new entry while all others are cut off from the store"),
     ("not repeatable: at most once", "an entry frozen past its lease"),
     ("not repeatable: at most once", "one key at two entries at once"),
     ("not run is true", "a wave of cancellations under lost answers"),
--- a/tests/prove/zones.py
+++ b/tests/prove/zones.py
@@ -9,6 +9,7 @@
 PROMISE = "no start in a zone taken out"
 ZONE = "zone-a"
 OUT_S = 5.0
+LEASES_LAPSE_S = 6.0
 LOAD_S = 12.0
 
 
@@ -87,6 +88,23 @@
     await _take_out(trial)
 
 
+@scenario(PROMISE, "a new entry while all others are cut off from the store")
+async def new_entry(trial: Trial) -> None:
+    """Apply the change at an entry that the cut-off ones have never heard of."""
+    _load(trial)
+    trial.cut_entries |= trial.fleet.entries_by_id.keys()
+    await trial.fleet.set_routes("entry-", ".store", refuse=True)
+    await trial.fleet.set_route("entry-spare.store")
+    await asyncio.sleep(LEASES_LAPSE_S)
+    trial.fleet.spare_entry.start()
+    for _ in range(40):
+        await asyncio.sleep(0.2)
+        if await trial.operator.set_zone(ZONE, in_service=False, address=trial.fleet.spare_address):
+            break
+    trial.load(60, over_s=OUT_S, run_ms=200, repeatable=True, members=1)
+    await asyncio.sleep(OUT_S)
+
+
 @scenario(PROMISE, "the store down right after the change")
 async def store_down_after(trial: Trial) -> None:
     """Take the store down as soon as the change is accepted."""
