Let an armed gang member ask its anchor before its worker leaves

Cause: an agent that was told to end failed its members that had not started, also those that had told their anchor that they were armed. Ruled out: starting all prepared members, which may come later than the bound for a leaving server. An armed member now takes its word back by its next ping, and gives up only when the anchor has answered that ping without a decision; if the anchor has decided, it starts.

--- a/packages/lycheeslip_agent/lycheeslip_agent/blackboard.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/blackboard.py
@@ -7,6 +7,7 @@
 from lycheeslip_common.structure.fleet import EntryInfo, WorkerInfo, WorkerState
 from lycheeslip_common.utils.clock import wall_ms
 from lycheeslip_common.utils.metrics import Metrics
+from lycheeslip_common.wire.messages import GangPhase
 
 from lycheeslip_agent.gang import Anchor
 from lycheeslip_agent.grants import GrantTable, MemberKey
@@ -53,6 +54,8 @@
         directive = self.permit.directive
         if directive is None:
             return "no_directive"
+        if self.grants.leaving:
+            return "leaving"
         return self.permit.reason_against(now_ms) or self.grants.reason_against_start(
             key, now_ms, directive
         )
@@ -71,14 +74,21 @@
         self.metrics.count(f"refuse.{reason.split(':')[0]}")
 
     def set_leaving(self) -> None:
-        """Refuse all new work if the agent or its backend server is on its way out."""
+        """Refuse all new work if the agent or its backend server is on its way out.
+
+        A member that has told its anchor that it is armed keeps that promise if the anchor
+        has relied on it already.
+        """
         leaving = self.draining or self.terminating or self.backend_leaving
         if leaving != self.grants.leaving:
             self.grants.leaving = leaving
             self.touch()
         if leaving:
             for run in list(self.runs_by_key.values()):
-                run.abort_unstarted("leaving")
+                if run.member.phase is GangPhase.ARMED:
+                    self.grants.promised.add(run.key)
+                else:
+                    run.abort_unstarted("leaving")
 
     def touch(self) -> None:
         """Have the worker's state announced."""
--- a/packages/lycheeslip_agent/lycheeslip_agent/grants.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/grants.py
@@ -41,6 +41,7 @@
         self.incarnation = incarnation
         self.info: WorkerInfo | None = None
         self.leaving = False
+        self.promised: set[MemberKey] = set()
         self.held_by_key: dict[MemberKey, HeldGrant] = {}
         self._floor_by_job: dict[str, int] = {}
         self._started: dict[str, set[MemberKey]] = {}
@@ -105,7 +106,7 @@
             return "already_started"
         if held.grant.epoch < self._floor_by_job.get(key.job_id, 0):
             return "fenced_epoch"
-        if self.leaving:
+        if self.leaving and key not in self.promised:
             return "leaving"
         if now_ms >= held.until_ms:
             return "start_expired"
@@ -135,6 +136,7 @@
     def end(self, key: MemberKey) -> None:
         """Give the resources of a member back."""
         self.held_by_key.pop(key, None)
+        self.promised.discard(key)
 
     def set_throttled(self, key: MemberKey, throttled: bool) -> None:
         """Note whether a member runs throttled."""
--- a/packages/lycheeslip_agent/lycheeslip_agent/runner.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/runner.py
@@ -129,6 +129,12 @@
             await self._start()
         elif self.member.phase is GangPhase.RUNNING:
             await self._renew()
+        elif lease is not None and ping.phase is GangPhase.PREPARED and self._is_promised():
+            # The anchor has not decided, and the ping that it answered took the promise back.
+            self.abort_unstarted("leaving")
+
+    def _is_promised(self) -> bool:
+        return self.key in self._board.grants.promised
 
     async def _pause(self) -> None:
         match self.member.phase:
--- a/packages/lycheeslip_agent/tests/grants_tests.py
+++ b/packages/lycheeslip_agent/tests/grants_tests.py
@@ -75,6 +75,15 @@
     assert grants.start(MemberKey("j1", 1, 0), 1, 1, DIRECTIVE) == "leaving"
 
 
+def test_a_member_that_has_promised_to_start_does_so_though_its_worker_leaves():
+    grants = table()
+    assert grants.reserve(reserve(AttemptRef("j1", 2, 1), ()), DIRECTIVE, 0) == ""
+    assert grants.prepare(prepare(), 0) == ""
+    grants.leaving = True
+    grants.promised.add(MemberKey("j1", 1, 0))
+    assert grants.start(MemberKey("j1", 1, 0), 1, 1, DIRECTIVE) == ""
+
+
 @pytest.mark.parametrize(
     ("message", "now_ms", "reason"),
     [
