--- a/tests/http_contract_tests.py
+++ b/tests/http_contract_tests.py
@@ -168,11 +168,17 @@
     (job(payload="x" * (256 * 1024 + 1)), 422, "invalid_job"),
     (job(label="x" * 129), 422, "invalid_job"),
     (job(repeatable="maybe"), 422, "invalid_job"),
+    (job(repeatable="no"), 422, "invalid_job"),
+    (job(repeatable=0), 422, "invalid_job"),
     (job(deadline_in_ms=-1), 422, "invalid_job"),
+    (job(deadline_in_ms="5"), 422, "invalid_job"),
     (job(deadline_in_ms=1.5), 422, "invalid_job"),
     (job(expected_run_ms=10**30), 422, "invalid_job"),
+    (job(shape=[1, 1]), 422, "invalid_job"),
     (job(shape={"members": 0}), 422, "invalid_job"),
     (job(shape={"members": 129}), 422, "invalid_job"),
+    (job(shape={"members": "2"}), 422, "invalid_job"),
+    (job(shape={"members": True}), 422, "invalid_job"),
     (job(shape={"accelerators": 65}), 422, "invalid_job"),
     (job(shape={"gpus": 1}), 422, "invalid_job"),
     (job(shape={"adjacency": "near"}), 422, "invalid_job"),
@@ -318,6 +324,14 @@
         assert cell.call("DELETE", f"/v1/jobs/{job_id}", holder="a")[0] == 202
 
 
+def test_job_is_not_started_after_its_deadline(cell):
+    for number in range(5):
+        document = json.loads(run_job(cell, f"past{number}", deadline_in_ms=1)[2])
+        verdict = document["verdict"]
+        assert (verdict["reason"], verdict["may_have_run"]) == ("deadline_passed", False)
+        assert document["attempts"] == []
+
+
 def wait_until_started(cell, job_id):
     deadline = time.monotonic() + WAIT_S
     while cell.json("GET", f"/v1/jobs/{job_id}")["state"] != "started":
