Accept a configuration only when every entry that may extend permits is known to follow

Entries now keep a key without a lease, and acceptance needs each such holder to confirm the revision or to have named the accepting entry; else the operator is told 'written, not confirmed' with the names. Planning rounds are paced by what they cost; new urgent work is planned at once.

--- a/packages/lycheeslip/lycheeslip/app.py
+++ b/packages/lycheeslip/lycheeslip/app.py
@@ -24,6 +24,7 @@
 from lycheeslip.entry.membership import Membership
 from lycheeslip.entry.outcomes import Outcomes
 from lycheeslip.entry.peers import Peers
+from lycheeslip.entry.permit_holders import PermitHolders
 from lycheeslip.entry.planner import Planner
 from lycheeslip.entry.recovery import Recovery
 from lycheeslip.entry.router import Router
@@ -60,8 +61,9 @@
         self._router = Router(self.board)
         jobs = JobStore(self.board, self._store)
         outcomes = Outcomes(self.board, self._router, jobs)
+        holders = PermitHolders(self.board, self._store)
         self._sync = StoreSync(self.board, self._store, times.confirm_every_ms)
-        self._membership = Membership(self.board, self._store, times.entry_lease_s)
+        self._membership = Membership(self.board, self._store, holders, times.entry_lease_s)
         self._agents = AgentSessions(self.board, self._router, outcomes)
         self._peers = Peers(self.board, self._router, outcomes, settings.fleet_key, settings.routes)
         self._attempts = attempts = Attempts(self.board, self._router, jobs)
@@ -74,14 +76,14 @@
         self._recovery = Recovery(
             self.board, self._router, jobs, attempts, times.worker_lost_after_ms
         )
-        self._upkeep = Upkeep(self.board, self._store, jobs, self._agents, times.permit_ms)
-        config_apply = ConfigApply(self.board, self._store, self._sync, times.permit_ms)
+        self._upkeep = Upkeep(self.board, self._store, jobs, self._agents, holders, times.permit_ms)
+        config_apply = ConfigApply(self.board, self._store, self._sync, holders, times.permit_ms)
         self._web = web.Application(
             client_max_size=MAX_BODY_BYTES,
             middlewares=[make_middleware(self.board, settings.allow_remote_without_tokens)],
         )
         JobHandlers(self.board, self._router, jobs, outcomes).add_routes(self._web)
-        OperatorHandlers(self.board, self._router, config_apply).add_routes(self._web)
+        OperatorHandlers(self.board, self._router, config_apply, holders).add_routes(self._web)
         self._runner = web.AppRunner(
             self._web,
             access_log=None,
--- a/packages/lycheeslip/lycheeslip/cli.py
+++ b/packages/lycheeslip/lycheeslip/cli.py
@@ -256,6 +256,15 @@
     _run(fleet.drain_worker(context.obj, worker))
 
 
+@app.command("forget-entry")
+def forget_entry(
+    context: typer.Context,
+    entry: Annotated[str, typer.Argument(metavar="ENTRY", help="Id of the entry.")],
+) -> None:
+    """Forget an entry whose instance is gone, so that it holds up no configuration."""
+    _run(fleet.forget_entry(context.obj, entry))
+
+
 @app.command("token")
 def make_token(context: typer.Context) -> None:
     """Make a bearer token and print its digest."""
--- a/packages/lycheeslip/lycheeslip/commands/fleet.py
+++ b/packages/lycheeslip/lycheeslip/commands/fleet.py
@@ -1,4 +1,4 @@
-"""Commands about the fleet: status and drain."""
+"""Commands about the fleet: status, drain and forget-entry."""
 
 from collections.abc import Mapping
 from typing import Any
@@ -8,7 +8,7 @@
 from lycheeslip.commands.outcomes import ExitCode, Reply, error_of
 from lycheeslip.commands.render import print_json, print_result, print_table
 
-__all__ = ["drain_worker", "show_status"]
+__all__ = ["drain_worker", "forget_entry", "show_status"]
 
 
 async def show_status(options: Options) -> ExitCode:
@@ -27,11 +27,22 @@
 async def drain_worker(options: Options, worker_id: str) -> ExitCode:
     """Have a worker take no new work."""
     path = f"/v1/workers/{quote(worker_id, safe='')}/drain"
+    return await _order(options, path, f"worker {worker_id} takes no new work")
+
+
+async def forget_entry(options: Options, entry_id: str) -> ExitCode:
+    """Forget an entry whose instance is gone."""
+    path = f"/v1/entries/{quote(entry_id, safe='')}/forget"
+    return await _order(options, path, f"entry {entry_id} is forgotten")
+
+
+async def _order(options: Options, path: str, done: str) -> ExitCode:
+    """Post an operator's order and print `done` once it has been taken."""
     async with open_client(options) as client:
         outcome = await client.call("POST", path)
     if not isinstance(outcome, Reply):
         raise error_of(outcome)
-    print_result(options.output, outcome.document, [f"worker {worker_id} takes no new work"])
+    print_result(options.output, outcome.document, [done])
     return ExitCode.OK
 
 
--- a/packages/lycheeslip/lycheeslip/entry/blackboard.py
+++ b/packages/lycheeslip/lycheeslip/entry/blackboard.py
@@ -71,6 +71,8 @@
         self.applied = AppliedConfig(FleetConfig(), "", 0, 0)
         self.homes = HomesRecord(0, {}, 0)
         self.entries_by_id: dict[str, EntryInfo] = {info.entry_id: info}
+        self.holders: set[str] = set()
+        self.acknowledged_by: set[str] = set()
         self.peers_by_id: dict[str, PeerStatus] = {}
         self.workers_by_id: dict[str, WorkerView] = {}
         self.plan_wanted = asyncio.Event()
--- a/packages/lycheeslip/lycheeslip/entry/config_apply.py
+++ b/packages/lycheeslip/lycheeslip/entry/config_apply.py
@@ -12,10 +12,11 @@
     Written,
 )
 from lycheeslip_common.utils.clock import monotonic_ms, wall_ms
-from lycheeslip_common.utils.logs import log_event
+from lycheeslip_common.utils.logs import log_event, log_warning
 
 from lycheeslip.config.loader import ConfigError, parse_config
 from lycheeslip.entry.blackboard import Blackboard
+from lycheeslip.entry.permit_holders import PermitHolders
 from lycheeslip.entry.records import (
     CONFIG_KEY,
     HISTORY_PREFIX,
@@ -26,7 +27,7 @@
 )
 from lycheeslip.entry.store_sync import StoreSync
 
-__all__ = ["Applied", "ConfigApply", "Invalid", "RevisionConflict"]
+__all__ = ["Applied", "ConfigApply", "Invalid", "NotConfirmed", "RevisionConflict"]
 
 CONFIRM_POLL_S = 0.05
 WRITER_BYTES = 8
@@ -40,6 +41,14 @@
     confirmed_by: tuple[str, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class NotConfirmed:
+    """The configuration is written, but the entries `missing` may still follow an older one."""
+
+    revision: int
+    missing: tuple[str, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class RevisionConflict:
     """Somebody else applied a configuration first; nothing changed."""
@@ -58,16 +67,24 @@
 class ConfigApply:
     """Writes configurations and keeps their history."""
 
-    def __init__(self, board: Blackboard, store: Store, sync: StoreSync, permit_ms: int) -> None:
+    def __init__(
+        self,
+        board: Blackboard,
+        store: Store,
+        sync: StoreSync,
+        holders: PermitHolders,
+        permit_ms: int,
+    ) -> None:
         """Wait at most `permit_ms` for peers, after which their old permits have ended."""
         self._board = board
         self._store = store
         self._sync = sync
+        self._holders = holders
         self._permit_ms = permit_ms
 
     async def apply(
         self, text: str, expected_revision: int
-    ) -> Applied | RevisionConflict | Invalid | Unreachable:
+    ) -> Applied | NotConfirmed | RevisionConflict | Invalid | Unreachable:
         """Put `text` in force if revision `expected_revision` still is."""
         revision = expected_revision + 1
         try:
@@ -93,9 +110,7 @@
             case Written(written_at):
                 item = KeyValue(CONFIG_KEY, encode_config(stored), written_at)
                 self._sync.apply_item(item)
-                confirmed_by = await self._wait_for_peers(revision)
-                log_event("config_applied", revision=revision, confirmed_by=confirmed_by)
-                return Applied(revision, confirmed_by)
+                return await self._confirm(revision)
             case Conflict(KeyValue(value=value)):
                 return RevisionConflict(expected_revision, decode_config(value)["revision"])
             case Conflict():
@@ -139,15 +154,23 @@
             return Written(outcome.current.mod_revision)
         return outcome if current["revision"] <= stored["revision"] else lost
 
-    async def _wait_for_peers(self, revision: int) -> tuple[str, ...]:
-        """Wait until every leased entry confirms `revision`, or all older permits have ended."""
+    async def _confirm(self, revision: int) -> Applied | NotConfirmed:
+        """Wait until every holder confirms `revision`, or all older permits have ended."""
         own_id = self._board.info.entry_id
         until_ms = monotonic_ms() + self._permit_ms
         while monotonic_ms() < until_ms:
-            if self._confirmed(revision) >= self._board.entries_by_id.keys() - {own_id}:
+            others = (self._board.entries_by_id.keys() | self._board.holders) - {own_id}
+            if self._confirmed(revision) >= others:
                 break
             await asyncio.sleep(CONFIRM_POLL_S)
-        return tuple(sorted(self._confirmed(revision) | {own_id}))
+        missing = await self._holders.unconfirmed(self._confirmed(revision))
+        if missing:
+            self._board.metrics.count("refuse.config_not_confirmed")
+            log_warning("config_not_confirmed", revision=revision, missing=sorted(missing))
+            return NotConfirmed(revision, tuple(sorted(missing)))
+        confirmed_by = tuple(sorted(self._confirmed(revision) | {own_id}))
+        log_event("config_applied", revision=revision, confirmed_by=confirmed_by)
+        return Applied(revision, confirmed_by)
 
     def _confirmed(self, revision: int) -> set[str]:
         return {
--- a/packages/lycheeslip/lycheeslip/entry/membership.py
+++ b/packages/lycheeslip/lycheeslip/entry/membership.py
@@ -8,6 +8,7 @@
 from lycheeslip_common.utils.retry import Backoff
 
 from lycheeslip.entry.blackboard import Blackboard
+from lycheeslip.entry.permit_holders import PermitHolders
 from lycheeslip.entry.records import ENTRY_PREFIX, encode_entry
 
 __all__ = ["Membership"]
@@ -18,8 +19,11 @@
 class Membership:
     """Registers the entry under a lease and renews it until the entry leaves."""
 
-    def __init__(self, board: Blackboard, store: Store, lease_s: int) -> None:
+    def __init__(
+        self, board: Blackboard, store: Store, holders: PermitHolders, lease_s: int
+    ) -> None:
         """Hold a lease of `lease_s` seconds."""
+        self._holders = holders
         self._board = board
         self._store = store
         self._lease_s = lease_s
@@ -28,22 +32,26 @@
     async def run(self) -> None:
         """Register, renew, and register anew whenever the lease has lapsed."""
         backoff = Backoff()
-        while True:
+        while not self._board.leaving:
             if not self._lease_id and not await self._register():
                 log_warning("entry_not_registered", entry=self._board.info.entry_id)
                 await asyncio.sleep(backoff.next_delay_s())
                 continue
             backoff.reset()
             await asyncio.sleep(self._lease_s / RENEWALS_PER_LEASE)
-            await self._renew()
+            if not self._board.leaving:
+                await self._renew()
 
     async def leave(self) -> None:
         """Give the lease up, so that the others see at once that this entry has left."""
         if self._lease_id:
+            await self._holders.leave()
             await self._store.revoke_lease(self._lease_id)
             self._lease_id = 0
 
     async def _register(self) -> bool:
+        if not await self._holders.register():
+            return False
         lease = await self._store.grant_lease(self._lease_s)
         if isinstance(lease, Unreachable):
             return False
--- a/packages/lycheeslip/lycheeslip/entry/peers.py
+++ b/packages/lycheeslip/lycheeslip/entry/peers.py
@@ -122,8 +122,10 @@
     async def _handle(self, session: Session, message: Message) -> None:
         match message:
             case PeerPing():
+                self._note_acknowledgement(session.node_id, message.peers)
                 await session.send(PeerPong(message.sent_ms, *self._own_status()))
             case PeerPong():
+                self._note_acknowledgement(session.node_id, message.peers)
                 self._board.peers_by_id[session.node_id] = PeerStatus(
                     message.echo_ms,
                     message.config_revision,
@@ -141,6 +143,11 @@
             case _:
                 self._board.metrics.count("session.unexpected_message")
 
+    def _note_acknowledgement(self, peer: str, holders: tuple[str, ...]) -> None:
+        """Note that `peer` knows this entry, and so extends no permit without its word."""
+        if self._board.info.entry_id in holders:
+            self._board.acknowledged_by.add(peer)
+
     async def _handle_relayed(self, message: Message) -> None:
         match message:
             case ReserveReply() | PrepareReply() | FenceReply():
@@ -160,7 +167,7 @@
         return PeerPing(monotonic_ms(), *self._own_status())
 
     def _own_status(self) -> tuple[int, bool, tuple[str, ...]]:
-        others = self._board.entries_by_id.keys() - {self._board.info.entry_id}
+        others = self._board.holders - {self._board.info.entry_id}
         return self._board.config.revision, self._board.store_reachable, tuple(others)
 
     def _end(self, session: Session) -> None:
--- a/packages/lycheeslip/lycheeslip/entry/planner.py
+++ b/packages/lycheeslip/lycheeslip/entry/planner.py
@@ -1,12 +1,11 @@
 """Builds the policy's view of the fleet, runs the policy and carries out its actions."""
 
 import asyncio
-import contextlib
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from lycheeslip_common.structure.fleet import Grant, GrantState, WorkerState
-from lycheeslip_common.structure.jobs import JobState, MemberPlacement
+from lycheeslip_common.structure.jobs import JobKind, JobState, MemberPlacement
 from lycheeslip_common.utils.clock import monotonic_ms, wall_ms
 from lycheeslip_common.utils.logs import log_event
 from lycheeslip_common.utils.rendezvous import choose
@@ -18,6 +17,7 @@
 from lycheeslip.entry.history import History
 from lycheeslip.entry.job_table import JobEntry
 from lycheeslip.entry.lifecycle import FAILED_OUTCOME, failed_on
+from lycheeslip.entry.pace import Pace
 from lycheeslip.entry.router import Router
 from lycheeslip.policy.model import (
     Act,
@@ -35,8 +35,6 @@
 
 PlanFunction = Callable[[FleetView], list[Action]]
 PLANNER_KEY = "planner"
-MIN_ROUND_GAP_S = 0.02
-IDLE_ROUND_S = 1.0
 REPEAT_ACT_MS = 2_000
 
 
@@ -75,20 +73,34 @@
         self._retry_budget = RetryBudget(board.config.limits.retry_budget_ratio)
         self._plan = plan
         self._plan_every_s = plan_every_ms / 1000
+        self._pace = Pace()
         self._issued_by_attempt: dict[str, _Issued] = {}
 
     async def run(self) -> None:
         """Plan for ever; rounds that many changes ask for at once are merged."""
+        changed = False
         while True:
-            pause_s = self._plan_every_s if self._some_wait() else IDLE_ROUND_S
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._board.plan_wanted.wait(), pause_s)
-            self._board.plan_wanted.clear()
-            await self.step()
-            await asyncio.sleep(MIN_ROUND_GAP_S)
+            early_ms = self._due_at_ms() - monotonic_ms()
+            if early_ms > 0:
+                changed |= await self._wait_for_change(early_ms / 1000)
+            elif not changed and await self._wait_for_change(self._plan_every_s):
+                changed = True
+            else:
+                changed = False
+                await self.step()
 
-    def _some_wait(self) -> bool:
-        return next(self._board.jobs.in_state(JobState.PENDING), None) is not None
+    async def _wait_for_change(self, timeout_s: float) -> bool:
+        """Return whether something has changed within `timeout_s`."""
+        try:
+            await asyncio.wait_for(self._board.plan_wanted.wait(), timeout_s)
+        except TimeoutError:
+            return False
+        self._board.plan_wanted.clear()
+        return True
+
+    def _due_at_ms(self) -> int:
+        waiting = list(self._board.jobs.in_state(JobState.PENDING))
+        return self._pace.due_at_ms(bool(waiting), _urgent_ids(waiting))
 
     async def step(self) -> None:
         """Run one planning round."""
@@ -99,7 +111,10 @@
         view = self._view(waiting)
         self._board.reservation = None
         actions = self._plan(view)
-        self._board.metrics.timing_ms("plan.round", monotonic_ms() - started_ms)
+        ended_at_ms = monotonic_ms()
+        self._board.metrics.timing_ms("plan.round", ended_at_ms - started_ms)
+        urgent = _urgent_ids(self._board.jobs.in_state(JobState.PENDING))
+        self._pace.note_round(ended_at_ms, ended_at_ms - started_ms, urgent)
         for action in actions:
             await self._carry_out(action)
 
@@ -217,6 +232,12 @@
         return states
 
 
+def _urgent_ids(waiting: Iterable[JobEntry]) -> frozenset[str]:
+    return frozenset(
+        job.record["job_id"] for job in waiting if job.record["spec"].kind is JobKind.URGENT
+    )
+
+
 def _with_grant(
     state: WorkerState, job: JobEntry, member: int, place: MemberPlacement
 ) -> WorkerState:
--- a/packages/lycheeslip/lycheeslip/entry/store_sync.py
+++ b/packages/lycheeslip/lycheeslip/entry/store_sync.py
@@ -14,6 +14,7 @@
 from lycheeslip.entry.records import (
     CONFIG_KEY,
     ENTRY_PREFIX,
+    HOLDER_PREFIX,
     HOMES_KEY,
     JOB_PREFIX,
     STATE_PREFIX,
@@ -74,6 +75,8 @@
                 self._apply_config(item)
             elif item.key == HOMES_KEY:
                 self._apply_homes(item)
+            elif item.key.startswith(HOLDER_PREFIX):
+                self._board.holders.add(item.key.removeprefix(HOLDER_PREFIX))
             elif item.key.startswith(ENTRY_PREFIX):
                 info = decode_entry(item.value)
                 self._board.entries_by_id[info.entry_id] = info
@@ -123,6 +126,9 @@
         for entry_id in list(self._board.entries_by_id):
             if ENTRY_PREFIX + entry_id not in present:
                 self._delete(ENTRY_PREFIX + entry_id)
+        for holder in list(self._board.holders):
+            if HOLDER_PREFIX + holder not in present:
+                self._delete(HOLDER_PREFIX + holder)
         for job_id, job in list(self._board.jobs.by_id.items()):
             if job.is_recorded and JOB_PREFIX + job_id not in present:
                 self._board.jobs.remove(job_id)
@@ -137,6 +143,8 @@
             entry_id = key.removeprefix(ENTRY_PREFIX)
             if entry_id != self._board.info.entry_id:
                 self._board.entries_by_id.pop(entry_id, None)
+        elif key.startswith(HOLDER_PREFIX):
+            self._board.holders.discard(key.removeprefix(HOLDER_PREFIX))
         elif key.startswith(JOB_PREFIX):
             self._board.jobs.remove(key.removeprefix(JOB_PREFIX))
 
--- a/packages/lycheeslip/lycheeslip/entry/upkeep.py
+++ b/packages/lycheeslip/lycheeslip/entry/upkeep.py
@@ -11,6 +11,7 @@
 from lycheeslip.entry.agent_sessions import AgentSessions
 from lycheeslip.entry.blackboard import Blackboard, HomesRecord
 from lycheeslip.entry.job_store import JobStore
+from lycheeslip.entry.permit_holders import PermitHolders
 from lycheeslip.entry.permits import permit_until_ms
 from lycheeslip.entry.planner import is_planner
 from lycheeslip.entry.records import HOMES_KEY, StoredHomes, encode_homes
@@ -34,6 +35,7 @@
         store: Store,
         jobs: JobStore,
         agents: AgentSessions,
+        holders: PermitHolders,
         permit_ms: int,
     ) -> None:
         """Issue permits of `permit_ms` from each confirmation."""
@@ -41,6 +43,7 @@
         self._store = store
         self._jobs = jobs
         self._agents = agents
+        self._holders = holders
         self._permit_ms = permit_ms
 
     async def keep_permits(self) -> None:
@@ -53,13 +56,14 @@
     def update_permit(self) -> None:
         """Set how long this entry's permits last."""
         board = self._board
-        expected = frozenset(board.entries_by_id.keys() - {board.info.entry_id})
+        own_id = board.info.entry_id
+        others = frozenset(board.holders - {own_id}) if own_id in board.holders else frozenset()
         board.permit_until_ms = permit_until_ms(
             board.confirmed_at_ms,
             board.config.revision,
             self._permit_ms,
             board.store_reachable,
-            expected,
+            others,
             board.peers_by_id,
         )
 
@@ -68,6 +72,7 @@
         while True:
             if is_planner(self._board) and self._board.store_reachable:
                 await self._renew_homes()
+                await self._holders.remove_lapsed()
             await asyncio.sleep(HOMES_EVERY_S)
 
     async def keep_retention(self) -> None:
--- a/packages/lycheeslip/lycheeslip/http/access.py
+++ b/packages/lycheeslip/lycheeslip/http/access.py
@@ -16,7 +16,7 @@
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 CALLER_KEY: web.RequestKey[Caller] = web.RequestKey("caller", object)  # type: ignore[arg-type]
 OPEN_PATHS = frozenset({"/healthz", "/readyz"})
-OPERATOR_PATHS = ("/v1/config", "/v1/workers", "/v1/counters")
+OPERATOR_PATHS = ("/v1/config", "/v1/workers", "/v1/entries", "/v1/counters")
 
 
 def make_middleware(
--- a/packages/lycheeslip/lycheeslip/http/operator_handlers.py
+++ b/packages/lycheeslip/lycheeslip/http/operator_handlers.py
@@ -9,7 +9,14 @@
 from lycheeslip_common.wire.messages import Control, ControlAction
 
 from lycheeslip.entry.blackboard import Blackboard
-from lycheeslip.entry.config_apply import Applied, ConfigApply, Invalid, RevisionConflict
+from lycheeslip.entry.config_apply import (
+    Applied,
+    ConfigApply,
+    Invalid,
+    NotConfirmed,
+    RevisionConflict,
+)
+from lycheeslip.entry.permit_holders import PermitHolders
 from lycheeslip.entry.router import Router
 from lycheeslip.http.access import caller_of
 from lycheeslip.http.documents import fleet_document
@@ -18,17 +25,25 @@
 __all__ = ["OperatorHandlers"]
 
 MAX_REVISION_DIGITS = 15
+CONFIRM_RETRY_MS = 5_000
 SYNC_RETRY_MS = 1_000
 
 
 class OperatorHandlers:
     """Serves `/v1/config`, `/v1/fleet`, `/v1/workers` and the health paths."""
 
-    def __init__(self, board: Blackboard, router: Router, config_apply: ConfigApply) -> None:
+    def __init__(
+        self,
+        board: Blackboard,
+        router: Router,
+        config_apply: ConfigApply,
+        holders: PermitHolders,
+    ) -> None:
         """Apply configurations through `config_apply`."""
         self._board = board
         self._router = router
         self._config_apply = config_apply
+        self._holders = holders
 
     def add_routes(self, app: web.Application) -> None:
         """Add the routes of these handlers to `app`."""
@@ -37,6 +52,7 @@
         app.router.add_put("/v1/config", self.apply_config)
         app.router.add_get("/v1/config/history", self.history)
         app.router.add_post("/v1/workers/{worker_id}/drain", self.drain)
+        app.router.add_post("/v1/entries/{entry_id}/forget", self.forget_entry)
         app.router.add_get("/v1/counters", self.counters)
         app.router.add_get("/healthz", self.health)
         app.router.add_get("/readyz", self.ready)
@@ -73,6 +89,8 @@
         match outcome:
             case Applied(revision, confirmed_by):
                 return web.json_response({"revision": revision, "confirmed_by": list(confirmed_by)})
+            case NotConfirmed(revision, missing):
+                return _not_confirmed(revision, missing)
             case RevisionConflict(expected_revision, current):
                 detail = (
                     f"Revision {expected_revision} was expected but {current} is in force; "
@@ -111,6 +129,18 @@
         log_event("worker_drain_asked", worker=worker_id)
         return web.json_response({"worker_id": worker_id}, status=202)
 
+    async def forget_entry(self, request: web.Request) -> web.StreamResponse:
+        """Forget an entry whose instance is gone, so that it holds up no configuration."""
+        entry_id = request.match_info["entry_id"]
+        if entry_id in self._board.entries_by_id:
+            return problem(409, "entry_is_live", f"Entry {entry_id!r} holds a lease.")
+        outcome = await self._holders.forget(entry_id)
+        if isinstance(outcome, Unreachable):
+            return store_problem(outcome)
+        if not outcome:
+            return problem(404, "unknown_entry", f"No entry {entry_id!r} is known.")
+        return web.json_response({"entry_id": entry_id})
+
     async def counters(self, request: web.Request) -> web.StreamResponse:
         """Return this entry's counters and the traffic of its open sessions."""
         counts = dict(self._board.metrics.counts)
@@ -127,3 +157,14 @@
         if not self._board.synced:
             return problem(503, "not_synced", "This entry has not read the store yet.")
         return web.json_response({"ready": True})
+
+
+def _not_confirmed(revision: int, missing: tuple[str, ...]) -> web.Response:
+    detail = (
+        f"Revision {revision} is written, but these entries may still follow an older one: "
+        f"{', '.join(missing)}. Apply it again once they answer, or forget those whose instance "
+        "is gone."
+    )
+    return problem(
+        504, "config_not_confirmed", detail, may_have_run=True, retry_in_ms=CONFIRM_RETRY_MS
+    )
--- a/packages/lycheeslip/tests/config_apply_tests.py
+++ b/packages/lycheeslip/tests/config_apply_tests.py
@@ -3,6 +3,7 @@
 import pytest_asyncio
 from lycheeslip.entry.blackboard import Blackboard
 from lycheeslip.entry.config_apply import Applied, ConfigApply, RevisionConflict
+from lycheeslip.entry.permit_holders import PermitHolders
 from lycheeslip.entry.records import CONFIG_KEY, decode_config, encode_config
 from lycheeslip.entry.store_sync import StoreSync
 from lycheeslip_common.store import Store
@@ -25,8 +26,9 @@
         metrics = Metrics()
         self.store = Store([self.platform.address], metrics, timeout_s=0.2)
         board = Blackboard(EntryInfo("e1", "r", "z", "", ""), metrics)
+        self.holders = PermitHolders(board, self.store)
         sync = StoreSync(board, self.store, 500)
-        self.config_apply = ConfigApply(board, self.store, sync, permit_ms=200)
+        self.config_apply = ConfigApply(board, self.store, sync, self.holders, permit_ms=200)
 
     async def stop(self):
         await self.store.close()
--- a/packages/lycheeslip_agent/lycheeslip_agent/gang_link.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/gang_link.py
@@ -99,8 +99,17 @@
 
 
 def _ask(board: Blackboard, anchor: Anchor, ping: GangPing) -> GangLease:
-    ran_before = anchor.all_ran
+    ran_before, phase_before = anchor.all_ran, anchor.phase
     lease = anchor.on_ping(ping, monotonic_ms())
     if anchor.all_ran and not ran_before:
         board.touch()
+    if anchor.phase is not phase_before:
+        _wake_own_member(board, anchor)
     return lease
+
+
+def _wake_own_member(board: Blackboard, anchor: Anchor) -> None:
+    """Let the anchor's own member act on a decision without waiting for its next ping."""
+    run = board.runs_by_key.get(MemberKey(anchor.ref.job_id, anchor.ref.attempt, 0))
+    if run is not None:
+        run.wake()
--- a/packages/lycheeslip_agent/lycheeslip_agent/runner.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/runner.py
@@ -85,6 +85,10 @@
                 self._watcher.cancel()
             await self._link.close()
 
+    def wake(self) -> None:
+        """End the pause before the next ping."""
+        self._wake.set()
+
     def abort(self, reason: str) -> None:
         """Fail the member for `reason`, whether it runs or not."""
         self.member.fail(reason)
