Stop the backend server stand-in even while a task changes

Cause: a run of the process tests hung in a teardown. asyncio.wait_for of Python 3.11 swallows a cancellation that arrives together with the event it waits for, so the stand-in's clock ran on and stop() waited for ever. asyncio.timeout does not. Ruled out: the agents, which were all dead, and open connections: there were none. Run: the new test fails before (stop not done in 2 s) and passes after.

--- a/packages/lycheeslip_standins/lycheeslip_standins/backend_server.py
+++ b/packages/lycheeslip_standins/lycheeslip_standins/backend_server.py
@@ -105,7 +105,8 @@
                 delay_s = min(IDLE_TICK_S, max(0, next_ms - monotonic_ms()) / 1000 + 0.001)
             self._changed.clear()
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._changed.wait(), delay_s)
+                async with asyncio.timeout(delay_s):
+                    await self._changed.wait()
 
     def _notify(self, task_id: str) -> None:
         event = self._ended_by_id.pop(task_id, None)
@@ -151,7 +152,8 @@
         if wait_ms > 0 and not task.state.ended:
             event = self._ended_by_id.setdefault(task.task_id, asyncio.Event())
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(event.wait(), wait_ms / 1000)
+                async with asyncio.timeout(wait_ms / 1000):
+                    await event.wait()
             task = self.table.get(task.task_id)
         return web.json_response(task.describe())
 
--- a/packages/lycheeslip_standins/tests/backend_server_contract_tests.py
+++ b/packages/lycheeslip_standins/tests/backend_server_contract_tests.py
@@ -1,3 +1,4 @@
+import asyncio
 import base64
 import json
 
@@ -189,3 +190,14 @@
 def test_an_answer_depends_on_nothing_but_the_payload(payload):
     assert expected_answer(payload) == expected_answer(payload)
     assert expected_answer(payload) != expected_answer(payload + " ")
+
+
+async def test_a_server_stops_even_if_a_task_changes_at_that_moment():
+    server = BackendServer("127.0.0.1:0", BackendCapacity("z1"))
+    await server.start()
+    await asyncio.sleep(0.01)
+    server._changed.set()
+    stopping = asyncio.create_task(server.stop())
+    done, _ = await asyncio.wait({stopping}, timeout=2)
+    stopping.cancel()
+    assert done
