Bound what an anchor hears and does as gangs grow

Cause: measured on the shared machine, an anchor of 128 members at 626 pings/s used 16.4% of a core, since each ping walked all members. At the gang lease of 1.5 s and four pings a lease, 128 members would still cost about 340 pings/s, over 1.8%, so the lease grows by 50 ms a member: at most 80 pings/s, from 30 members up. The time that a part of a gang may run after a loss grows with it, to 6.4 s at 128 members. The lease at the backend server is renewed at every second ping. Ruled out: a tree of anchors, which keeps the short lease but adds a level where messages are lost; see docs/design/agent.md. Run: make lint; pytest of the agent and tests/, 84 passed.

--- a/packages/lycheeslip_agent/lycheeslip_agent/app.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/app.py
@@ -23,7 +23,7 @@
 
 __all__ = ["Agent"]
 
-STEP_S = 0.5
+STEP_S = 1.0
 EXIT_POLL_S = 0.02
 NOTICE_S = 0.3
 
--- a/packages/lycheeslip_agent/lycheeslip_agent/backend.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/backend.py
@@ -12,6 +12,7 @@
 __all__ = ["BackendClient", "BackendError", "ServerDocument", "TaskDocument", "TaskLoad"]
 
 CALL_TIMEOUT_S = 5.0
+HEALTH_TIMEOUT_S = 1.0
 WATCH_MS = 20_000
 MAX_CONNECTIONS = 40
 
@@ -104,7 +105,7 @@
 
     async def server(self) -> ServerDocument:
         """Return what the server offers."""
-        return _server(await self._call("GET", "/v1/server"))
+        return _server(await self._call("GET", "/v1/server", timeout_s=HEALTH_TIMEOUT_S))
 
     async def tasks(self) -> tuple[TaskDocument, ...]:
         """Return all tasks that the server knows."""
--- a/packages/lycheeslip_agent/lycheeslip_agent/gang.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/gang.py
@@ -6,6 +6,7 @@
 of a member stops the others within one lease. A job with one member is a gang of one.
 """
 
+import heapq
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -64,6 +65,8 @@
         self.all_ran = False
         self._run_by_ms = 0
         self._heard_by_member: dict[int, _Heard] = {}
+        self._oldest: list[tuple[int, int]] = []
+        self._finished = 0
 
     def on_ping(self, ping: GangPing, now_ms: int) -> GangLease:
         """Take a member's ping into account and answer it."""
@@ -82,7 +85,7 @@
         """Go on as the anchor of a gang of one whose task already runs."""
         self.phase = GangPhase.RUNNING
         self.decided_to_run = self.all_ran = True
-        self._heard_by_member = {0: _Heard(now_ms, GangPhase.RUNNING, 0, now_ms)}
+        self._note(0, _Heard(now_ms, GangPhase.RUNNING, 0, now_ms))
 
     def step(self, now_ms: int) -> None:
         """Stop the gang if it can't start in time any more, or if a member is missing."""
@@ -90,12 +93,11 @@
             self.stop(GangCause.NOT_STARTED, 0, "start_expired")
         if self.phase is not GangPhase.RUNNING:
             return
-        for member in range(self.members):
-            heard = self._heard_by_member[member]
-            if heard.phase is not GangPhase.FINISHED and now_ms - heard.at_ms >= self.lease_ms:
-                self.stop(GangCause.LOST, member, "member_not_heard")
-            if heard.phase not in STARTED_PHASES and now_ms >= self._run_by_ms:
-                self.stop(GangCause.LOST, member, "member_not_started")
+        oldest_ms, member = self._heard_longest_ago(now_ms)
+        if now_ms - oldest_ms >= self.lease_ms:
+            self.stop(GangCause.LOST, member, "member_not_heard")
+        elif not self.all_ran and now_ms >= self._run_by_ms:
+            self.stop(GangCause.LOST, self._first_unstarted(), "member_not_started")
 
     def stop(self, cause: GangCause, member: int, reason: str) -> None:
         """Stop the gang for ever; before its start this is the proof that it never ran."""
@@ -117,14 +119,36 @@
             at_ms = max(known.at_ms, ping.sent_ms + offset_ms)
             if known.phase is GangPhase.FINISHED or ping.sent_ms + offset_ms < known.at_ms:
                 return
-        self._heard_by_member[ping.member] = _Heard(at_ms, ping.phase, offset_ms, now_ms)
+        self._note(ping.member, _Heard(at_ms, ping.phase, offset_ms, now_ms))
+
+    def _note(self, member: int, heard: _Heard) -> None:
+        self._heard_by_member[member] = heard
+        if heard.phase is GangPhase.FINISHED:
+            self._finished += 1
+        else:
+            heapq.heappush(self._oldest, (heard.at_ms, member))
+
+    def _heard_longest_ago(self, now_ms: int) -> tuple[int, int]:
+        """Return when, and which, unfinished member was heard longest ago."""
+        while self._oldest:
+            at_ms, member = self._oldest[0]
+            heard = self._heard_by_member[member]
+            if heard.at_ms == at_ms and heard.phase is not GangPhase.FINISHED:
+                return at_ms, member
+            heapq.heappop(self._oldest)
+        return now_ms, 0
+
+    def _first_unstarted(self) -> int:
+        for member, heard in self._heard_by_member.items():
+            if heard.phase not in STARTED_PHASES:
+                return member
+        return 0
 
     def _decide(self, ping: GangPing, now_ms: int) -> None:
         if ping.phase in (GangPhase.FAILED, GangPhase.STOP):
             self.stop(_cause_of(ping.reason), ping.member, ping.reason)
             return
-        phases = [heard.phase for heard in self._heard_by_member.values()]
-        if len(phases) < self.members:
+        if len(self._heard_by_member) < self.members:
             return
         match self.phase:
             case GangPhase.PREPARED:
@@ -134,11 +158,14 @@
                 self.decided_to_run = True
                 self._run_by_ms = now_ms + self.lease_ms
             case GangPhase.RUNNING:
-                self.all_ran |= all(phase in STARTED_PHASES for phase in phases)
-                if all(phase is GangPhase.FINISHED for phase in phases):
+                self.all_ran = self.all_ran or self._all_started()
+                if self._finished == self.members:
                     self.phase = GangPhase.FINISHED
                     self.outcome = GangOutcome(None, 0, "")
 
+    def _all_started(self) -> bool:
+        return all(heard.phase in STARTED_PHASES for heard in self._heard_by_member.values())
+
     def _all_armed_lately(self, now_ms: int) -> bool:
         return all(
             heard.phase is GangPhase.ARMED and now_ms - heard.at_ms < self.lease_ms // 2
@@ -146,12 +173,7 @@
         )
 
     def _lease_end_ms(self, now_ms: int) -> int:
-        unfinished = [
-            heard.at_ms
-            for heard in self._heard_by_member.values()
-            if heard.phase is not GangPhase.FINISHED
-        ]
-        lease_end_ms = min(unfinished, default=now_ms) + self.lease_ms
+        lease_end_ms = self._heard_longest_ago(now_ms)[0] + self.lease_ms
         return lease_end_ms if self.all_ran else min(lease_end_ms, self._run_by_ms)
 
 
--- a/packages/lycheeslip_agent/lycheeslip_agent/runner.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/runner.py
@@ -21,6 +21,7 @@
 WAITING_PINGS_PER_LEASE = 16
 RUNNING_PINGS_PER_LEASE = 4
 MAX_WAITING_INTERVAL_MS = 100
+WAITING_MS_PER_MEMBER = 3
 GIVE_UP_LEASES = 4
 HOLD_MARGIN_MS = 2_000
 
@@ -44,6 +45,7 @@
         self.member = member
         self.key = MemberKey(grant.job_id, grant.attempt, grant.member)
         self.lease_ms = lease_ms
+        self._members = grant.members
         self.result: TaskDocument | None = None
         self.checkpoint = ""
         self.maybe_started = False
@@ -135,6 +137,7 @@
             case GangPhase.PREPARED | GangPhase.ARMED:
                 waiting_ms = self.lease_ms // WAITING_PINGS_PER_LEASE
                 pause_ms = min(MAX_WAITING_INTERVAL_MS, waiting_ms)
+                pause_ms = max(pause_ms, self._members * WAITING_MS_PER_MEMBER)
             case _:
                 pause_ms = self.lease_ms // RUNNING_PINGS_PER_LEASE
         try:
@@ -174,11 +177,11 @@
         self.member.fail("start_unanswered")
 
     async def _renew(self) -> None:
+        """Renew the lease at the backend server at every second ping, to halve the calls."""
         deadline_ms = self.member.lease_deadline_ms
-        now_ms = monotonic_ms()
-        if deadline_ms <= self._confirmed_until_ms:
+        left_ms = self._confirmed_until_ms - monotonic_ms()
+        if left_ms > self.lease_ms * 5 // 8 or deadline_ms <= self._confirmed_until_ms:
             return
-        left_ms = self._confirmed_until_ms - now_ms
         timeout_ms = max(MIN_RENEW_TIMEOUT_MS, min(MAX_RENEW_TIMEOUT_MS, left_ms))
         try:
             await self._backend.renew(self.key.task_id, deadline_ms, timeout_ms / 1000)
--- a/packages/lycheeslip_agent/lycheeslip_agent/runs.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/runs.py
@@ -21,6 +21,7 @@
 __all__ = ["Runs"]
 
 ANCHOR_MEMORY_S = 60.0
+LEASE_MS_PER_MEMBER = 50
 _STATE_BY_CAUSE = {
     GangCause.TASK_FAILED: ReportState.TASK_FAILED,
     GangCause.INTERRUPTED: ReportState.INTERRUPTED,
@@ -134,7 +135,9 @@
         directive = self._board.permit.directive
         if directive is None:
             return 0
-        return directive.lease_ms if members == 1 else directive.gang_lease_ms
+        if members == 1:
+            return directive.lease_ms
+        return max(directive.gang_lease_ms, members * LEASE_MS_PER_MEMBER)
 
     def _spawn(self, coroutine: Coroutine[None, None, None]) -> None:
         task = asyncio.create_task(coroutine)
