--- a/packages/lycheeslip_agent/lycheeslip_agent/entry_messages.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/entry_messages.py
@@ -1,6 +1,5 @@
 """Acts on the messages of entries, direct or relayed."""
 
-import asyncio
 from collections.abc import Awaitable, Callable
 
 from lycheeslip_common.utils.clock import monotonic_ms
@@ -23,6 +22,7 @@
     ReserveReply,
 )
 
+from lycheeslip_agent.background import BackgroundTasks
 from lycheeslip_agent.blackboard import Blackboard
 from lycheeslip_agent.grants import MemberKey
 from lycheeslip_agent.runs import Runs
@@ -39,7 +39,7 @@
         """Act on `board` and `runs`."""
         self._board = board
         self._runs = runs
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._background = BackgroundTasks(board.metrics)
 
     async def handle(self, message: Message, reply: Reply) -> None:
         """Act on one message; answers go to `reply`."""
@@ -51,7 +51,7 @@
             case Reserve():
                 await reply(self._reserve(message))
             case Prepare():
-                self._spawn(self._prepare(message, reply))
+                self._background.spawn(self._prepare(message, reply))
             case Release():
                 self._release(message)
             case Control():
@@ -119,7 +119,7 @@
             return
         run = self._board.runs_by_key.get(_key(message))
         if run is not None and message.ref.epoch >= run.member.ref.epoch:
-            self._spawn(run.control(message))
+            self._background.spawn(run.control(message))
 
     def _fence(self, message: Fence) -> FenceReply:
         status = self._board.grants.fence(message.job_id, message.epoch)
@@ -134,7 +134,7 @@
     def _recorded(self, message: AnswerRecorded) -> None:
         key = self._board.outbox.recorded(message.ref)
         if key is not None:
-            self._spawn(self._runs.forget_task(key))
+            self._background.spawn(self._runs.forget_task(key))
 
     async def _unwrap(self, message: Relay, reply: Reply) -> None:
         """Act on a relayed message, and send answers back the way it came."""
@@ -156,11 +156,6 @@
 
         await self.handle(inner, reply_relayed)
 
-    def _spawn(self, work: Awaitable[None]) -> None:
-        task = asyncio.ensure_future(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
 
 def _key(message: Release | Control) -> MemberKey:
     return MemberKey(message.ref.job_id, message.ref.attempt, message.member)
--- a/packages/lycheeslip_agent/lycheeslip_agent/runs.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/runs.py
@@ -1,7 +1,6 @@
 """Starts the runs of members, and turns the end of a gang into its report."""
 
 import asyncio
-from collections.abc import Coroutine
 from contextlib import suppress
 
 from lycheeslip_common.structure.fleet import Grant
@@ -11,6 +10,7 @@
 from lycheeslip_common.wire.messages import AttemptReport, Prepare, ReportState
 
 from lycheeslip_agent.backend import BackendClient, BackendError, TaskLoad
+from lycheeslip_agent.background import BackgroundTasks
 from lycheeslip_agent.blackboard import Blackboard
 from lycheeslip_agent.gang import Anchor, GangCause, GangOutcome, Member
 from lycheeslip_agent.gang_link import AnchorLink, LocalLink, RemoteLink
@@ -37,7 +37,7 @@
         """Start without any."""
         self._board = board
         self._backend = backend
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._background = BackgroundTasks(board.metrics)
         self._loading_by_key: dict[MemberKey, asyncio.Task[str]] = {}
 
     async def prepare(self, message: Prepare) -> str:
@@ -67,24 +67,17 @@
         if reason:
             run.abort(reason)
         worker_ids = tuple(place.worker_id for place in message.placement)
-        self._spawn(self._drive(run, grant, worker_ids))
+        self._background.spawn(self._drive(run, grant, worker_ids))
         return run.member.reason
 
     def adopt(self, run: MemberRun, grant: Grant, worker_ids: tuple[str, ...]) -> None:
         """Drive a run whose task an earlier incarnation has started."""
         self._board.runs_by_key[run.key] = run
-        self._spawn(self._drive(run, grant, worker_ids))
-
-    async def wait_idle(self) -> None:
-        """Return when no member runs any more."""
-        while self._tasks:
-            await asyncio.wait(set(self._tasks))
+        self._background.spawn(self._drive(run, grant, worker_ids))
 
     async def cancel(self) -> None:
         """Let go of all runs, leaving their tasks to the backend server."""
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._background.cancel()
 
     def report(self, report: AttemptReport) -> None:
         """Keep an outcome until its owner confirms it."""
@@ -139,11 +132,6 @@
             return directive.lease_ms
         return max(directive.gang_lease_ms, members * LEASE_MS_PER_MEMBER)
 
-    def _spawn(self, coroutine: Coroutine[None, None, None]) -> None:
-        task = asyncio.create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
     async def _drive(self, run: MemberRun, grant: Grant, worker_ids: tuple[str, ...]) -> None:
         anchor = self._board.anchors_by_key.get(run.key)
         try:
