--- a/benchmarks/run.py
+++ b/benchmarks/run.py
@@ -53,8 +53,8 @@
     sources = [ROOT, *sorted((ROOT / "packages").iterdir())]
     os.environ["PYTHONPATH"] = os.pathsep.join(map(str, sources))
     plan = _Bench(policy or list(POLICIES), size, seconds, limit_s, both_orders)
-    results = uvloop.run(plan.run(workload or list(WORKLOADS), seed))
     out.mkdir(parents=True, exist_ok=True)
+    results = uvloop.run(plan.run(workload or list(WORKLOADS), seed))
     (out / "results.json").write_text(json.dumps(results, indent=1))
     write_report(results, out)
     typer.echo(f"wrote {out}/results.json and {out}/report.md")
--- a/packages/lycheeslip_standins/lycheeslip_standins/load_workloads.py
+++ b/packages/lycheeslip_standins/lycheeslip_standins/load_workloads.py
@@ -144,8 +144,8 @@
     def mixed(self, scale: float = 1.0) -> None:
         """Add a day's mixture of all kinds."""
         self.small(self.scaled(4 * scale), "urgent", self.any_time)
-        self.small(self.scaled(9 * scale), "deferrable", self.any_time)
-        self.small(self.scaled(6 * scale), "bulk", self.any_time)
+        self.small(self.scaled(11 * scale), "deferrable", self.any_time)
+        self.small(self.scaled(7 * scale), "bulk", self.any_time)
         self.large(self.scaled(0.9 * scale), self.any_time)
 
 
