Fill the fullest rack before opening another, but no whole worker

Small work went to the fullest worker wherever its rack, so all racks stayed partly used. The fullest rack now goes first; a worker that is wholly free is opened last.

--- a/packages/lycheeslip/lycheeslip/policy/placement.py
+++ b/packages/lycheeslip/lycheeslip/policy/placement.py
@@ -72,14 +72,16 @@
 
 def _best_worker(capacity: Capacity, demand: Demand) -> tuple[Share, ...]:
     best: FreeWorker | None = None
-    best_key: tuple[int, int, int, str] | None = None
+    best_key: tuple[int, bool, int, int, str] | None = None
     for worker in _with_free(capacity, demand.shape):
         if not members_that_fit(worker, demand):
             continue
         if demand.shape.accelerators > rack_room(worker, demand):
             continue
         free = worker.free.bit_count()
-        key = _misplaced(worker, demand, 1), free, worker.rack.free, worker.worker_id
+        is_whole = free == worker.info.accelerators
+        rack_free = worker.rack.free
+        key = _misplaced(worker, demand, 1), is_whole, rack_free, free, worker.worker_id
         if best_key is None or key < best_key:
             best, best_key = worker, key
     return (Share(best, 1),) if best is not None else ()
--- a/packages/lycheeslip/tests/policy/plan_tests.py
+++ b/packages/lycheeslip/tests/policy/plan_tests.py
@@ -92,3 +92,14 @@
     busy = [running("r", place(workers, ("w0", [0, 2, 3])))]
     placement = placed(plan(view(workers, [waiting("j", accelerators=4)], busy)))["j"]
     assert (placement[0].worker_id, placement[0].accelerators) == ("w0", (4, 5, 6, 7))
+
+
+@pytest.mark.parametrize(("busy_there", "expected"), [(4, "w2"), (0, "w0")])
+def test_small_work_goes_to_the_fullest_rack_but_opens_no_whole_worker(busy_there, expected):
+    workers = {"w0": worker("w0"), "w1": worker("w1"), "w2": worker("w2", rack="r2")}
+    busy = [running("r0", place(workers, ("w0", range(5))), accelerators=5)]
+    if busy_there:
+        where = place(workers, ("w2", range(busy_there)))
+        busy.append(running("r2", where, accelerators=busy_there))
+    placement = placed(plan(view(workers, [waiting("j")], busy)))["j"]
+    assert placement[0].worker_id == expected
