--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES := packages/lycheeslip_common packages/lycheeslip packages/lycheeslip_agent packages/lycheeslip_standins
 CODE := $(wildcard packages tests benchmarks)
 
-.PHONY: bench prove setup test lint format demo
+.PHONY: setup test lint format demo prove bench slopes
 
 setup: $(VENV)/.ready
 
@@ -29,9 +29,12 @@
 demo: setup
 	$(BIN)/python -m lycheeslip_standins.demo
 
+prove: setup
+	$(BIN)/python -m tests.prove --seed $(or $(SEED),1) --trials $(or $(TRIALS),1)
+
 bench: setup
 	$(BIN)/python -m benchmarks.run --size hooghly --out results/hooghly
 	$(BIN)/python -m benchmarks.run --size kite --out results/kite
 
-prove: setup
-	$(BIN)/python -m tests.prove --seed $(or $(SEED),1) --trials $(or $(TRIALS),1)
+slopes: setup
+	$(BIN)/python -m benchmarks.slopes
--- a/packages/lycheeslip_agent/lycheeslip_agent/backend.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/backend.py
@@ -2,14 +2,17 @@
 
 import base64
 from dataclasses import dataclass
+from hashlib import sha256
 from typing import Any, NamedTuple
 
 import aiohttp
+from lycheeslip_common.structure.jobs import MAX_ANSWER_BYTES
 from pydantic import TypeAdapter, ValidationError
 
 __all__ = ["BackendClient", "BackendError", "ServerDocument", "TaskDocument", "TaskLoad"]
 
 CALL_TIMEOUT_S = 5.0
+REFUSED = "connection_refused"
 WATCH_MS = 20_000
 MAX_CONNECTIONS = 40
 
@@ -21,6 +24,11 @@
     status: int
     reason: str
 
+    @property
+    def is_refused(self) -> bool:
+        """Return whether nothing listens any more; tasks don't outlive their server."""
+        return self.reason == REFUSED
+
 
 class ServerDocument(NamedTuple):
     """What the backend server offers."""
@@ -67,6 +75,16 @@
         """Return the decoded result; raises ValueError for one that is not base64."""
         return base64.b64decode(self.result, validate=True)
 
+    def fault_of_answer(self) -> str:
+        """Return what is wrong with the result of a finished task, or ""."""
+        try:
+            answer = self.answer()
+        except ValueError:
+            return "malformed_answer"
+        if sha256(answer).hexdigest() != self.digest:
+            return "damaged_answer"
+        return "answer_too_large" if len(answer) > MAX_ANSWER_BYTES else ""
+
 
 _server_adapter = TypeAdapter(ServerDocument)
 _task_adapter = TypeAdapter(TaskDocument)
@@ -154,6 +172,8 @@
                 method, self._base + path, json=body, timeout=timeout
             ) as response:
                 document = await response.json()
+        except aiohttp.ClientConnectorError as error:
+            raise BackendError(0, REFUSED) from error
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
             raise BackendError(0, f"no_answer: {error}") from error
         if not isinstance(document, dict):
--- a/packages/lycheeslip_agent/lycheeslip_agent/runs.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/runs.py
@@ -52,7 +52,10 @@
             self._loading_by_key[key] = loading
             loading.add_done_callback(lambda _: self._loading_by_key.pop(key, None))
         waiting = self._loading_by_key.get(key)
-        return await asyncio.shield(waiting) if waiting is not None else ""
+        if waiting is not None:
+            return await asyncio.shield(waiting)
+        run = self._board.runs_by_key.get(key)
+        return run.member.reason if run is not None and not run.maybe_started else ""
 
     async def _load(self, message: Prepare, grant: Grant, start_by_ms: int) -> str:
         lease_ms = self._lease_ms(grant.members)
@@ -177,15 +180,24 @@
         checkpoint=run.checkpoint if state is ReportState.INTERRUPTED else "",
         reason=outcome.reason,
         run_ms=result.ran_ms if result is not None else 0,
-        blamed=worker_ids[outcome.member] if outcome.member < len(worker_ids) else "",
+        blamed=_blamed(outcome, worker_ids),
     )
 
 
+def _blamed(outcome: GangOutcome, worker_ids: tuple[str, ...]) -> str:
+    if outcome.cause is None or outcome.member >= len(worker_ids):
+        return ""
+    return worker_ids[outcome.member]
+
+
 def _state_of(outcome: GangOutcome, run: MemberRun, members: int) -> ReportState:
-    """Return the reported state; a gang of one is proven unstarted by its backend server."""
+    """Return the reported state; for a gang of one its backend server has the last word."""
     if outcome.cause is None:
         return ReportState.ANSWERED
-    unstarted = run.result is not None and not run.result.started
+    result = run.result
+    if members == 1 and result is not None and result.state == "finished":
+        return ReportState.TASK_FAILED if result.fault_of_answer() else ReportState.ANSWERED
+    unstarted = result is not None and not result.started
     if members == 1 and (unstarted or not run.maybe_started):
         return ReportState.NOT_STARTED
     return _STATE_BY_CAUSE[outcome.cause]
--- a/packages/lycheeslip_standins/lycheeslip_standins/demo_cell.py
+++ b/packages/lycheeslip_standins/lycheeslip_standins/demo_cell.py
@@ -2,14 +2,14 @@
 
 import secrets
 import socket
+from collections import Counter
 from collections.abc import Iterable
 from contextlib import AsyncExitStack
 from typing import NamedTuple
 
 from lycheeslip.app import EntryApp
 from lycheeslip_agent.app import Agent
-from lycheeslip_agent.settings import AgentSettings
-from lycheeslip_common.config import EntrySettings
+from lycheeslip_common.config import AgentSettings, EntrySettings
 
 from lycheeslip_standins.backend_server import BackendCapacity, BackendServer
 from lycheeslip_standins.platform_store import PlatformStore
@@ -84,6 +84,11 @@
         tables = [backend.table for backend in self._backends]
         return sum(len(t.busy_accelerators()) for t in tables if t.capacity.zone == zone)
 
+    def most_used_zone(self) -> str:
+        """Return the zone in which most tasks have started."""
+        starts_by_zone = Counter(start.zone for start in self.starts())
+        return max(self._zones, key=lambda zone: starts_by_zone[zone])
+
     async def _start_entry(self, number: int, store: PlatformStore) -> str:
         http_address, session_address = _free_address(), _free_address()
         settings = EntrySettings(
