Look for other workers once for each shape and set of workers to avoid

A flood of failing jobs would have walked the whole fleet once for each job and round. Two constants of one name with different values get names of their own.

--- a/packages/lycheeslip/lycheeslip/policy/order.py
+++ b/packages/lycheeslip/lycheeslip/policy/order.py
@@ -12,7 +12,7 @@
 __all__ = ["Queued", "Tier", "queue_of", "shares_by_account", "used_accelerators"]
 
 NO_DEADLINE = float("inf")
-UNKNOWN_RUN_MS = 60_000
+UNDECLARED_TURN_MS = 60_000
 PRESSING_SLACK_RATIO = 0.5
 """A deadline presses once the slack is less than this part of the expected run time."""
 
@@ -106,7 +106,7 @@
 
 
 def _run_ms(job: WaitingJob) -> int:
-    return job.expected_run_ms or UNKNOWN_RUN_MS
+    return job.expected_run_ms or UNDECLARED_TURN_MS
 
 
 def _age(job: WaitingJob) -> tuple[bool, int, str]:
--- a/packages/lycheeslip/lycheeslip/policy/plan.py
+++ b/packages/lycheeslip/lycheeslip/policy/plan.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Hashable
 
+from lycheeslip.config.model import FleetConfig
 from lycheeslip.policy.demand import Demand, demand_of, is_large
 from lycheeslip.policy.evacuate import evacuate
 from lycheeslip.policy.explain import explain_wait
@@ -21,7 +22,7 @@
 MAX_UNFIT_GANGS = 8
 MAX_PLACEMENTS_PER_ROUND = 64
 PATIENCE_MS = 1_000
-UNKNOWN_RUN_MS = 3_600_000
+UNDECLARED_RUN_MS = 3_600_000
 
 
 def plan(view: FleetView) -> list[Action]:
@@ -123,18 +124,22 @@
 
 def _nowhere_else(round_: Round, job: WaitingJob) -> bool:
     """Return whether only workers where the job failed could hold it."""
-    others = {
-        worker.worker_id: worker.state
-        for worker in round_.capacity
-        if worker.worker_id not in job.avoid
-    }
-    return not others or bool(can_ever_fit(job.spec, others, type(round_.view.config)()))
+    key = job.spec.shape, job.avoid
+    if key not in round_.nowhere_else:
+        others = {
+            worker.worker_id: worker.state
+            for worker in round_.capacity
+            if worker.worker_id not in job.avoid
+        }
+        fits = bool(others) and not can_ever_fit(job.spec, others, FleetConfig())
+        round_.nowhere_else[key] = not fits
+    return round_.nowhere_else[key]
 
 
 def _quiet_zones(round_: Round, demand: Demand) -> tuple[tuple[str, int], ...]:
     """Return the limits of quiet hours that begin before the job is expected to end."""
     now_ms = round_.view.now_ms
-    ends_at_ms = demand.ends_at_ms or now_ms + UNKNOWN_RUN_MS
+    ends_at_ms = demand.ends_at_ms or now_ms + UNDECLARED_RUN_MS
     limits = []
     for zone_id, zone in round_.view.config.zones_by_id.items():
         rule = strictest_rule(zone, now_ms, ends_at_ms)
--- a/packages/lycheeslip/lycheeslip/policy/reservation.py
+++ b/packages/lycheeslip/lycheeslip/policy/reservation.py
@@ -12,7 +12,7 @@
 from lycheeslip.policy.round import Round
 from lycheeslip.policy.whatif import WhatIf
 
-__all__ = ["hold_for", "reservation_of"]
+__all__ = ["hold_for"]
 
 OVERSTAY_RATIO = 2
 """Interruptible work is displaced once it has run this many times longer than expected."""
@@ -57,7 +57,7 @@
     return True
 
 
-def reservation_of(round_: Round, job_id: str) -> RackReservation | None:
+def _reservation_of(round_: Round, job_id: str) -> RackReservation | None:
     """Return the reservation with which the round began if it is for `job_id`."""
     reservation = round_.view.reservation
     if reservation is not None and reservation.job_id == job_id:
@@ -68,7 +68,7 @@
 def _earliest(round_: Round, job: WaitingJob, demand: Demand) -> _Drain | None:
     best: _Drain | None = None
     best_at_ms = 0
-    held = reservation_of(round_, job.job_id)
+    held = _reservation_of(round_, job.job_id)
     for group in groups(round_.capacity, demand.shape):
         if any(worker.held_by for worker in group) and len(group) < len(round_.capacity.by_id):
             continue
--- a/packages/lycheeslip/lycheeslip/policy/round.py
+++ b/packages/lycheeslip/lycheeslip/policy/round.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Hashable
 
-from lycheeslip_common.structure.jobs import MemberPlacement
+from lycheeslip_common.structure.jobs import MemberPlacement, Shape
 from lycheeslip_common.wire.messages import ControlAction
 
 from lycheeslip.policy.capacity import Capacity
@@ -37,6 +37,7 @@
         self.placed = 0
         self.failed_claims: set[Hashable] = set()
         self.failed_signatures: set[Hashable] = set()
+        self.nowhere_else: dict[tuple[Shape, frozenset[str]], bool] = {}
         self.reason_by_signature: dict[Hashable, str] = {}
         self.workers_by_rack = _workers_by_rack(view)
         self._stopping = {job.ref.job_id for job in view.running_by_job.values() if job.stopping}
--- a/packages/lycheeslip/tests/policy/plan_tests.py
+++ b/packages/lycheeslip/tests/policy/plan_tests.py
@@ -59,6 +59,12 @@
     assert placed(actions)["j"][0].worker_id == "w1"
 
 
+def test_a_worker_is_not_avoided_if_no_other_could_ever_hold_the_job():
+    workers = {"w0": worker("w0"), "w1": worker("w1", accelerators=4)}
+    jobs = [waiting("big", avoid=["w0"], accelerators=8), waiting("small", avoid=["w0", "w1"])]
+    assert set(placed(plan(view(workers, jobs)))) == {"big", "small"}
+
+
 @pytest.mark.parametrize("demand", [{"processors": 61}, {"memory_mb": 250_001}, {"members": 9}])
 def test_other_resources_limit_a_worker(demand):
     workers = {"w0": worker("w0", accelerators=16)}
