Show fragmentation and quarantine, name configurations by digest, and undo a drain

The fleet's document left out the fragmentation and always said that no worker is quarantined; the history of configurations could not be compared with a file. A drain could only be undone by restarting the agent. The health of workers is handed to the operators' handlers by the composition root, so no global was needed. A Control without a job and with UNTHROTTLE ends a drain; an agent that terminates keeps leaving.

--- a/packages/lycheeslip/lycheeslip/app.py
+++ b/packages/lycheeslip/lycheeslip/app.py
@@ -81,7 +81,8 @@
             middlewares=[make_middleware(self.board, settings.allow_remote_without_tokens)],
         )
         JobHandlers(self.board, self._router, jobs, outcomes).add_routes(self._web)
-        OperatorHandlers(self.board, self._router, config_apply).add_routes(self._web)
+        operators = OperatorHandlers(self.board, self._router, config_apply, history.health)
+        operators.add_routes(self._web)
         self._runner = web.AppRunner(
             self._web,
             access_log=None,
--- a/packages/lycheeslip/lycheeslip/cli.py
+++ b/packages/lycheeslip/lycheeslip/cli.py
@@ -256,6 +256,15 @@
     _run(fleet.drain_worker(context.obj, worker))
 
 
+@app.command("undrain")
+def undrain_worker(
+    context: typer.Context,
+    worker: Annotated[str, typer.Argument(metavar="WORKER", help="Id of the worker.")],
+) -> None:
+    """Have a drained worker take work again."""
+    _run(fleet.undrain_worker(context.obj, worker))
+
+
 @app.command("token")
 def make_token(context: typer.Context) -> None:
     """Make a bearer token and print its digest."""
--- a/packages/lycheeslip/lycheeslip/commands/fleet.py
+++ b/packages/lycheeslip/lycheeslip/commands/fleet.py
@@ -1,4 +1,4 @@
-"""Commands about the fleet: status and drain."""
+"""Commands about the fleet: status, drain and undrain."""
 
 from collections.abc import Mapping
 from typing import Any
@@ -8,7 +8,7 @@
 from lycheeslip.commands.outcomes import ExitCode, Reply, error_of
 from lycheeslip.commands.render import print_json, print_result, print_table
 
-__all__ = ["drain_worker", "show_status"]
+__all__ = ["drain_worker", "show_status", "undrain_worker"]
 
 
 async def show_status(options: Options) -> ExitCode:
@@ -26,12 +26,21 @@
 
 async def drain_worker(options: Options, worker_id: str) -> ExitCode:
     """Have a worker take no new work."""
-    path = f"/v1/workers/{quote(worker_id, safe='')}/drain"
+    return await _tell(options, worker_id, "drain", "takes no new work")
+
+
+async def undrain_worker(options: Options, worker_id: str) -> ExitCode:
+    """Have a drained worker take work again."""
+    return await _tell(options, worker_id, "undrain", "takes work again")
+
+
+async def _tell(options: Options, worker_id: str, verb: str, effect: str) -> ExitCode:
+    path = f"/v1/workers/{quote(worker_id, safe='')}/{verb}"
     async with open_client(options) as client:
         outcome = await client.call("POST", path)
     if not isinstance(outcome, Reply):
         raise error_of(outcome)
-    print_result(options.output, outcome.document, [f"worker {worker_id} takes no new work"])
+    print_result(options.output, outcome.document, [f"worker {worker_id} {effect}"])
     return ExitCode.OK
 
 
--- a/packages/lycheeslip/lycheeslip/http/operator_handlers.py
+++ b/packages/lycheeslip/lycheeslip/http/operator_handlers.py
@@ -1,6 +1,7 @@
 """Handlers for operators: configuration, the fleet, draining, health and counters."""
 
 import asyncio
+from hashlib import sha256
 
 from aiohttp import web
 from lycheeslip_common.store.outcomes import Unreachable
@@ -12,8 +13,9 @@
 from lycheeslip.entry.config_apply import Applied, ConfigApply, Invalid, RevisionConflict
 from lycheeslip.entry.router import Router
 from lycheeslip.http.access import caller_of
-from lycheeslip.http.documents import fleet_document
+from lycheeslip.http.fleet_document import fleet_document
 from lycheeslip.http.problems import ProblemItem, problem, store_problem
+from lycheeslip.policy.health import HealthByWorker
 
 __all__ = ["OperatorHandlers"]
 
@@ -24,11 +26,18 @@
 class OperatorHandlers:
     """Serves `/v1/config`, `/v1/fleet`, `/v1/workers` and the health paths."""
 
-    def __init__(self, board: Blackboard, router: Router, config_apply: ConfigApply) -> None:
-        """Apply configurations through `config_apply`."""
+    def __init__(
+        self,
+        board: Blackboard,
+        router: Router,
+        config_apply: ConfigApply,
+        health: HealthByWorker,
+    ) -> None:
+        """Apply configurations through `config_apply`; `health` names the quarantined workers."""
         self._board = board
         self._router = router
         self._config_apply = config_apply
+        self._health = health
 
     def add_routes(self, app: web.Application) -> None:
         """Add the routes of these handlers to `app`."""
@@ -37,13 +46,16 @@
         app.router.add_put("/v1/config", self.apply_config)
         app.router.add_get("/v1/config/history", self.history)
         app.router.add_post("/v1/workers/{worker_id}/drain", self.drain)
+        app.router.add_post("/v1/workers/{worker_id}/undrain", self.undrain)
         app.router.add_get("/v1/counters", self.counters)
         app.router.add_get("/healthz", self.health)
         app.router.add_get("/readyz", self.ready)
 
     async def fleet(self, request: web.Request) -> web.StreamResponse:
         """Return the fleet's document."""
-        return web.json_response(fleet_document(self._board, caller_of(request)))
+        return web.json_response(
+            fleet_document(self._board, caller_of(request), self._health.by_worker())
+        )
 
     async def show_config(self, request: web.Request) -> web.StreamResponse:
         """Return the configuration in force."""
@@ -94,21 +106,34 @@
         if isinstance(outcome, Unreachable):
             return store_problem(outcome)
         items = [
-            {"revision": item["revision"], "applied_at_ms": item["applied_at_ms"]}
+            {
+                "revision": item["revision"],
+                "applied_at_ms": item["applied_at_ms"],
+                "digest": sha256(item["text"].encode()).hexdigest(),
+            }
             for item in outcome
         ]
         return web.json_response({"items": items})
 
     async def drain(self, request: web.Request) -> web.StreamResponse:
         """Ask a worker's agent to take no new work."""
+        return await self._tell_agent(request, ControlAction.STOP, "drain")
+
+    async def undrain(self, request: web.Request) -> web.StreamResponse:
+        """Ask a drained worker's agent to take work again."""
+        return await self._tell_agent(request, ControlAction.UNTHROTTLE, "undrain")
+
+    async def _tell_agent(
+        self, request: web.Request, action: ControlAction, reason: str
+    ) -> web.StreamResponse:
         worker_id = request.match_info["worker_id"]
         if worker_id not in self._board.workers_by_id:
             return problem(404, "unknown_worker", f"No worker {worker_id!r} is known.")
         no_attempt = AttemptRef("", 0, 0)
-        control = Control(no_attempt, 0, ControlAction.STOP, 0, "drain")
+        control = Control(no_attempt, 0, action, 0, reason)
         if not await self._router.to_worker(worker_id, control):
             return problem(503, "worker_unreachable", "Nothing changed.", retry_in_ms=1_000)
-        log_event("worker_drain_asked", worker=worker_id)
+        log_event(f"worker_{reason}_asked", worker=worker_id)
         return web.json_response({"worker_id": worker_id}, status=202)
 
     async def counters(self, request: web.Request) -> web.StreamResponse:
--- a/packages/lycheeslip/tests/cli_tests.py
+++ b/packages/lycheeslip/tests/cli_tests.py
@@ -303,7 +303,9 @@
     entry.on("DELETE", "/v1/jobs/j1", (202, JOB, {}))
     entry.on("POST", "/v1/workers/w1/drain", (202, {}, {}))
     assert run(["cancel", "j1"], entry).exit_code == 0
+    entry.on("POST", "/v1/workers/w1/undrain", (202, {}, {}))
     assert run(["drain", "w1"], entry).stdout == "worker w1 takes no new work\n"
+    assert run(["undrain", "w1"], entry).stdout == "worker w1 takes work again\n"
 
 
 def test_status_shows_what_is_borrowed(entry):
--- a/packages/lycheeslip/tests/documentation_tests.py
+++ b/packages/lycheeslip/tests/documentation_tests.py
@@ -55,7 +55,7 @@
 def test_openapi_describes_every_route():
     application = web.Application()
     JobHandlers(None, None, None, None).add_routes(application)
-    OperatorHandlers(None, None, None).add_routes(application)
+    OperatorHandlers(None, None, None, None).add_routes(application)
     served = {
         (route.method.lower(), route.resource.canonical)
         for route in application.router.routes()
--- a/packages/lycheeslip_agent/lycheeslip_agent/entry_messages.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/entry_messages.py
@@ -112,15 +112,25 @@
 
     def _control(self, message: Control) -> None:
         if not message.ref.job_id:
-            if message.action is ControlAction.STOP:
-                log_event("draining", reason=message.reason)
-                self._board.draining = True
-                self._board.set_leaving()
+            self._set_draining(message)
             return
         run = self._board.runs_by_key.get(_key(message))
         if run is not None and message.ref.epoch >= run.member.ref.epoch:
             self._spawn(run.control(message))
 
+    def _set_draining(self, message: Control) -> None:
+        """Begin or end a drain; work is not taken again while the process is terminating."""
+        match message.action:
+            case ControlAction.STOP:
+                self._board.draining = True
+            case ControlAction.UNTHROTTLE:
+                self._board.draining = False
+            case _:
+                self._board.refuse("unexpected_message")
+                return
+        log_event("draining", draining=self._board.draining, reason=message.reason)
+        self._board.set_leaving()
+
     def _fence(self, message: Fence) -> FenceReply:
         status = self._board.grants.fence(message.job_id, message.epoch)
         for key, run in list(self._board.runs_by_key.items()):
--- a/tests/agent_processes_tests.py
+++ b/tests/agent_processes_tests.py
@@ -371,6 +371,10 @@
     await cell.entry.until(lambda: cell.entry.states["w1"].leaving)
     assert await cell.entry.prepare(["w1"], ref, payload()) == "leaving"
     assert cell.processes["w1"].returncode is None
+    undrain = drain._replace(action=ControlAction.UNTHROTTLE, reason="undrain")
+    await cell.entry.sessions["w1"].send(undrain)
+    await cell.entry.until(lambda: not cell.entry.states["w1"].leaving)
+    assert await cell.entry.reserve("w1", AttemptRef("j2", 1, 1), accelerators=(1,)) == ""
 
 
 async def test_a_frozen_agent_neither_runs_on_nor_starts_late(cell):
--- a/tests/http_contract_tests.py
+++ b/tests/http_contract_tests.py
@@ -222,6 +222,8 @@
     ("PUT", "/v1/config", "", {"If-Match": '"1"'}, "a", 403, "operators_only"),
     ("POST", "/v1/workers/w1/drain", None, {}, "a", 403, "operators_only"),
     ("POST", "/v1/workers/none/drain", None, {}, "operator", 404, "unknown_worker"),
+    ("POST", "/v1/workers/w1/undrain", None, {}, "a", 403, "operators_only"),
+    ("POST", "/v1/workers/none/undrain", None, {}, "operator", 404, "unknown_worker"),
     ("PUT", "/v1/config", CONFIG, {}, "operator", 428, "revision_required"),
     ("PUT", "/v1/config", CONFIG, {"If-Match": '"x"'}, "operator", 428, "revision_required"),
     ("PUT", "/v1/config", CONFIG, {"If-Match": '"0"'}, "operator", 412, "revision_conflict"),
@@ -267,6 +269,17 @@
     ]
 
 
+def test_history_names_the_digest_of_each_text(cell):
+    text = cell.json("GET", "/v1/config")["text"]
+    items = cell.json("GET", "/v1/config/history")["items"]
+    assert [(item["revision"], item["digest"]) for item in items] == [(1, digest(text))]
+
+
+def test_fleet_tells_fragmentation_and_quarantine(cell):
+    fleet = cell.json("GET", "/v1/fleet")
+    assert (fleet["fragmentation"], fleet["workers"][0]["quarantined"]) == (0.0, False)
+
+
 def run_job(cell, key, **changes):
     headers = {"Idempotency-Key": key}
     return cell.call("POST", "/v1/jobs?wait_ms=10000", job(**changes), headers, "a")
