Send the wait with a submission, so that work is served without the store

The command line submitted without wait_ms and polled afterwards, and a job without a record lives only on the connection of its submission; so in an outage of the store it refused even repeatable work. A wait that ends with may_have_run is now told as unknown (exit code 4), not as a conflict, since both are status 409.

--- a/packages/lycheeslip/lycheeslip/commands/outcomes.py
+++ b/packages/lycheeslip/lycheeslip/commands/outcomes.py
@@ -94,7 +94,7 @@
             return CommandError(f"no entry answered, {ran}: {detail}", code)
         case Refusal(status, reason, detail, may_have_run):
             message = "\n".join((f"{reason}: {detail}" if detail else reason, *outcome.errors))
-            if status in CONFLICT_STATUSES:
+            if status in CONFLICT_STATUSES and not may_have_run:
                 return CommandError(message, ExitCode.CONFLICT)
             return CommandError(message, ExitCode.UNKNOWN if may_have_run else ExitCode.REFUSED)
 
--- a/packages/lycheeslip/lycheeslip/commands/submit.py
+++ b/packages/lycheeslip/lycheeslip/commands/submit.py
@@ -42,6 +42,7 @@
 MIN_RETRY_WAIT_S = 0.05
 MAX_RETRY_WAIT_S = 5.0
 MILLISECONDS_PER_SECOND = 1_000
+MAX_HOLD_MS = 60_000
 
 
 class JobRequest(NamedTuple):
@@ -156,7 +157,7 @@
 
 async def _submit_and_wait(client: EntryClient, request: JobRequest, patience: Patience) -> _Result:
     try:
-        document = await _submit(client, request, time.monotonic() + patience.retry_s)
+        document = await _submit(client, request, patience)
         if patience.wait and document["state"] != "done":
             deadline = time.monotonic() + patience.wait_s
             document = await wait_for_job(client, document["job_id"], deadline)
@@ -168,11 +169,16 @@
     return _Result(exit_code_of_job(document), document, "")
 
 
-async def _submit(client: EntryClient, request: JobRequest, deadline: float) -> Mapping[str, Any]:
+async def _submit(
+    client: EntryClient, request: JobRequest, patience: Patience
+) -> Mapping[str, Any]:
+    """Submit until the job is accepted; without the store, work needs the wait to be served."""
+    deadline = time.monotonic() + patience.retry_s
+    wait_ms = _hold_ms(patience)
     body = json.dumps(request.body).encode()
     headers = {"Content-Type": "application/json", "Idempotency-Key": request.idempotency_key}
     while True:
-        outcome = await client.call("POST", "/v1/jobs", body=body, headers=headers)
+        outcome = await client.call("POST", "/v1/jobs", body=body, headers=headers, wait_ms=wait_ms)
         if isinstance(outcome, Reply):
             return outcome.document
         if not isinstance(outcome, Refusal) or outcome.retry_at_ms == 0:
@@ -183,6 +189,13 @@
         await asyncio.sleep(delay_s)
 
 
+def _hold_ms(patience: Patience) -> int:
+    """Return how long an entry may hold the submission until the job is done."""
+    if not patience.wait:
+        return 0
+    return min(MAX_HOLD_MS, int(patience.wait_s * MILLISECONDS_PER_SECOND))
+
+
 def _retry_delay_s(refusal: Refusal) -> float:
     asked_s = refusal.retry_at_ms / MILLISECONDS_PER_SECOND - time.time()
     return min(MAX_RETRY_WAIT_S, max(MIN_RETRY_WAIT_S, asked_s))
--- a/packages/lycheeslip/tests/cli_tests.py
+++ b/packages/lycheeslip/tests/cli_tests.py
@@ -58,6 +58,7 @@
     def __init__(self):
         self.script = {}
         self.requests = []
+        self.queries = []
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
         self._thread.start()
@@ -91,6 +92,7 @@
 
     async def _handle(self, request):
         self.requests.append((request.method, request.path, request.headers, await request.text()))
+        self.queries.append(dict(request.query))
         replies = self.script[request.method, request.path]
         reply = replies.pop(0) if len(replies) > 1 else replies[0]
         if reply is LOSE_ANSWER:
@@ -194,6 +196,18 @@
     assert "Traceback" not in result.output
 
 
+def test_submit_asks_the_entry_to_hold_the_request(entry):
+    entry.on("POST", "/v1/jobs", ok(JOB))
+    assert run([*SUBMIT, "--wait-for", "5s"], entry).exit_code == 0
+    assert run([*SUBMIT, "--no-wait"], entry).exit_code == 0
+    assert entry.queries == [{"wait_ms": "5000"}, {}]
+
+
+def test_unrecorded_job_that_may_have_run_is_no_conflict(entry):
+    entry.on("POST", "/v1/jobs", problem(409, "wait_expired", may_have_run=True))
+    assert run(SUBMIT, entry).exit_code == 4
+
+
 def test_submit_waits_as_long_as_a_refusal_asks(entry):
     retry_at_ms = int(time.time() * 1_000) + 100
     entry.on("POST", "/v1/jobs", problem(429, "queue_full", retry_at_ms=retry_at_ms), ok(JOB))
