--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES := packages/lycheeslip_common packages/lycheeslip packages/lycheeslip_agent packages/lycheeslip_standins
 CODE := $(wildcard packages tests benchmarks)
 
-.PHONY: setup test lint format demo prove bench slopes
+.PHONY: setup test lint format demo prove bench slopes overload
 
 setup: $(VENV)/.ready
 
@@ -38,3 +38,6 @@
 
 slopes: setup
 	$(BIN)/python -m benchmarks.slopes
+
+overload: setup
+	$(BIN)/python -m benchmarks.overload
--- a/benchmarks/run.py
+++ b/benchmarks/run.py
@@ -24,7 +24,7 @@
 from benchmarks.sampler import Sampler
 from tests.harness.operators import Operator
 
-__all__ = ["main"]
+__all__ = ["clear_fleet", "main"]
 
 ROOT = Path(__file__).parent.parent
 POLICIES = {
@@ -128,7 +128,7 @@
         jobs = await load.run()
         await asyncio.gather(*events)
         samples = await sampler.stop()
-        await _clear(fleet)
+        await clear_fleet(fleet)
         accelerators = self._layout.workers * self._layout.accelerators
         return {
             "policy": policy,
@@ -148,7 +148,7 @@
     await fleet.end(event, operator)
 
 
-async def _clear(fleet: BenchFleet) -> None:
+async def clear_fleet(fleet: BenchFleet) -> None:
     """Cancel what is left over and wait until the fleet is idle."""
     address = next(iter(fleet.http_by_entry.values()))
     for state in ("pending", "started"):
