--- a/packages/lycheeslip/lycheeslip/app.py
+++ b/packages/lycheeslip/lycheeslip/app.py
@@ -83,7 +83,10 @@
             middlewares=[make_middleware(self.board, settings.allow_remote_without_tokens)],
         )
         JobHandlers(self.board, self._router, jobs, outcomes).add_routes(self._web)
-        OperatorHandlers(self.board, self._router, config_apply, holders).add_routes(self._web)
+        operators = OperatorHandlers(
+            self.board, self._router, config_apply, holders, history.health
+        )
+        operators.add_routes(self._web)
         self._runner = web.AppRunner(
             self._web,
             access_log=None,
