--- a/packages/lycheeslip/lycheeslip/app.py
+++ b/packages/lycheeslip/lycheeslip/app.py
@@ -65,7 +65,14 @@
         self._sync = StoreSync(self.board, self._store, times.confirm_every_ms)
         self._membership = Membership(self.board, self._store, holders, times.entry_lease_s)
         self._agents = AgentSessions(self.board, self._router, outcomes)
-        self._peers = Peers(self.board, self._router, outcomes, settings.fleet_key, settings.routes)
+        self._peers = Peers(
+            self.board,
+            self._router,
+            outcomes,
+            settings.fleet_key,
+            settings.routes,
+            times.permit_ms,
+        )
         self._attempts = attempts = Attempts(self.board, self._router, jobs)
         history = History(metrics)
         self.board.jobs.observers.append(history.observe)
--- a/packages/lycheeslip/lycheeslip/entry/peers.py
+++ b/packages/lycheeslip/lycheeslip/entry/peers.py
@@ -28,8 +28,8 @@
 
 __all__ = ["Peers"]
 
-PEER_PING_EVERY_S = 0.3
-PEER_SILENCE_MS = 1_500
+PINGS_PER_PERMIT = 8
+PINGS_OF_SILENCE = 5
 MEMBERSHIP_CHECK_S = 0.2
 
 
@@ -43,12 +43,14 @@
         outcomes: Outcomes,
         fleet_key: str,
         routes: dict[str, str],
+        permit_ms: int,
     ) -> None:
-        """Prove `fleet_key` to peers, dialled by `routes`, and exchange workers' states."""
+        """Prove `fleet_key` to peers, dialled by `routes`, and ping them as permits need."""
         self._board = board
         self._router = router
         self._outcomes = outcomes
         self._fleet_key = fleet_key
+        self._ping_every_ms = permit_ms // PINGS_PER_PERMIT
         self._routes = routes
         self._diallers_by_peer: dict[str, asyncio.Task[None]] = {}
 
@@ -109,7 +111,7 @@
             status = self._board.peers_by_id.get(session.node_id)
             if status is not None:
                 heard_at_ms = max(heard_at_ms, status.asked_at_ms)
-            if monotonic_ms() - heard_at_ms > PEER_SILENCE_MS:
+            if monotonic_ms() - heard_at_ms > PINGS_OF_SILENCE * self._ping_every_ms:
                 self._board.metrics.count("session.peer_silent")
                 await session.close()
                 return
@@ -117,7 +119,7 @@
                 await session.send(self._make_ping())
             except SessionError:
                 return
-            await asyncio.sleep(PEER_PING_EVERY_S)
+            await asyncio.sleep(self._ping_every_ms / 1000)
 
     async def _handle(self, session: Session, message: Message) -> None:
         match message:
