Keep a proxy route's port while it refuses connections

A route that refused gave its port back, and in one of about sixty proofs an outgoing connection took it, so that the route could not listen again. The port now stays bound without listening.

--- a/packages/lycheeslip_standins/lycheeslip_standins/proxy_route.py
+++ b/packages/lycheeslip_standins/lycheeslip_standins/proxy_route.py
@@ -60,17 +60,27 @@
         self.changed = asyncio.Event()
         self.connections: set[_Connection] = set()
         self._server: asyncio.Server | None = None
+        self._reserved: socket.socket | None = None
 
     async def start(self) -> None:
         """Begin to listen; `listen` then names the port that was taken."""
         host, _, port = self.listen.rpartition(":")
+        if self._reserved is None:
+            # Bound without listening, so that no one takes the port while it refuses.
+            self._reserved = socket.socket()
+            self._reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            self._reserved.bind((host, int(port)))
+            port = self._reserved.getsockname()[1]
+            self.listen = f"{host}:{port}"
         self._server = await asyncio.start_server(self._accept, host, int(port))
-        self.listen = f"{host}:{self._server.sockets[0].getsockname()[1]}"
 
     async def stop(self) -> None:
-        """Stop listening and reset all connections."""
+        """Stop listening for good and reset all connections."""
         self._close_listener()
         self.reset()
+        if self._reserved is not None:
+            self._reserved.close()
+            self._reserved = None
 
     def reset(self) -> None:
         """Reset all connections."""
@@ -82,7 +92,8 @@
         was_refusing = self.faults.refuse
         self.faults = faults
         if faults.refuse:
-            await self.stop()
+            self._close_listener()
+            self.reset()
         elif was_refusing:
             await self.start()
         for connection in list(self.connections):
