Order operators' changes of a zone by revision in the checker

They were the checker's: an operator's request to bring the zone back was noted when it read the revision to replace, before the other operator's removal was asked for, and took effect after it; and one that was cut short by the end of the race was not noted at all.

--- a/packages/lycheeslip_standins/lycheeslip_standins/checker_facts.py
+++ b/packages/lycheeslip_standins/lycheeslip_standins/checker_facts.py
@@ -65,12 +65,18 @@
 
 
 class ZoneChange(NamedTuple):
-    """An operator's change of a zone; `accepted_ms` is 0 if no acceptance was received."""
+    """An operator's change of a zone, as part of a whole configuration.
+
+    `accepted_ms` and `revision` are 0 if no acceptance was received; `refused` says that the
+    operator was told that nothing changed.
+    """
 
     zone: str
     in_service: bool
     asked_ms: int
     accepted_ms: int
+    revision: int = 0
+    refused: bool = False
 
 
 class Leaving(NamedTuple):
