Accept a change only at an entry that all holders of permits have heard of

Cause: entries that lose the store go on permitting starts while all of their last known peers say the same. Ruled out: a limit on how long permits are extended, since work must go on in an outage of any length, and waiting for leases, which says nothing about processes that live on without them. Each entry now leaves a key beyond its lease, with its address, and takes it away when it leaves. An entry dials all holders, also those without a lease, and accepts a change only when each of them has exchanged pings with it or the operator has named it as ended; a holder that has heard of an entry waits for it before it extends a permit. Peers that know an entry that this one doesn't end the extension as well. Entries that the others know take the keys of dead ones away. One more read of the store for each change of configuration.

--- a/packages/lycheeslip/lycheeslip/entry/blackboard.py
+++ b/packages/lycheeslip/lycheeslip/entry/blackboard.py
@@ -13,6 +13,7 @@
 __all__ = [
     "AppliedConfig",
     "Blackboard",
+    "Holder",
     "HomesRecord",
     "PeerStatus",
     "WaitReason",
@@ -28,6 +29,13 @@
     gone_at_ms: int = 0
 
 
+class Holder(NamedTuple):
+    """An entry that may still extend its permits, leased or not."""
+
+    info: EntryInfo
+    mod_revision: int
+
+
 class PeerStatus(NamedTuple):
     """What a peer last said of itself; `asked_at_ms` is this entry's monotonic clock."""
 
@@ -71,6 +79,8 @@
         self.applied = AppliedConfig(FleetConfig(), "", 0, 0)
         self.homes = HomesRecord(0, {}, 0)
         self.entries_by_id: dict[str, EntryInfo] = {info.entry_id: info}
+        self.holders_by_id: dict[str, Holder] = {}
+        self.acquainted: set[str] = set()
         self.peers_by_id: dict[str, PeerStatus] = {}
         self.workers_by_id: dict[str, WorkerView] = {}
         self.plan_wanted = asyncio.Event()
@@ -88,6 +98,10 @@
         """Return the configuration in force."""
         return self.applied.config
 
+    def expected_peers(self) -> frozenset[str]:
+        """Return the entries that must agree before this one extends its permits."""
+        return frozenset(self.entries_by_id.keys() | self.acquainted) - {self.info.entry_id}
+
     def live_entries(self) -> tuple[EntryInfo, ...]:
         """Return the entries that hold a lease in the store, this one included."""
         return tuple(sorted(self.entries_by_id.values()))
--- a/packages/lycheeslip/lycheeslip/entry/config_apply.py
+++ b/packages/lycheeslip/lycheeslip/entry/config_apply.py
@@ -19,6 +19,7 @@
 from lycheeslip.entry.records import (
     CONFIG_KEY,
     HISTORY_PREFIX,
+    HOLDER_PREFIX,
     StoredConfig,
     decode_config,
     encode_config,
@@ -26,9 +27,10 @@
 )
 from lycheeslip.entry.store_sync import StoreSync
 
-__all__ = ["Applied", "ConfigApply", "Invalid", "RevisionConflict"]
+__all__ = ["Applied", "ConfigApply", "Invalid", "RevisionConflict", "Unaccounted"]
 
 CONFIRM_POLL_S = 0.05
+ACQUAINT_POLL_S = 0.2
 WRITER_BYTES = 8
 
 
@@ -55,6 +57,13 @@
     error: ConfigError
 
 
+@dataclass(frozen=True, slots=True)
+class Unaccounted:
+    """Entries vanished without leaving and may still permit starts; nothing changed."""
+
+    entry_ids: tuple[str, ...]
+
+
 class ConfigApply:
     """Writes configurations and keeps their history."""
 
@@ -66,14 +75,22 @@
         self._permit_ms = permit_ms
 
     async def apply(
-        self, text: str, expected_revision: int
-    ) -> Applied | RevisionConflict | Invalid | Unreachable:
-        """Put `text` in force if revision `expected_revision` still is."""
+        self, text: str, expected_revision: int, without: frozenset[str] = frozenset()
+    ) -> Applied | RevisionConflict | Invalid | Unaccounted | Unreachable:
+        """Put `text` in force if revision `expected_revision` still is.
+
+        `without` names entries that the operator knows to have ended.
+        """
         revision = expected_revision + 1
         try:
             parse_config(text, revision=revision)
         except ConfigError as error:
             return Invalid(error)
+        unaccounted = await self._unaccounted(without)
+        if isinstance(unaccounted, Unreachable):
+            return Unreachable(False, unaccounted.detail)
+        if unaccounted:
+            return Unaccounted(unaccounted)
         current = await self._store.read(CONFIG_KEY)
         if isinstance(current, Unreachable):
             return Unreachable(False, current.detail)
@@ -139,12 +156,33 @@
             return Written(outcome.current.mod_revision)
         return outcome if current["revision"] <= stored["revision"] else lost
 
+    async def _unaccounted(self, without: frozenset[str]) -> tuple[str, ...] | Unreachable:
+        """Return the entries that may extend permits without having heard of this one.
+
+        Each entry leaves a key when it begins and takes it away when it leaves. One that has
+        exchanged pings with this entry waits for it before it extends a permit.
+        """
+        until_ms = monotonic_ms() + self._permit_ms
+        while True:
+            held = await self._store.read_prefix(HOLDER_PREFIX)
+            if isinstance(held, Unreachable):
+                return held
+            keys_by_id = {item.key.removeprefix(HOLDER_PREFIX): item for item in held.items}
+            for entry_id in without & keys_by_id.keys():
+                ended = keys_by_id[entry_id]
+                await self._store.delete_if(ended.key, ended.mod_revision)
+            unheard = keys_by_id.keys() - self._board.acquainted - without
+            unheard -= {self._board.info.entry_id}
+            if not unheard or monotonic_ms() >= until_ms:
+                return tuple(sorted(unheard))
+            await asyncio.sleep(ACQUAINT_POLL_S)
+
     async def _wait_for_peers(self, revision: int) -> tuple[str, ...]:
         """Wait until every leased entry confirms `revision`, or all older permits have ended."""
         own_id = self._board.info.entry_id
         until_ms = monotonic_ms() + self._permit_ms
         while monotonic_ms() < until_ms:
-            if self._confirmed(revision) >= self._board.entries_by_id.keys() - {own_id}:
+            if self._confirmed(revision) >= self._board.expected_peers():
                 break
             await asyncio.sleep(CONFIRM_POLL_S)
         return tuple(sorted(self._confirmed(revision) | {own_id}))
--- a/packages/lycheeslip/lycheeslip/entry/membership.py
+++ b/packages/lycheeslip/lycheeslip/entry/membership.py
@@ -3,12 +3,12 @@
 import asyncio
 
 from lycheeslip_common.store import Store
-from lycheeslip_common.store.outcomes import ReadResult, Unreachable, Written
+from lycheeslip_common.store.outcomes import Conflict, ReadResult, Unreachable, Written
 from lycheeslip_common.utils.logs import log_event, log_warning
 from lycheeslip_common.utils.retry import Backoff
 
 from lycheeslip.entry.blackboard import Blackboard
-from lycheeslip.entry.records import ENTRY_PREFIX, encode_entry
+from lycheeslip.entry.records import ENTRY_PREFIX, HOLDER_PREFIX, encode_entry
 
 __all__ = ["Membership"]
 
@@ -24,6 +24,7 @@
         self._store = store
         self._lease_s = lease_s
         self._lease_id = 0
+        self._holder_key = HOLDER_PREFIX + board.info.entry_id
 
     async def run(self) -> None:
         """Register, renew, and register anew whenever the lease has lapsed."""
@@ -36,9 +37,13 @@
             backoff.reset()
             await asyncio.sleep(self._lease_s / RENEWALS_PER_LEASE)
             await self._renew()
+            await self._prune_holders()
 
     async def leave(self) -> None:
         """Give the lease up, so that the others see at once that this entry has left."""
+        holder = self._board.holders_by_id.get(self._board.info.entry_id)
+        if holder is not None:
+            await self._store.delete_if(self._holder_key, holder.mod_revision)
         if self._lease_id:
             await self._store.revoke_lease(self._lease_id)
             self._lease_id = 0
@@ -47,6 +52,8 @@
         lease = await self._store.grant_lease(self._lease_s)
         if isinstance(lease, Unreachable):
             return False
+        if not await self._hold():
+            return False
         key = ENTRY_PREFIX + self._board.info.entry_id
         known = await self._store.read(key)
         if not isinstance(known, ReadResult):
@@ -60,6 +67,27 @@
         log_event("entry_registered", entry=self._board.info.entry_id, lease=lease)
         return True
 
+    async def _hold(self) -> bool:
+        """Leave word, beyond any lease, that this entry may extend its permits."""
+        self._board.acquainted.clear()
+        value = encode_entry(self._board.info)
+        outcome = await self._store.write_if(self._holder_key, value, 0)
+        if isinstance(outcome, Conflict) and outcome.current is not None:
+            known = outcome.current
+            outcome = await self._store.write_if(self._holder_key, value, known.mod_revision)
+        return isinstance(outcome, Written)
+
+    async def _prune_holders(self) -> None:
+        """Forget holders without a lease that know this entry, since it reaches the store.
+
+        Each of them waits for this entry before it extends a permit.
+        """
+        board = self._board
+        for entry_id, holder in list(board.holders_by_id.items()):
+            gone = entry_id not in board.entries_by_id and entry_id in board.acquainted
+            if gone and entry_id not in board.peers_by_id:
+                await self._store.delete_if(HOLDER_PREFIX + entry_id, holder.mod_revision)
+
     async def _renew(self) -> None:
         remaining = await self._store.keep_alive(self._lease_id)
         if remaining == 0:
--- a/packages/lycheeslip/lycheeslip/entry/peers.py
+++ b/packages/lycheeslip/lycheeslip/entry/peers.py
@@ -56,7 +56,7 @@
         """Dial each leased entry with a higher id, and stop dialling those that left."""
         own_id = self._board.info.entry_id
         while True:
-            wanted = {i: e for i, e in self._board.entries_by_id.items() if i > own_id}
+            wanted = self._wanted(own_id)
             for entry_id, info in wanted.items():
                 if entry_id not in self._diallers_by_peer:
                     task = asyncio.create_task(self._keep_dialled(info))
@@ -65,6 +65,15 @@
                 self._diallers_by_peer.pop(entry_id).cancel()
             await asyncio.sleep(MEMBERSHIP_CHECK_S)
 
+    def _wanted(self, own_id: str) -> dict[str, EntryInfo]:
+        """Return whom to dial: also holders that have lost the store and so can't know us."""
+        leased = self._board.entries_by_id
+        wanted = {i: info for i, info in leased.items() if i > own_id}
+        for entry_id, holder in self._board.holders_by_id.items():
+            if entry_id not in leased and entry_id != own_id:
+                wanted[entry_id] = holder.info
+        return wanted
+
     async def serve(self, session: Session) -> None:
         """Exchange messages with a peer until the session ends."""
         entry_id = session.node_id
@@ -122,8 +131,10 @@
     async def _handle(self, session: Session, message: Message) -> None:
         match message:
             case PeerPing():
+                self._board.acquainted.add(session.node_id)
                 await session.send(PeerPong(message.sent_ms, *self._own_status()))
             case PeerPong():
+                self._board.acquainted.add(session.node_id)
                 self._board.peers_by_id[session.node_id] = PeerStatus(
                     message.echo_ms,
                     message.config_revision,
@@ -160,7 +171,7 @@
         return PeerPing(monotonic_ms(), *self._own_status())
 
     def _own_status(self) -> tuple[int, bool, tuple[str, ...]]:
-        others = self._board.entries_by_id.keys() - {self._board.info.entry_id}
+        others = self._board.expected_peers()
         return self._board.config.revision, self._board.store_reachable, tuple(others)
 
     def _end(self, session: Session) -> None:
--- a/packages/lycheeslip/lycheeslip/entry/records.py
+++ b/packages/lycheeslip/lycheeslip/entry/records.py
@@ -12,6 +12,7 @@
     "CONFIG_KEY",
     "ENTRY_PREFIX",
     "HISTORY_PREFIX",
+    "HOLDER_PREFIX",
     "HOMES_KEY",
     "JOB_PREFIX",
     "STATE_PREFIX",
@@ -35,6 +36,7 @@
 CONFIG_KEY = STATE_PREFIX + "config"
 HOMES_KEY = STATE_PREFIX + "homes"
 ENTRY_PREFIX = STATE_PREFIX + "entries/"
+HOLDER_PREFIX = STATE_PREFIX + "holders/"
 JOB_PREFIX = STATE_PREFIX + "jobs/"
 HISTORY_PREFIX = ROOT + "history/"
 ANSWER_PREFIX = ROOT + "answers/"
--- a/packages/lycheeslip/lycheeslip/entry/store_sync.py
+++ b/packages/lycheeslip/lycheeslip/entry/store_sync.py
@@ -10,10 +10,11 @@
 from pydantic import ValidationError
 
 from lycheeslip.config.loader import ConfigError, parse_config
-from lycheeslip.entry.blackboard import AppliedConfig, Blackboard, HomesRecord
+from lycheeslip.entry.blackboard import AppliedConfig, Blackboard, Holder, HomesRecord
 from lycheeslip.entry.records import (
     CONFIG_KEY,
     ENTRY_PREFIX,
+    HOLDER_PREFIX,
     HOMES_KEY,
     JOB_PREFIX,
     STATE_PREFIX,
@@ -77,6 +78,9 @@
             elif item.key.startswith(ENTRY_PREFIX):
                 info = decode_entry(item.value)
                 self._board.entries_by_id[info.entry_id] = info
+            elif item.key.startswith(HOLDER_PREFIX):
+                info = decode_entry(item.value)
+                self._board.holders_by_id[info.entry_id] = Holder(info, item.mod_revision)
             elif item.key.startswith(JOB_PREFIX):
                 self._board.jobs.put(decode_job(item.value), item.mod_revision)
         except (ValidationError, ConfigError) as error:
@@ -123,6 +127,9 @@
         for entry_id in list(self._board.entries_by_id):
             if ENTRY_PREFIX + entry_id not in present:
                 self._delete(ENTRY_PREFIX + entry_id)
+        for entry_id in list(self._board.holders_by_id):
+            if HOLDER_PREFIX + entry_id not in present:
+                self._delete(HOLDER_PREFIX + entry_id)
         for job_id, job in list(self._board.jobs.by_id.items()):
             if job.is_recorded and JOB_PREFIX + job_id not in present:
                 self._board.jobs.remove(job_id)
@@ -137,6 +144,10 @@
             entry_id = key.removeprefix(ENTRY_PREFIX)
             if entry_id != self._board.info.entry_id:
                 self._board.entries_by_id.pop(entry_id, None)
+        elif key.startswith(HOLDER_PREFIX):
+            entry_id = key.removeprefix(HOLDER_PREFIX)
+            self._board.holders_by_id.pop(entry_id, None)
+            self._board.acquainted.discard(entry_id)
         elif key.startswith(JOB_PREFIX):
             self._board.jobs.remove(key.removeprefix(JOB_PREFIX))
 
--- a/packages/lycheeslip/lycheeslip/entry/upkeep.py
+++ b/packages/lycheeslip/lycheeslip/entry/upkeep.py
@@ -53,14 +53,14 @@
     def update_permit(self) -> None:
         """Set how long this entry's permits last."""
         board = self._board
-        expected = frozenset(board.entries_by_id.keys() - {board.info.entry_id})
         board.permit_until_ms = permit_until_ms(
             board.confirmed_at_ms,
             board.config.revision,
             self._permit_ms,
             board.store_reachable,
-            expected,
+            board.expected_peers(),
             board.peers_by_id,
+            board.info.entry_id,
         )
 
     async def keep_homes(self) -> None:
--- a/packages/lycheeslip/lycheeslip/http/operator_handlers.py
+++ b/packages/lycheeslip/lycheeslip/http/operator_handlers.py
@@ -9,7 +9,13 @@
 from lycheeslip_common.wire.messages import Control, ControlAction
 
 from lycheeslip.entry.blackboard import Blackboard
-from lycheeslip.entry.config_apply import Applied, ConfigApply, Invalid, RevisionConflict
+from lycheeslip.entry.config_apply import (
+    Applied,
+    ConfigApply,
+    Invalid,
+    RevisionConflict,
+    Unaccounted,
+)
 from lycheeslip.entry.router import Router
 from lycheeslip.http.access import caller_of
 from lycheeslip.http.documents import fleet_document
@@ -69,7 +75,8 @@
             text = (await request.read()).decode()
         except UnicodeDecodeError:
             return problem(400, "malformed_body", "The configuration is not UTF-8 text.")
-        outcome = await asyncio.shield(self._config_apply.apply(text, int(expected)))
+        without = frozenset(request.query.get("without", "").split(",")) - {""}
+        outcome = await asyncio.shield(self._config_apply.apply(text, int(expected), without))
         match outcome:
             case Applied(revision, confirmed_by):
                 return web.json_response({"revision": revision, "confirmed_by": list(confirmed_by)})
@@ -79,6 +86,13 @@
                     "nothing changed."
                 )
                 return problem(412, "revision_conflict", detail)
+            case Unaccounted(entry_ids):
+                detail = (
+                    f"Entries vanished without leaving and may still permit starts: "
+                    f"{', '.join(entry_ids)}. Make sure that they have ended and name them in the "
+                    "query, ?without=; nothing changed."
+                )
+                return problem(409, "entries_unaccounted", detail, retry_in_ms=SYNC_RETRY_MS)
             case Invalid(error):
                 items = [
                     ProblemItem(line=item.line, key=item.key, message=item.message)
--- a/packages/lycheeslip/tests/config_apply_tests.py
+++ b/packages/lycheeslip/tests/config_apply_tests.py
@@ -2,11 +2,17 @@
 
 import pytest_asyncio
 from lycheeslip.entry.blackboard import Blackboard
-from lycheeslip.entry.config_apply import Applied, ConfigApply, RevisionConflict
-from lycheeslip.entry.records import CONFIG_KEY, decode_config, encode_config
+from lycheeslip.entry.config_apply import Applied, ConfigApply, RevisionConflict, Unaccounted
+from lycheeslip.entry.records import (
+    CONFIG_KEY,
+    HOLDER_PREFIX,
+    decode_config,
+    encode_config,
+    encode_entry,
+)
 from lycheeslip.entry.store_sync import StoreSync
 from lycheeslip_common.store import Store
-from lycheeslip_common.store.outcomes import Unreachable
+from lycheeslip_common.store.outcomes import Unreachable, Written
 from lycheeslip_common.structure.fleet import EntryInfo
 from lycheeslip_common.utils.metrics import Metrics
 from lycheeslip_standins.platform_store import PlatformStore
@@ -24,7 +30,7 @@
         await self.platform.start()
         metrics = Metrics()
         self.store = Store([self.platform.address], metrics, timeout_s=0.2)
-        board = Blackboard(EntryInfo("e1", "r", "z", "", ""), metrics)
+        self.board = board = Blackboard(EntryInfo("e1", "r", "z", "", ""), metrics)
         sync = StoreSync(board, self.store, 500)
         self.config_apply = ConfigApply(board, self.store, sync, permit_ms=200)
 
@@ -49,6 +55,19 @@
     await bench.stop()
 
 
+async def test_an_entry_that_may_still_permit_starts_must_be_accounted_for(bench):
+    key = HOLDER_PREFIX + "e2"
+    info = encode_entry(EntryInfo("e2", "r", "z", "", ""))
+    assert isinstance(await bench.store.write_if(key, info, 0), Written)
+    assert await bench.config_apply.apply(TEXT, 0) == Unaccounted(("e2",))
+    assert bench.in_store() == 0
+    bench.board.acquainted.add("e2")
+    assert isinstance(await bench.config_apply.apply(TEXT, 0), Applied)
+    bench.board.acquainted.clear()
+    assert isinstance(await bench.config_apply.apply(TEXT, 1, frozenset({"e2"})), Applied)
+    assert isinstance(await bench.config_apply.apply(TEXT, 2), Applied)
+
+
 async def test_a_lost_answer_is_an_acceptance(bench):
     bench.platform.set_faults(StoreFaults(lose_next_answers=1))
     assert isinstance(await bench.config_apply.apply(TEXT, 0), Applied)
--- a/tests/prove/zones.py
+++ b/tests/prove/zones.py
@@ -172,6 +172,7 @@
             break
     await asyncio.sleep(OUT_S)
     racing.cancel()
+    await asyncio.gather(racing, return_exceptions=True)
     trial.operator.changes += other.changes
 
 
