--- a/packages/lycheeslip/lycheeslip/cli.py
+++ b/packages/lycheeslip/lycheeslip/cli.py
@@ -118,9 +118,12 @@
     expect: Annotated[
         int | None, typer.Option(min=0, help="Revision to replace; default: the current one.")
     ] = None,
+    without: Annotated[
+        str, typer.Option(metavar="ENTRIES", help="Entries that are known to have ended.")
+    ] = "",
 ) -> None:
     """Apply a file as a whole."""
-    _run(config_commands.apply_config(context.obj, file, expect))
+    _run(config_commands.apply_config(context.obj, file, expect, without))
 
 
 @config_app.command("show")
@@ -265,15 +268,6 @@
     _run(fleet.undrain_worker(context.obj, worker))
 
 
-@app.command("forget-entry")
-def forget_entry(
-    context: typer.Context,
-    entry: Annotated[str, typer.Argument(metavar="ENTRY", help="Id of the entry.")],
-) -> None:
-    """Forget an entry whose instance is gone, so that it holds up no configuration."""
-    _run(fleet.forget_entry(context.obj, entry))
-
-
 @app.command("token")
 def make_token(context: typer.Context) -> None:
     """Make a bearer token and print its digest."""
--- a/packages/lycheeslip/lycheeslip/entry/membership.py
+++ b/packages/lycheeslip/lycheeslip/entry/membership.py
@@ -3,13 +3,12 @@
 import asyncio
 
 from lycheeslip_common.store import Store
-from lycheeslip_common.store.outcomes import ReadResult, Unreachable, Written
+from lycheeslip_common.store.outcomes import Conflict, ReadResult, Unreachable, Written
 from lycheeslip_common.utils.logs import log_event, log_warning
 from lycheeslip_common.utils.retry import Backoff
 
 from lycheeslip.entry.blackboard import Blackboard
-from lycheeslip.entry.permit_holders import PermitHolders
-from lycheeslip.entry.records import ENTRY_PREFIX, encode_entry
+from lycheeslip.entry.records import ENTRY_PREFIX, HOLDER_PREFIX, encode_entry
 
 __all__ = ["Membership"]
 
@@ -19,15 +18,13 @@
 class Membership:
     """Registers the entry under a lease and renews it until the entry leaves."""
 
-    def __init__(
-        self, board: Blackboard, store: Store, holders: PermitHolders, lease_s: int
-    ) -> None:
+    def __init__(self, board: Blackboard, store: Store, lease_s: int) -> None:
         """Hold a lease of `lease_s` seconds."""
-        self._holders = holders
         self._board = board
         self._store = store
         self._lease_s = lease_s
         self._lease_id = 0
+        self._holder_key = HOLDER_PREFIX + board.info.entry_id
 
     async def run(self) -> None:
         """Register, renew, and register anew whenever the lease has lapsed."""
@@ -41,20 +38,21 @@
             await asyncio.sleep(self._lease_s / RENEWALS_PER_LEASE)
             if not self._board.leaving:
                 await self._renew()
+                await self._prune_holders()
 
     async def leave(self) -> None:
         """Give the lease up, so that the others see at once that this entry has left."""
         if self._lease_id:
-            await self._holders.leave()
+            await self._release_hold()
             await self._store.revoke_lease(self._lease_id)
             self._lease_id = 0
 
     async def _register(self) -> bool:
-        if not await self._holders.register():
-            return False
         lease = await self._store.grant_lease(self._lease_s)
         if isinstance(lease, Unreachable):
             return False
+        if not await self._hold():
+            return False
         key = ENTRY_PREFIX + self._board.info.entry_id
         known = await self._store.read(key)
         if not isinstance(known, ReadResult):
@@ -68,6 +66,34 @@
         log_event("entry_registered", entry=self._board.info.entry_id, lease=lease)
         return True
 
+    async def _hold(self) -> bool:
+        """Leave word, beyond any lease, that this entry may extend its permits."""
+        self._board.known_by.clear()
+        value = encode_entry(self._board.info)
+        outcome = await self._store.write_if(self._holder_key, value, 0)
+        if isinstance(outcome, Conflict) and outcome.current is not None:
+            known = outcome.current
+            outcome = await self._store.write_if(self._holder_key, value, known.mod_revision)
+        return isinstance(outcome, Written)
+
+    async def _release_hold(self) -> None:
+        """Take the word back; without a permit left, nothing rests on it."""
+        self._board.leaving = True
+        known = await self._store.read(self._holder_key)
+        if isinstance(known, ReadResult) and known.items:
+            await self._store.delete_if(self._holder_key, known.items[0].mod_revision)
+
+    async def _prune_holders(self) -> None:
+        """Forget holders without a lease that know this entry, which reaches the store.
+
+        Each of them waits for this entry before it extends a permit.
+        """
+        board = self._board
+        for entry_id, holder in list(board.holders_by_id.items()):
+            gone = entry_id not in board.entries_by_id and entry_id in board.known_by
+            if gone and entry_id not in board.peers_by_id:
+                await self._store.delete_if(HOLDER_PREFIX + entry_id, holder.mod_revision)
+
     async def _renew(self) -> None:
         remaining = await self._store.keep_alive(self._lease_id)
         if remaining == 0:
--- a/packages/lycheeslip/lycheeslip/entry/upkeep.py
+++ b/packages/lycheeslip/lycheeslip/entry/upkeep.py
@@ -11,7 +11,6 @@
 from lycheeslip.entry.agent_sessions import AgentSessions
 from lycheeslip.entry.blackboard import Blackboard, HomesRecord
 from lycheeslip.entry.job_store import JobStore
-from lycheeslip.entry.permit_holders import PermitHolders
 from lycheeslip.entry.permits import permit_until_ms
 from lycheeslip.entry.planner import is_planner
 from lycheeslip.entry.records import HOMES_KEY, StoredHomes, encode_homes
@@ -35,7 +34,6 @@
         store: Store,
         jobs: JobStore,
         agents: AgentSessions,
-        holders: PermitHolders,
         permit_ms: int,
     ) -> None:
         """Issue permits of `permit_ms` from each confirmation."""
@@ -43,7 +41,6 @@
         self._store = store
         self._jobs = jobs
         self._agents = agents
-        self._holders = holders
         self._permit_ms = permit_ms
 
     async def keep_permits(self) -> None:
@@ -54,17 +51,17 @@
             await asyncio.sleep(PERMIT_EVERY_S)
 
     def update_permit(self) -> None:
-        """Set how long this entry's permits last."""
+        """Set how long this entry's permits last; only a holder may extend them."""
         board = self._board
-        own_id = board.info.entry_id
-        others = frozenset(board.holders - {own_id}) if own_id in board.holders else frozenset()
+        is_holder = board.info.entry_id in board.holders_by_id and not board.leaving
         board.permit_until_ms = permit_until_ms(
             board.confirmed_at_ms,
             board.config.revision,
             self._permit_ms,
             board.store_reachable,
-            others,
+            board.expected_peers() if is_holder else frozenset(),
             board.peers_by_id,
+            board.info.entry_id,
         )
 
     async def keep_homes(self) -> None:
@@ -72,7 +69,6 @@
         while True:
             if is_planner(self._board) and self._board.store_reachable:
                 await self._renew_homes()
-                await self._holders.remove_lapsed()
             await asyncio.sleep(HOMES_EVERY_S)
 
     async def keep_retention(self) -> None:
