--- a/packages/lycheeslip/lycheeslip/cli.py
+++ b/packages/lycheeslip/lycheeslip/cli.py
@@ -265,6 +265,15 @@
     _run(fleet.undrain_worker(context.obj, worker))
 
 
+@app.command("forget-entry")
+def forget_entry(
+    context: typer.Context,
+    entry: Annotated[str, typer.Argument(metavar="ENTRY", help="Id of the entry.")],
+) -> None:
+    """Forget an entry whose instance is gone, so that it holds up no configuration."""
+    _run(fleet.forget_entry(context.obj, entry))
+
+
 @app.command("token")
 def make_token(context: typer.Context) -> None:
     """Make a bearer token and print its digest."""
--- a/packages/lycheeslip/tests/policy/plan_tests.py
+++ b/packages/lycheeslip/tests/policy/plan_tests.py
@@ -59,6 +59,12 @@
     assert placed(actions)["j"][0].worker_id == "w1"
 
 
+def test_a_worker_is_not_avoided_if_no_other_could_ever_hold_the_job():
+    workers = {"w0": worker("w0"), "w1": worker("w1", accelerators=4)}
+    jobs = [waiting("big", avoid=["w0"], accelerators=8), waiting("small", avoid=["w0", "w1"])]
+    assert set(placed(plan(view(workers, jobs)))) == {"big", "small"}
+
+
 @pytest.mark.parametrize("demand", [{"processors": 61}, {"memory_mb": 250_001}, {"members": 9}])
 def test_other_resources_limit_a_worker(demand):
     workers = {"w0": worker("w0", accelerators=16)}
@@ -92,3 +98,14 @@
     busy = [running("r", place(workers, ("w0", [0, 2, 3])))]
     placement = placed(plan(view(workers, [waiting("j", accelerators=4)], busy)))["j"]
     assert (placement[0].worker_id, placement[0].accelerators) == ("w0", (4, 5, 6, 7))
+
+
+@pytest.mark.parametrize(("busy_there", "expected"), [(4, "w2"), (0, "w0")])
+def test_small_work_goes_to_the_fullest_rack_but_opens_no_whole_worker(busy_there, expected):
+    workers = {"w0": worker("w0"), "w1": worker("w1"), "w2": worker("w2", rack="r2")}
+    busy = [running("r0", place(workers, ("w0", range(5))), accelerators=5)]
+    if busy_there:
+        where = place(workers, ("w2", range(busy_there)))
+        busy.append(running("r2", where, accelerators=busy_there))
+    placement = placed(plan(view(workers, [waiting("j")], busy)))["j"]
+    assert placement[0].worker_id == expected
