Count submissions whose records are being written into the queue's bounds

The bound was compared with the jobs that wait, but a job waits only once its record is in the store; so all submissions that arrived during one write came in. Each holds its room now until its write has ended. What other entries admit still counts only once the watch has told of it.

--- a/packages/lycheeslip/lycheeslip/entry/job_table.py
+++ b/packages/lycheeslip/lycheeslip/entry/job_table.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from typing import NamedTuple
 
 from lycheeslip_common.structure.jobs import JobRecord, JobState
@@ -29,11 +30,29 @@
         """Set `changed` whenever a job changes."""
         self.by_id: dict[str, JobEntry] = {}
         self.waiting_by_account: Counter[str] = Counter()
+        self._admitting_by_account: Counter[str] = Counter()
         self._ids_by_state: dict[JobState, dict[str, None]] = {state: {} for state in JobState}
         self._changed = changed
         self.observers: list[Callable[[JobRecord], None]] = []
         self._waiters_by_id: defaultdict[str, set[asyncio.Event]] = defaultdict(set)
 
+    @contextmanager
+    def admitting(self, account: str) -> Iterator[None]:
+        """Keep room in the queue for a job of `account` while its record is written."""
+        self._admitting_by_account[account] += 1
+        try:
+            yield
+        finally:
+            self._admitting_by_account[account] -= 1
+
+    def queued(self, account: str) -> int:
+        """Return how many jobs of `account` wait or are being admitted."""
+        return self.waiting_by_account[account] + self._admitting_by_account[account]
+
+    def all_queued(self) -> int:
+        """Return how many jobs wait or are being admitted."""
+        return self.waiting_by_account.total() + self._admitting_by_account.total()
+
     def in_state(self, state: JobState) -> Iterator[JobEntry]:
         """Yield the jobs in `state` as of this call."""
         for job_id in list(self._ids_by_state[state]):
--- a/packages/lycheeslip/lycheeslip/http/job_handlers.py
+++ b/packages/lycheeslip/lycheeslip/http/job_handlers.py
@@ -150,7 +150,8 @@
         )
         if not self._board.store_reachable:
             return await self._without_store(submission, record, wait_ms, Unreachable(False))
-        outcome = await self._jobs.create(record)
+        with self._board.jobs.admitting(submission.spec.account):
+            outcome = await self._jobs.create(record)
         match outcome:
             case Created():
                 log_event("job_accepted", job=submission.job_id, account=submission.spec.account)
--- a/packages/lycheeslip/lycheeslip/http/submission.py
+++ b/packages/lycheeslip/lycheeslip/http/submission.py
@@ -108,13 +108,14 @@
 
 def _queue_problem(board: Blackboard, spec: JobSpec) -> web.Response | None:
     config = board.config
-    waiting = board.jobs.waiting_by_account
     account = config.accounts_by_id.get(spec.account)
-    if account is not None and waiting[spec.account] >= account.max_waiting_jobs:
-        detail = f"Account {spec.account!r} has {waiting[spec.account]} waiting jobs."
+    of_account = board.jobs.queued(spec.account)
+    if account is not None and of_account >= account.max_waiting_jobs:
+        detail = f"Account {spec.account!r} has {of_account} waiting jobs."
         return problem(429, "account_queue_full", detail, retry_in_ms=QUEUE_RETRY_MS)
-    if waiting.total() >= config.limits.max_waiting_jobs:
-        detail = f"{waiting.total()} jobs are waiting."
+    of_all = board.jobs.all_queued()
+    if of_all >= config.limits.max_waiting_jobs:
+        detail = f"{of_all} jobs are waiting."
         return problem(503, "queue_full", detail, retry_in_ms=QUEUE_RETRY_MS)
     return None
 
