Follow the configuration in the retry budget

The planner read limits.retry_budget_ratio once, when it was built and before the first configuration was known, so the operators' value never counted. It is read in each round.

--- a/packages/lycheeslip/lycheeslip/entry/planner.py
+++ b/packages/lycheeslip/lycheeslip/entry/planner.py
@@ -108,6 +108,7 @@
         if not waiting and not is_planner(self._board):
             return
         started_ms = monotonic_ms()
+        self._retry_budget.ratio = self._board.config.limits.retry_budget_ratio
         view = self._view(waiting)
         self._board.reservation = None
         actions = self._plan(view)
--- a/packages/lycheeslip/lycheeslip/policy/retry_budget.py
+++ b/packages/lycheeslip/lycheeslip/policy/retry_budget.py
@@ -11,16 +11,16 @@
 
     def __init__(self, ratio: float, minimum: float = MIN_RETRY_TOKENS) -> None:
         """Allow `ratio` retries for each first attempt, and `minimum` retries to begin with."""
-        self._ratio = ratio
+        self.ratio = ratio
         self._minimum = minimum
         self._fleet = minimum
         self._by_account: dict[str, float] = {}
 
     def earn(self, account: str) -> None:
         """Count a first attempt at a job of `account`."""
-        earned = self._of(account) + self._ratio
+        earned = self._of(account) + self.ratio
         self._by_account[account] = min(MAX_RETRY_TOKENS, earned)
-        self._fleet = min(MAX_RETRY_TOKENS, self._fleet + self._ratio)
+        self._fleet = min(MAX_RETRY_TOKENS, self._fleet + self.ratio)
 
     def spend(self, account: str) -> bool:
         """Take the token for one retry; False if the account or the fleet has none left."""
--- /dev/null
+++ b/packages/lycheeslip/tests/planner_tests.py
@@ -0,0 +1,63 @@
+import pytest
+from lycheeslip.app import EntryApp
+from lycheeslip.config.model import FleetConfig, Limits
+from lycheeslip.entry import lifecycle
+from lycheeslip.entry.blackboard import AppliedConfig
+from lycheeslip.policy.model import Place
+from lycheeslip.policy.retry_budget import MIN_RETRY_TOKENS
+from lycheeslip_common.config.settings import EntrySettings
+from lycheeslip_common.structure.jobs import AttemptSummary, JobKind, JobSpec, Shape
+
+DEAD = "127.0.0.1:1"
+TOKENS = round(MIN_RETRY_TOKENS)
+
+
+@pytest.fixture
+def planned():
+    """Return an entry, the views that its planner makes, and the jobs that it starts."""
+    app = EntryApp(EntrySettings("e1", "r", "z", DEAD, DEAD, (DEAD,), "0123456789abcdef"))
+    app.board.synced = app.board.store_reachable = True
+    views, started = [], []
+
+    def place_all(view):
+        views.append(view)
+        return [Place(job.job_id, ()) for job in view.waiting]
+
+    app._planner._plan = place_all
+    app._attempts.start = lambda place: started.append(place.job_id)
+    return app, views, started
+
+
+def put(app, job_id, failed=False):
+    record = lifecycle.new_record(job_id, JobSpec("a", JobKind.BULK, Shape()), "", "e1", 1)
+    if failed:
+        summary = AttemptSummary(1, ("w1",), 1, 2, lifecycle.FAILED_OUTCOME, "w1")
+        record = {**record, "attempt": 1, "attempts": (summary,)}
+    app.board.jobs.put(record, 1)
+
+
+def set_ratio(app, ratio):
+    config = FleetConfig(1, limits=Limits(retry_budget_ratio=ratio))
+    app.board.applied = AppliedConfig(config, "", 0, 0)
+
+
+async def step(planned):
+    app, views, started = planned
+    started.clear()
+    await app._planner.step()
+    for job_id in started:
+        app.board.jobs.remove(job_id)
+    return set(started)
+
+
+async def test_the_retry_budget_follows_the_configuration(planned):
+    app, _, _ = planned
+    for number in range(TOKENS):
+        put(app, f"failed-{number}", failed=True)
+    await step(planned)
+    set_ratio(app, 0.5)
+    for number in range(2):
+        put(app, f"fresh-{number}")
+    await step(planned)
+    put(app, "failed", failed=True)
+    assert await step(planned) == {"failed"}
