Leave retries beyond their budget out of the plan

A retry without a token was placed by the policy and then dropped, so its accelerators stayed empty for the round, and again in the next one, while work that might have started waited. Spending tokens of a copy while the view is built was ruled out: a retry that fits nowhere would keep the only token from one that does. The counter counts each job once per reason, as the other reasons do.

--- a/packages/lycheeslip/lycheeslip/entry/planner.py
+++ b/packages/lycheeslip/lycheeslip/entry/planner.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from lycheeslip_common.structure.fleet import Grant, GrantState, WorkerState
-from lycheeslip_common.structure.jobs import JobKind, JobState, MemberPlacement
+from lycheeslip_common.structure.jobs import JobKind, JobRecord, JobState, MemberPlacement
 from lycheeslip_common.utils.clock import monotonic_ms, wall_ms
 from lycheeslip_common.utils.logs import log_event
 from lycheeslip_common.utils.rendezvous import choose
@@ -38,6 +38,9 @@
 REPEAT_ACT_MS = 2_000
 
 
+BEYOND_RETRY_BUDGET = WaitReason("retry_budget", "too many retries in proportion to first attempts")
+
+
 class _Issued(NamedTuple):
     action: ControlAction
     until_ms: int
@@ -128,9 +131,7 @@
             case Act():
                 await self._act(action)
             case Explain(job_id, reason, detail):
-                if self._board.wait_reason_by_job.get(job_id) != (reason, detail):
-                    self._board.metrics.count(f"wait.{reason}")
-                self._board.wait_reason_by_job[job_id] = WaitReason(reason, detail)
+                self._explain(job_id, WaitReason(reason, detail))
 
     def _place(self, place: Place) -> None:
         job = self._board.jobs.by_id.get(place.job_id)
@@ -146,12 +147,12 @@
         if not record["attempts"]:
             self._retry_budget.earn(account)
             return True
-        if record["attempts"][-1].outcome != FAILED_OUTCOME or self._retry_budget.spend(account):
-            return True
-        self._board.metrics.count("wait.retry_budget")
-        reason = WaitReason("retry_budget", "too many retries in proportion to first attempts")
-        self._board.wait_reason_by_job[record["job_id"]] = reason
-        return False
+        return not _has_failed(record) or self._retry_budget.spend(account)
+
+    def _explain(self, job_id: str, reason: WaitReason) -> None:
+        if self._board.wait_reason_by_job.get(job_id) != reason:
+            self._board.metrics.count(f"wait.{reason.reason}")
+        self._board.wait_reason_by_job[job_id] = reason
 
     async def _act(self, act: Act) -> None:
         now_ms = monotonic_ms()
@@ -173,8 +174,16 @@
             for job in self._board.jobs.in_state(JobState.PENDING)
             if (recorded_too or not job.is_recorded)
             and not self._attempts.is_held_back(job.record["job_id"], now_ms)
+            and self._may_start(job.record)
         )
 
+    def _may_start(self, record: JobRecord) -> bool:
+        """Leave out retries that can't start, whose places in the plan would stay empty."""
+        if not _has_failed(record) or self._retry_budget.has_token(record["spec"].account):
+            return True
+        self._explain(record["job_id"], BEYOND_RETRY_BUDGET)
+        return False
+
     def _waiting_job(self, job: JobEntry) -> WaitingJob:
         record = job.record
         return WaitingJob(
@@ -239,6 +248,10 @@
     )
 
 
+def _has_failed(record: JobRecord) -> bool:
+    return bool(record["attempts"]) and record["attempts"][-1].outcome == FAILED_OUTCOME
+
+
 def _with_grant(
     state: WorkerState, job: JobEntry, member: int, place: MemberPlacement
 ) -> WorkerState:
--- a/packages/lycheeslip/lycheeslip/policy/retry_budget.py
+++ b/packages/lycheeslip/lycheeslip/policy/retry_budget.py
@@ -24,11 +24,15 @@
 
     def spend(self, account: str) -> bool:
         """Take the token for one retry; False if the account or the fleet has none left."""
-        if self._fleet < 1 or self._of(account) < 1:
+        if not self.has_token(account):
             return False
         self._fleet -= 1
         self._by_account[account] = self._of(account) - 1
         return True
 
+    def has_token(self, account: str) -> bool:
+        """Return whether a retry of a job of `account` may start."""
+        return self._fleet >= 1 and self._of(account) >= 1
+
     def _of(self, account: str) -> float:
         return self._by_account.get(account, self._minimum)
--- a/packages/lycheeslip/tests/planner_tests.py
+++ b/packages/lycheeslip/tests/planner_tests.py
@@ -50,6 +50,20 @@
     return set(started)
 
 
+async def test_work_beyond_the_retry_budget_takes_no_room_in_the_plan(planned):
+    app, views, _ = planned
+    set_ratio(app, 0.0)
+    for number in range(TOKENS + 2):
+        put(app, f"failed-{number}", failed=True)
+    put(app, "fresh")
+    assert len(await step(planned)) == TOKENS + 1
+    put(app, "other")
+    assert await step(planned) == {"other"}
+    assert [job.job_id for job in views[-1].waiting] == ["other"]
+    assert {known.reason for known in app.board.wait_reason_by_job.values()} == {"retry_budget"}
+    assert app.board.metrics.counts["wait.retry_budget"] == 2
+
+
 async def test_the_retry_budget_follows_the_configuration(planned):
     app, _, _ = planned
     for number in range(TOKENS):
