Hold failures on suspected workers not against a job

With half of the workers failing, some jobs ended as cannot_run, reason failed_on_several_workers, although nothing was wrong with them: each had failed on three of the bad workers, and the verdict pardoned those workers too. is_fault_of_job knew better but nobody asked it. It is asked now, with the health that each entry learns from the records; limits.max_attempts still bounds a job.

--- a/packages/lycheeslip/lycheeslip/app.py
+++ b/packages/lycheeslip/lycheeslip/app.py
@@ -60,7 +60,9 @@
         self._store = Store(settings.store_addresses, metrics)
         self._router = Router(self.board)
         jobs = JobStore(self.board, self._store)
-        outcomes = Outcomes(self.board, self._router, jobs)
+        history = History(metrics)
+        self.board.jobs.observers.append(history.observe)
+        outcomes = Outcomes(self.board, self._router, jobs, history.health)
         holders = PermitHolders(self.board, self._store)
         self._sync = StoreSync(self.board, self._store, times.confirm_every_ms)
         self._membership = Membership(self.board, self._store, holders, times.entry_lease_s)
@@ -74,8 +76,6 @@
             times.permit_ms,
         )
         self._attempts = attempts = Attempts(self.board, self._router, jobs)
-        history = History(metrics)
-        self.board.jobs.observers.append(history.observe)
         plan = importlib.import_module(settings.policy_module).plan
         self._planner = Planner(
             self.board, self._router, attempts, history, plan, times.plan_every_ms
--- a/packages/lycheeslip/lycheeslip/entry/lifecycle.py
+++ b/packages/lycheeslip/lycheeslip/entry/lifecycle.py
@@ -5,7 +5,9 @@
 """
 
 import secrets
+from collections.abc import Mapping
 from hashlib import sha256
+from types import MappingProxyType
 
 from lycheeslip_common.structure.jobs import (
     AttemptSummary,
@@ -27,11 +29,12 @@
 from lycheeslip_common.wire.messages import AttemptReport, ReportState
 
 from lycheeslip.config.model import Limits
+from lycheeslip.policy.health import is_fault_of_job
+from lycheeslip.policy.model import WorkerHealth
 
 __all__ = [
     "ANSWERED_OUTCOME",
     "FAILED_OUTCOME",
-    "FAULTY_JOB_WORKERS",
     "after_loss",
     "after_report",
     "back_to_pending",
@@ -46,7 +49,6 @@
     "take_over",
 ]
 
-FAULTY_JOB_WORKERS = 3
 WRITER_BYTES = 8
 ANSWERED_OUTCOME = "answered"
 FAILED_OUTCOME = "task_failed"
@@ -156,9 +158,17 @@
 
 
 def after_report(
-    record: JobRecord, report: AttemptReport, limits: Limits, now_ms: int, chunks: int
+    record: JobRecord,
+    report: AttemptReport,
+    limits: Limits,
+    now_ms: int,
+    chunks: int,
+    health_by_worker: Mapping[str, WorkerHealth] = MappingProxyType({}),
 ) -> JobRecord | None:
-    """Return the record after an attempt's outcome; None if it isn't the current attempt's."""
+    """Return the record after an attempt's outcome; None if it isn't the current attempt's.
+
+    Failures on workers that `health_by_worker` names are not held against the job.
+    """
     attempt = report.ref.attempt
     if not _is_current(record, attempt):
         return None
@@ -172,7 +182,7 @@
         case ReportState.INTERRUPTED:
             return _interrupted(record, report, now_ms)
         case ReportState.TASK_FAILED:
-            return _task_failed(record, report, limits, now_ms)
+            return _task_failed(record, report, limits, now_ms, health_by_worker)
         case ReportState.LOST:
             return after_loss(record, attempt, limits, now_ms, report.reason)
 
@@ -212,14 +222,18 @@
 
 
 def _task_failed(
-    record: JobRecord, report: AttemptReport, limits: Limits, now_ms: int
+    record: JobRecord,
+    report: AttemptReport,
+    limits: Limits,
+    now_ms: int,
+    health_by_worker: Mapping[str, WorkerHealth],
 ) -> JobRecord | None:
     failed = Failed("task_failed", report.reason)
     if not record["spec"].repeatable:
         return finish(_with_summary(record, FAILED_OUTCOME, now_ms, ran=True), failed, now_ms)
     blamed = report.blamed or report.worker_id
     ended = _with_summary(record, FAILED_OUTCOME, now_ms, ran=True, blamed=blamed)
-    if len(failed_on(ended)) >= FAULTY_JOB_WORKERS:
+    if is_fault_of_job(failed_on(ended), health_by_worker):
         cannot_run = CannotRun("failed_on_several_workers", True, report.reason)
         return finish(ended, cannot_run, now_ms)
     return _retry(record, FAILED_OUTCOME, failed, limits, now_ms, blamed)
--- a/packages/lycheeslip/lycheeslip/entry/outcomes.py
+++ b/packages/lycheeslip/lycheeslip/entry/outcomes.py
@@ -15,6 +15,7 @@
 from lycheeslip.entry.job_store import Declined, JobStore, Updated
 from lycheeslip.entry.job_table import JobEntry
 from lycheeslip.entry.router import Router
+from lycheeslip.policy.health import HealthByWorker
 
 __all__ = ["Outcomes"]
 
@@ -22,11 +23,14 @@
 class Outcomes:
     """Records outcomes; an agent repeats a report until it is acknowledged."""
 
-    def __init__(self, board: Blackboard, router: Router, jobs: JobStore) -> None:
-        """Record through `jobs` and acknowledge through `router`."""
+    def __init__(
+        self, board: Blackboard, router: Router, jobs: JobStore, health: HealthByWorker
+    ) -> None:
+        """Record through `jobs`, acknowledge through `router`, and judge failures by `health`."""
         self._board = board
         self._router = router
         self._jobs = jobs
+        self._health = health
         self._in_progress: set[tuple[str, ReportState]] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self.answers_by_job: dict[str, bytes] = {}
@@ -70,7 +74,12 @@
             return False
         limits = self._board.config.limits
         transition = partial(
-            lifecycle.after_report, report=report, limits=limits, now_ms=wall_ms(), chunks=chunks
+            lifecycle.after_report,
+            report=report,
+            limits=limits,
+            now_ms=wall_ms(),
+            chunks=chunks,
+            health_by_worker=self._health.by_worker(),
         )
         outcome = await self._jobs.update(report.ref.job_id, transition)
         match outcome:
--- a/packages/lycheeslip/tests/lifecycle_tests.py
+++ b/packages/lycheeslip/tests/lifecycle_tests.py
@@ -5,6 +5,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 from lycheeslip.config.model import Limits
 from lycheeslip.entry import lifecycle
+from lycheeslip.policy.model import WorkerHealth
 from lycheeslip_common.structure.jobs import (
     AttemptRef,
     JobKind,
@@ -67,6 +68,17 @@
     assert record["verdict"]["tag"] == "cannot_run"
 
 
+def test_failures_on_suspected_workers_are_not_held_against_a_job():
+    record = make_record()
+    limits = LIMITS._replace(max_attempts=5)
+    health = {"w1": WorkerHealth(quarantined_until_ms=9, probation=True)}
+    for attempt, worker in enumerate(("w1", "w2", "w3", "w4"), start=1):
+        assert record["verdict"] is None
+        failed = report(attempt, ReportState.TASK_FAILED)._replace(blamed=worker)
+        record = lifecycle.after_report(start(record, worker), failed, limits, 5, 0, health)
+    assert record["verdict"]["tag"] == "cannot_run"
+
+
 def test_an_answer_with_another_digest_is_not_taken():
     wrong = report(1, ReportState.ANSWERED)._replace(digest="0" * 64)
     assert lifecycle.after_report(start(make_record()), wrong, LIMITS, 5, 1) is None
