Refill the retry budget with time

Only first attempts earned retries. Once the tokens were spent and no new work came, a failed job waited for ever, since it has no deadline of its own. A token comes back every 5 s, for each account and the fleet, up to the ten that both begin with.

--- a/packages/lycheeslip/lycheeslip/entry/planner.py
+++ b/packages/lycheeslip/lycheeslip/entry/planner.py
@@ -107,11 +107,12 @@
 
     async def step(self) -> None:
         """Run one planning round."""
+        self._retry_budget.ratio = self._board.config.limits.retry_budget_ratio
+        self._retry_budget.refill(monotonic_ms())
         waiting = self._waiting()
         if not waiting and not is_planner(self._board):
             return
         started_ms = monotonic_ms()
-        self._retry_budget.ratio = self._board.config.limits.retry_budget_ratio
         view = self._view(waiting)
         self._board.reservation = None
         actions = self._plan(view)
--- a/packages/lycheeslip/lycheeslip/policy/retry_budget.py
+++ b/packages/lycheeslip/lycheeslip/policy/retry_budget.py
@@ -1,9 +1,10 @@
-"""Bounds retries by the work that succeeds, for each account and for the fleet."""
+"""Bounds retries by the work that is new, for each account and for the fleet."""
 
 __all__ = ["RetryBudget"]
 
 MIN_RETRY_TOKENS = 10.0
 MAX_RETRY_TOKENS = 100.0
+REFILL_EVERY_MS = 5_000
 
 
 class RetryBudget:
@@ -14,6 +15,7 @@
         self.ratio = ratio
         self._minimum = minimum
         self._fleet = minimum
+        self._refilled_at_ms = 0
         self._by_account: dict[str, float] = {}
 
     def earn(self, account: str) -> None:
@@ -22,6 +24,21 @@
         self._by_account[account] = min(MAX_RETRY_TOKENS, earned)
         self._fleet = min(MAX_RETRY_TOKENS, self._fleet + self.ratio)
 
+    def refill(self, now_ms: int) -> None:
+        """Give back a token now and then, so that no retry waits for ever."""
+        if not self._refilled_at_ms:
+            self._refilled_at_ms = now_ms
+        tokens = (now_ms - self._refilled_at_ms) // REFILL_EVERY_MS
+        if tokens <= 0:
+            return
+        self._refilled_at_ms += tokens * REFILL_EVERY_MS
+        self._fleet = self._refilled(self._fleet, tokens)
+        for account, left in self._by_account.items():
+            self._by_account[account] = self._refilled(left, tokens)
+
+    def _refilled(self, left: float, tokens: int) -> float:
+        return max(left, min(self._minimum, left + tokens))
+
     def spend(self, account: str) -> bool:
         """Take the token for one retry; False if the account or the fleet has none left."""
         if not self.has_token(account):
--- a/packages/lycheeslip/tests/planner_tests.py
+++ b/packages/lycheeslip/tests/planner_tests.py
@@ -1,7 +1,7 @@
 import pytest
 from lycheeslip.app import EntryApp
 from lycheeslip.config.model import FleetConfig, Limits
-from lycheeslip.entry import lifecycle
+from lycheeslip.entry import lifecycle, planner
 from lycheeslip.entry.blackboard import AppliedConfig
 from lycheeslip.policy.model import Place
 from lycheeslip.policy.retry_budget import MIN_RETRY_TOKENS
@@ -75,3 +75,15 @@
     await step(planned)
     put(app, "failed", failed=True)
     assert await step(planned) == {"failed"}
+
+
+async def test_retries_start_in_the_end_although_no_other_work_comes(planned, monkeypatch):
+    app, _, _ = planned
+    set_ratio(app, 0.0)
+    for number in range(TOKENS + 1):
+        put(app, f"failed-{number}", failed=True)
+    await step(planned)
+    assert await step(planned) == set()
+    later_ms = planner.monotonic_ms() + 6_000
+    monkeypatch.setattr(planner, "monotonic_ms", lambda: later_ms)
+    assert len(await step(planned)) == 1
