Keep who knows an entry while its key stands

Ruled out: removing dead holders regardless, which is the fault that the key is there to prevent. What is known is kept as long as the entry's own key stands as it wrote it, and counts for nothing while the key is missing.

--- a/packages/lycheeslip/lycheeslip/entry/config_apply.py
+++ b/packages/lycheeslip/lycheeslip/entry/config_apply.py
@@ -171,8 +171,9 @@
             for entry_id in without & keys_by_id.keys():
                 ended = keys_by_id[entry_id]
                 await self._store.delete_if(ended.key, ended.mod_revision)
-            unheard = keys_by_id.keys() - self._board.known_by - without
-            unheard -= {self._board.info.entry_id}
+            own_id = self._board.info.entry_id
+            known_by = self._board.known_by if own_id in keys_by_id else set()
+            unheard = keys_by_id.keys() - known_by - without - {own_id}
             if not unheard or monotonic_ms() >= until_ms:
                 return tuple(sorted(unheard))
             await asyncio.sleep(ACQUAINT_POLL_S)
--- a/packages/lycheeslip/lycheeslip/entry/membership.py
+++ b/packages/lycheeslip/lycheeslip/entry/membership.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from lycheeslip_common.store import Store
-from lycheeslip_common.store.outcomes import Conflict, ReadResult, Unreachable, Written
+from lycheeslip_common.store.outcomes import ReadResult, Unreachable, Written
 from lycheeslip_common.utils.logs import log_event, log_warning
 from lycheeslip_common.utils.retry import Backoff
 
@@ -24,6 +24,7 @@
         self._store = store
         self._lease_s = lease_s
         self._lease_id = 0
+        self._hold_revision = 0
         self._holder_key = HOLDER_PREFIX + board.info.entry_id
 
     async def run(self) -> None:
@@ -67,14 +68,24 @@
         return True
 
     async def _hold(self) -> bool:
-        """Leave word, beyond any lease, that this entry may extend its permits."""
+        """Leave word, beyond any lease, that this entry may extend its permits.
+
+        While its key stands as it was, those that expected this entry still do; once it has
+        been removed they may have dropped it, and have to name it again.
+        """
+        known = await self._store.read(self._holder_key)
+        if not isinstance(known, ReadResult):
+            return False
+        revision = known.items[0].mod_revision if known.items else 0
+        if revision and revision == self._hold_revision:
+            return True
         self._board.known_by.clear()
         value = encode_entry(self._board.info)
-        outcome = await self._store.write_if(self._holder_key, value, 0)
-        if isinstance(outcome, Conflict) and outcome.current is not None:
-            known = outcome.current
-            outcome = await self._store.write_if(self._holder_key, value, known.mod_revision)
-        return isinstance(outcome, Written)
+        outcome = await self._store.write_if(self._holder_key, value, revision)
+        if not isinstance(outcome, Written):
+            return False
+        self._hold_revision = outcome.revision
+        return True
 
     async def _release_hold(self) -> None:
         """Take the word back; without a permit left, nothing rests on it."""
--- a/packages/lycheeslip/tests/config_apply_tests.py
+++ b/packages/lycheeslip/tests/config_apply_tests.py
@@ -62,6 +62,8 @@
     assert await bench.config_apply.apply(TEXT, 0) == Unaccounted(("e2",))
     assert bench.in_store() == 0
     bench.board.known_by.add("e2")
+    assert await bench.config_apply.apply(TEXT, 0) == Unaccounted(("e2",))
+    assert isinstance(await bench.store.write_if(HOLDER_PREFIX + "e1", info, 0), Written)
     assert isinstance(await bench.config_apply.apply(TEXT, 0), Applied)
     bench.board.known_by.clear()
     assert isinstance(await bench.config_apply.apply(TEXT, 1, frozenset({"e2"})), Applied)
--- a/packages/lycheeslip/tests/membership_tests.py
+++ b/packages/lycheeslip/tests/membership_tests.py
@@ -18,6 +18,37 @@
     return len(entries.items), len(holders.items)
 
 
+async def start(leave_key):
+    """Register, lose the lease, and register again with or without the holder's key."""
+    platform = PlatformStore("127.0.0.1:0")
+    await platform.start()
+    store = Store([platform.address], Metrics())
+    board = Blackboard(INFO, Metrics())
+    membership = Membership(board, store, LEASE_S)
+    running = asyncio.create_task(membership.run())
+    await asyncio.sleep(0.2)
+    board.known_by.add("e2")
+    if not leave_key:
+        key = (await store.read_prefix(HOLDER_PREFIX)).items[0]
+        await store.delete_if(key.key, key.mod_revision)
+    for lease_id in list(platform.state.leases_by_id):
+        platform.state.revoke(lease_id)
+    await asyncio.sleep(LEASE_S)
+    assert await keys(store) == (1, 1)
+    running.cancel()
+    await store.close()
+    await platform.stop()
+    return board.known_by
+
+
+async def test_who_knows_an_entry_is_kept_while_its_key_stands():
+    assert await start(leave_key=True) == {"e2"}
+
+
+async def test_who_knew_an_entry_is_forgotten_with_its_key():
+    assert await start(leave_key=False) == set()
+
+
 async def test_an_entry_that_has_left_does_not_register_again():
     platform = PlatformStore("127.0.0.1:0")
     await platform.start()
