Count a proof without a case as not shown

Cause: five zone proofs ran without one accepted change and were printed with 0 violations; nothing told them from proofs.

--- a/tests/promises_tests.py
+++ b/tests/promises_tests.py
@@ -37,3 +37,4 @@
     proof = next(p for p in all_scenarios() if (p.promise, p.fault) == (promise, fault))
     findings, _ = await run_trial(fleet, proof, SEED)
     assert violations_of(findings) == []
+    assert any(finding.cases for finding in findings if finding.promise == promise)
--- a/tests/prove/__main__.py
+++ b/tests/prove/__main__.py
@@ -40,13 +40,19 @@
     trials: int = 1,
     match: Annotated[str, typer.Option(help="only promises or faults with this text")] = "",
 ) -> None:
-    """Run each proof `trials` times with seeds from `seed` on; exit 1 on any violation."""
+    """Run each proof `trials` times with seeds from `seed` on; exit 1 on any violation.
+
+    A row without a case has shown nothing; it is named, and counts as a violation.
+    """
     proofs = [p for p in all_scenarios() if match in p.promise or match in p.fault]
     folder = Path(tempfile.mkdtemp(prefix="lycheeslip-prove-"))
     print(f"seed={seed} trials={trials} logs={folder}", flush=True)
     rows = asyncio.run(_prove(seed, trials, proofs, folder))
     print(format_rows(rows))
-    raise typer.Exit(1 if any(row.violations for row in rows) else 0)
+    empty = [row for row in rows if not row.cases]
+    for row in empty:
+        print(f"NOT SHOWN {row.promise} | {row.fault}: no case came about")
+    raise typer.Exit(1 if empty or any(row.violations for row in rows) else 0)
 
 
 if __name__ == "__main__":
