--- a/packages/lycheeslip/lycheeslip/entry/config_apply.py
+++ b/packages/lycheeslip/lycheeslip/entry/config_apply.py
@@ -12,14 +12,14 @@
     Written,
 )
 from lycheeslip_common.utils.clock import monotonic_ms, wall_ms
-from lycheeslip_common.utils.logs import log_event, log_warning
+from lycheeslip_common.utils.logs import log_event
 
 from lycheeslip.config.loader import ConfigError, parse_config
 from lycheeslip.entry.blackboard import Blackboard
-from lycheeslip.entry.permit_holders import PermitHolders
 from lycheeslip.entry.records import (
     CONFIG_KEY,
     HISTORY_PREFIX,
+    HOLDER_PREFIX,
     StoredConfig,
     decode_config,
     encode_config,
@@ -27,9 +27,10 @@
 )
 from lycheeslip.entry.store_sync import StoreSync
 
-__all__ = ["Applied", "ConfigApply", "Invalid", "NotConfirmed", "RevisionConflict"]
+__all__ = ["Applied", "ConfigApply", "Invalid", "RevisionConflict", "Unaccounted"]
 
 CONFIRM_POLL_S = 0.05
+ACQUAINT_POLL_S = 0.2
 WRITER_BYTES = 8
 
 
@@ -41,14 +42,6 @@
     confirmed_by: tuple[str, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class NotConfirmed:
-    """The configuration is written, but the entries `missing` may still follow an older one."""
-
-    revision: int
-    missing: tuple[str, ...]
-
-
 @dataclass(frozen=True, slots=True)
 class RevisionConflict:
     """Somebody else applied a configuration first; nothing changed."""
@@ -64,33 +57,40 @@
     error: ConfigError
 
 
+@dataclass(frozen=True, slots=True)
+class Unaccounted:
+    """Entries vanished without leaving and may still permit starts; nothing changed."""
+
+    entry_ids: tuple[str, ...]
+
+
 class ConfigApply:
     """Writes configurations and keeps their history."""
 
-    def __init__(
-        self,
-        board: Blackboard,
-        store: Store,
-        sync: StoreSync,
-        holders: PermitHolders,
-        permit_ms: int,
-    ) -> None:
+    def __init__(self, board: Blackboard, store: Store, sync: StoreSync, permit_ms: int) -> None:
         """Wait at most `permit_ms` for peers, after which their old permits have ended."""
         self._board = board
         self._store = store
         self._sync = sync
-        self._holders = holders
         self._permit_ms = permit_ms
 
     async def apply(
-        self, text: str, expected_revision: int
-    ) -> Applied | NotConfirmed | RevisionConflict | Invalid | Unreachable:
-        """Put `text` in force if revision `expected_revision` still is."""
+        self, text: str, expected_revision: int, without: frozenset[str] = frozenset()
+    ) -> Applied | RevisionConflict | Invalid | Unaccounted | Unreachable:
+        """Put `text` in force if revision `expected_revision` still is.
+
+        `without` names entries that the operator knows to have ended.
+        """
         revision = expected_revision + 1
         try:
             parse_config(text, revision=revision)
         except ConfigError as error:
             return Invalid(error)
+        unaccounted = await self._unaccounted(without)
+        if isinstance(unaccounted, Unreachable):
+            return Unreachable(False, unaccounted.detail)
+        if unaccounted:
+            return Unaccounted(unaccounted)
         current = await self._store.read(CONFIG_KEY)
         if isinstance(current, Unreachable):
             return Unreachable(False, current.detail)
@@ -110,7 +110,9 @@
             case Written(written_at):
                 item = KeyValue(CONFIG_KEY, encode_config(stored), written_at)
                 self._sync.apply_item(item)
-                return await self._confirm(revision)
+                confirmed_by = await self._wait_for_peers(revision)
+                log_event("config_applied", revision=revision, confirmed_by=confirmed_by)
+                return Applied(revision, confirmed_by)
             case Conflict(KeyValue(value=value)):
                 return RevisionConflict(expected_revision, decode_config(value)["revision"])
             case Conflict():
@@ -154,23 +156,36 @@
             return Written(outcome.current.mod_revision)
         return outcome if current["revision"] <= stored["revision"] else lost
 
-    async def _confirm(self, revision: int) -> Applied | NotConfirmed:
-        """Wait until every holder confirms `revision`, or all older permits have ended."""
+    async def _unaccounted(self, without: frozenset[str]) -> tuple[str, ...] | Unreachable:
+        """Return the entries that may extend permits without having heard of this one.
+
+        Each entry leaves a key when it begins and takes it away when it leaves. One that has
+        named this entry among those it waits for extends no permit without its word.
+        """
+        until_ms = monotonic_ms() + self._permit_ms
+        while True:
+            held = await self._store.read_prefix(HOLDER_PREFIX)
+            if isinstance(held, Unreachable):
+                return held
+            keys_by_id = {item.key.removeprefix(HOLDER_PREFIX): item for item in held.items}
+            for entry_id in without & keys_by_id.keys():
+                ended = keys_by_id[entry_id]
+                await self._store.delete_if(ended.key, ended.mod_revision)
+            unheard = keys_by_id.keys() - self._board.known_by - without
+            unheard -= {self._board.info.entry_id}
+            if not unheard or monotonic_ms() >= until_ms:
+                return tuple(sorted(unheard))
+            await asyncio.sleep(ACQUAINT_POLL_S)
+
+    async def _wait_for_peers(self, revision: int) -> tuple[str, ...]:
+        """Wait until every leased entry confirms `revision`, or all older permits have ended."""
         own_id = self._board.info.entry_id
         until_ms = monotonic_ms() + self._permit_ms
         while monotonic_ms() < until_ms:
-            others = (self._board.entries_by_id.keys() | self._board.holders) - {own_id}
-            if self._confirmed(revision) >= others:
+            if self._confirmed(revision) >= self._board.expected_peers():
                 break
             await asyncio.sleep(CONFIRM_POLL_S)
-        missing = await self._holders.unconfirmed(self._confirmed(revision))
-        if missing:
-            self._board.metrics.count("refuse.config_not_confirmed")
-            log_warning("config_not_confirmed", revision=revision, missing=sorted(missing))
-            return NotConfirmed(revision, tuple(sorted(missing)))
-        confirmed_by = tuple(sorted(self._confirmed(revision) | {own_id}))
-        log_event("config_applied", revision=revision, confirmed_by=confirmed_by)
-        return Applied(revision, confirmed_by)
+        return tuple(sorted(self._confirmed(revision) | {own_id}))
 
     def _confirmed(self, revision: int) -> set[str]:
         return {
--- a/packages/lycheeslip/lycheeslip/entry/store_sync.py
+++ b/packages/lycheeslip/lycheeslip/entry/store_sync.py
@@ -10,7 +10,7 @@
 from pydantic import ValidationError
 
 from lycheeslip.config.loader import ConfigError, parse_config
-from lycheeslip.entry.blackboard import AppliedConfig, Blackboard, HomesRecord
+from lycheeslip.entry.blackboard import AppliedConfig, Blackboard, Holder, HomesRecord
 from lycheeslip.entry.records import (
     CONFIG_KEY,
     ENTRY_PREFIX,
@@ -75,11 +75,12 @@
                 self._apply_config(item)
             elif item.key == HOMES_KEY:
                 self._apply_homes(item)
-            elif item.key.startswith(HOLDER_PREFIX):
-                self._board.holders.add(item.key.removeprefix(HOLDER_PREFIX))
             elif item.key.startswith(ENTRY_PREFIX):
                 info = decode_entry(item.value)
                 self._board.entries_by_id[info.entry_id] = info
+            elif item.key.startswith(HOLDER_PREFIX):
+                info = decode_entry(item.value)
+                self._board.holders_by_id[info.entry_id] = Holder(info, item.mod_revision)
             elif item.key.startswith(JOB_PREFIX):
                 self._board.jobs.put(decode_job(item.value), item.mod_revision)
         except (ValidationError, ConfigError) as error:
@@ -126,9 +127,9 @@
         for entry_id in list(self._board.entries_by_id):
             if ENTRY_PREFIX + entry_id not in present:
                 self._delete(ENTRY_PREFIX + entry_id)
-        for holder in list(self._board.holders):
-            if HOLDER_PREFIX + holder not in present:
-                self._delete(HOLDER_PREFIX + holder)
+        for entry_id in list(self._board.holders_by_id):
+            if HOLDER_PREFIX + entry_id not in present:
+                self._delete(HOLDER_PREFIX + entry_id)
         for job_id, job in list(self._board.jobs.by_id.items()):
             if job.is_recorded and JOB_PREFIX + job_id not in present:
                 self._board.jobs.remove(job_id)
@@ -144,7 +145,10 @@
             if entry_id != self._board.info.entry_id:
                 self._board.entries_by_id.pop(entry_id, None)
         elif key.startswith(HOLDER_PREFIX):
-            self._board.holders.discard(key.removeprefix(HOLDER_PREFIX))
+            entry_id = key.removeprefix(HOLDER_PREFIX)
+            self._board.holders_by_id.pop(entry_id, None)
+            self._board.acquainted.discard(entry_id)
+            self._board.known_by.discard(entry_id)
         elif key.startswith(JOB_PREFIX):
             self._board.jobs.remove(key.removeprefix(JOB_PREFIX))
 
