--- a/Makefile
+++ b/Makefile
@@ -2,9 +2,9 @@
 VENV := .venv
 BIN := $(VENV)/bin
 PACKAGES := packages/lycheeslip_common packages/lycheeslip packages/lycheeslip_agent packages/lycheeslip_standins
-CODE := packages tests benchmarks
+CODE := $(wildcard packages tests benchmarks)
 
-.PHONY: setup test lint format demo
+.PHONY: setup test lint format demo prove bench slopes
 
 setup: $(VENV)/.ready
 
@@ -28,3 +28,13 @@
 
 demo: setup
 	$(BIN)/python -m lycheeslip_standins.demo
+
+prove: setup
+	$(BIN)/python -m tests.prove --seed $(or $(SEED),1) --trials $(or $(TRIALS),1)
+
+bench: setup
+	$(BIN)/python -m benchmarks.run --size hooghly --out results/hooghly
+	$(BIN)/python -m benchmarks.run --size kite --out results/kite
+
+slopes: setup
+	$(BIN)/python -m benchmarks.slopes
--- a/packages/lycheeslip_agent/lycheeslip_agent/runner.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/runner.py
@@ -131,6 +131,12 @@
             await self._start()
         elif self.member.phase is GangPhase.RUNNING:
             await self._renew()
+        elif lease is not None and ping.phase is GangPhase.PREPARED and self._is_promised():
+            # The anchor has not decided, and the ping that it answered took the promise back.
+            self.abort_unstarted("leaving")
+
+    def _is_promised(self) -> bool:
+        return self.key in self._board.grants.promised
 
     async def _pause(self) -> None:
         match self.member.phase:
@@ -199,6 +205,9 @@
                 if error.status == 404:
                     self.abort("task_lost")
                     return
+                if error.is_refused:
+                    self.abort("backend_lost")
+                    return
                 await asyncio.sleep(RETRY_S)
                 continue
             if document.ended:
--- a/packages/lycheeslip_agent/lycheeslip_agent/runs.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/runs.py
@@ -101,7 +101,8 @@
             link = LocalLink(self._board, anchor)
         else:
             settings = self._board.settings
-            address = message.placement[0].address
+            announced = message.placement[0].address
+            address = settings.routes.get(announced, announced)
             link = RemoteLink(address, settings.fleet_key, settings.node_id)
         member = Member(message.ref, message.member, start_by_ms)
         run = MemberRun(self._board, self._backend, link, member, grant, lease_ms)
@@ -141,7 +142,8 @@
         if anchor is None:
             await self.forget_task(run.key)
             return
-        self.report(_outcome_report(run, anchor, grant, worker_ids))
+        node_id = self._board.settings.node_id
+        self.report(_outcome_report(run, anchor, grant, node_id, worker_ids))
         loop = asyncio.get_running_loop()
         loop.call_later(ANCHOR_MEMORY_S, self._board.anchors_by_key.pop, run.key, None)
 
@@ -151,7 +153,7 @@
 
 
 def _outcome_report(
-    run: MemberRun, anchor: Anchor, grant: Grant, worker_ids: tuple[str, ...]
+    run: MemberRun, anchor: Anchor, grant: Grant, node_id: str, worker_ids: tuple[str, ...]
 ) -> AttemptReport:
     outcome = anchor.outcome or GangOutcome(GangCause.LOST, 0, "anchor_ended")
     result = run.result
@@ -162,16 +164,23 @@
     return AttemptReport(
         ref=anchor.ref,
         owner=grant.owner,
-        worker_id=worker_ids[outcome.member] if outcome.member < len(worker_ids) else "",
+        worker_id=node_id,
         state=state,
         answer=answer,
         digest=result.digest if answer and result is not None else "",
         checkpoint=run.checkpoint if state is ReportState.INTERRUPTED else "",
         reason=outcome.reason,
         run_ms=result.ran_ms if result is not None else 0,
+        blamed=_blamed(outcome, worker_ids),
     )
 
 
+def _blamed(outcome: GangOutcome, worker_ids: tuple[str, ...]) -> str:
+    if outcome.cause is None or outcome.member >= len(worker_ids):
+        return ""
+    return worker_ids[outcome.member]
+
+
 def _state_of(outcome: GangOutcome, run: MemberRun, members: int) -> ReportState:
     """Return the reported state; for a gang of one its backend server has the last word."""
     if outcome.cause is None:
