--- a/packages/lycheeslip/lycheeslip/entry/peers.py
+++ b/packages/lycheeslip/lycheeslip/entry/peers.py
@@ -28,8 +28,8 @@
 
 __all__ = ["Peers"]
 
-PEER_PING_EVERY_S = 0.3
-PEER_SILENCE_MS = 1_500
+PINGS_PER_PERMIT = 8
+PINGS_OF_SILENCE = 5
 MEMBERSHIP_CHECK_S = 0.2
 
 
@@ -43,12 +43,14 @@
         outcomes: Outcomes,
         fleet_key: str,
         routes: dict[str, str],
+        permit_ms: int,
     ) -> None:
-        """Prove `fleet_key` to peers, dialled by `routes`, and exchange workers' states."""
+        """Prove `fleet_key` to peers, dialled by `routes`, and ping them as permits need."""
         self._board = board
         self._router = router
         self._outcomes = outcomes
         self._fleet_key = fleet_key
+        self._ping_every_ms = permit_ms // PINGS_PER_PERMIT
         self._routes = routes
         self._diallers_by_peer: dict[str, asyncio.Task[None]] = {}
 
@@ -56,7 +58,7 @@
         """Dial each leased entry with a higher id, and stop dialling those that left."""
         own_id = self._board.info.entry_id
         while True:
-            wanted = self._wanted(own_id)
+            wanted = {i: e for i, e in self._board.entries_by_id.items() if i > own_id}
             for entry_id, info in wanted.items():
                 if entry_id not in self._diallers_by_peer:
                     task = asyncio.create_task(self._keep_dialled(info))
@@ -65,15 +67,6 @@
                 self._diallers_by_peer.pop(entry_id).cancel()
             await asyncio.sleep(MEMBERSHIP_CHECK_S)
 
-    def _wanted(self, own_id: str) -> dict[str, EntryInfo]:
-        """Return whom to dial: also holders that have lost the store and so can't know us."""
-        leased = self._board.entries_by_id
-        wanted = {i: info for i, info in leased.items() if i > own_id}
-        for entry_id, holder in self._board.holders_by_id.items():
-            if entry_id not in leased and entry_id != own_id:
-                wanted[entry_id] = holder.info
-        return wanted
-
     async def serve(self, session: Session) -> None:
         """Exchange messages with a peer until the session ends."""
         entry_id = session.node_id
@@ -118,7 +111,7 @@
             status = self._board.peers_by_id.get(session.node_id)
             if status is not None:
                 heard_at_ms = max(heard_at_ms, status.asked_at_ms)
-            if monotonic_ms() - heard_at_ms > PEER_SILENCE_MS:
+            if monotonic_ms() - heard_at_ms > PINGS_OF_SILENCE * self._ping_every_ms:
                 self._board.metrics.count("session.peer_silent")
                 await session.close()
                 return
@@ -126,15 +119,15 @@
                 await session.send(self._make_ping())
             except SessionError:
                 return
-            await asyncio.sleep(PEER_PING_EVERY_S)
+            await asyncio.sleep(self._ping_every_ms / 1000)
 
     async def _handle(self, session: Session, message: Message) -> None:
         match message:
             case PeerPing():
-                self._board.acquainted.add(session.node_id)
+                self._note_acknowledgement(session.node_id, message.peers)
                 await session.send(PeerPong(message.sent_ms, *self._own_status()))
             case PeerPong():
-                self._board.acquainted.add(session.node_id)
+                self._note_acknowledgement(session.node_id, message.peers)
                 self._board.peers_by_id[session.node_id] = PeerStatus(
                     message.echo_ms,
                     message.config_revision,
@@ -152,6 +145,11 @@
             case _:
                 self._board.metrics.count("session.unexpected_message")
 
+    def _note_acknowledgement(self, peer: str, holders: tuple[str, ...]) -> None:
+        """Note that `peer` knows this entry, and so extends no permit without its word."""
+        if self._board.info.entry_id in holders:
+            self._board.acknowledged_by.add(peer)
+
     async def _handle_relayed(self, message: Message) -> None:
         match message:
             case ReserveReply() | PrepareReply() | FenceReply():
@@ -171,7 +169,7 @@
         return PeerPing(monotonic_ms(), *self._own_status())
 
     def _own_status(self) -> tuple[int, bool, tuple[str, ...]]:
-        others = self._board.expected_peers()
+        others = self._board.holders - {self._board.info.entry_id}
         return self._board.config.revision, self._board.store_reachable, tuple(others)
 
     def _end(self, session: Session) -> None:
--- a/packages/lycheeslip/lycheeslip/http/operator_handlers.py
+++ b/packages/lycheeslip/lycheeslip/http/operator_handlers.py
@@ -1,6 +1,7 @@
 """Handlers for operators: configuration, the fleet, draining, health and counters."""
 
 import asyncio
+from hashlib import sha256
 
 from aiohttp import web
 from lycheeslip_common.store.outcomes import Unreachable
@@ -13,28 +14,40 @@
     Applied,
     ConfigApply,
     Invalid,
+    NotConfirmed,
     RevisionConflict,
-    Unaccounted,
 )
+from lycheeslip.entry.permit_holders import PermitHolders
 from lycheeslip.entry.router import Router
 from lycheeslip.http.access import caller_of
-from lycheeslip.http.documents import fleet_document
+from lycheeslip.http.fleet_document import fleet_document
 from lycheeslip.http.problems import ProblemItem, problem, store_problem
+from lycheeslip.policy.health import HealthByWorker
 
 __all__ = ["OperatorHandlers"]
 
 MAX_REVISION_DIGITS = 15
+CONFIRM_RETRY_MS = 5_000
 SYNC_RETRY_MS = 1_000
 
 
 class OperatorHandlers:
     """Serves `/v1/config`, `/v1/fleet`, `/v1/workers` and the health paths."""
 
-    def __init__(self, board: Blackboard, router: Router, config_apply: ConfigApply) -> None:
-        """Apply configurations through `config_apply`."""
+    def __init__(
+        self,
+        board: Blackboard,
+        router: Router,
+        config_apply: ConfigApply,
+        holders: PermitHolders,
+        health: HealthByWorker,
+    ) -> None:
+        """Apply configurations through `config_apply`; `health` names the quarantined workers."""
         self._board = board
         self._router = router
         self._config_apply = config_apply
+        self._holders = holders
+        self._health = health
 
     def add_routes(self, app: web.Application) -> None:
         """Add the routes of these handlers to `app`."""
@@ -43,13 +56,17 @@
         app.router.add_put("/v1/config", self.apply_config)
         app.router.add_get("/v1/config/history", self.history)
         app.router.add_post("/v1/workers/{worker_id}/drain", self.drain)
+        app.router.add_post("/v1/entries/{entry_id}/forget", self.forget_entry)
+        app.router.add_post("/v1/workers/{worker_id}/undrain", self.undrain)
         app.router.add_get("/v1/counters", self.counters)
         app.router.add_get("/healthz", self.health)
         app.router.add_get("/readyz", self.ready)
 
     async def fleet(self, request: web.Request) -> web.StreamResponse:
         """Return the fleet's document."""
-        return web.json_response(fleet_document(self._board, caller_of(request)))
+        return web.json_response(
+            fleet_document(self._board, caller_of(request), self._health.by_worker())
+        )
 
     async def show_config(self, request: web.Request) -> web.StreamResponse:
         """Return the configuration in force."""
@@ -75,24 +92,18 @@
             text = (await request.read()).decode()
         except UnicodeDecodeError:
             return problem(400, "malformed_body", "The configuration is not UTF-8 text.")
-        without = frozenset(request.query.get("without", "").split(",")) - {""}
-        outcome = await asyncio.shield(self._config_apply.apply(text, int(expected), without))
+        outcome = await asyncio.shield(self._config_apply.apply(text, int(expected)))
         match outcome:
             case Applied(revision, confirmed_by):
                 return web.json_response({"revision": revision, "confirmed_by": list(confirmed_by)})
+            case NotConfirmed(revision, missing):
+                return _not_confirmed(revision, missing)
             case RevisionConflict(expected_revision, current):
                 detail = (
                     f"Revision {expected_revision} was expected but {current} is in force; "
                     "nothing changed."
                 )
                 return problem(412, "revision_conflict", detail)
-            case Unaccounted(entry_ids):
-                detail = (
-                    f"Entries vanished without leaving and may still permit starts: "
-                    f"{', '.join(entry_ids)}. Make sure that they have ended and name them in the "
-                    "query, ?without=; nothing changed."
-                )
-                return problem(409, "entries_unaccounted", detail, retry_in_ms=SYNC_RETRY_MS)
             case Invalid(error):
                 items = [
                     ProblemItem(line=item.line, key=item.key, message=item.message)
@@ -108,23 +119,48 @@
         if isinstance(outcome, Unreachable):
             return store_problem(outcome)
         items = [
-            {"revision": item["revision"], "applied_at_ms": item["applied_at_ms"]}
+            {
+                "revision": item["revision"],
+                "applied_at_ms": item["applied_at_ms"],
+                "digest": sha256(item["text"].encode()).hexdigest(),
+            }
             for item in outcome
         ]
         return web.json_response({"items": items})
 
     async def drain(self, request: web.Request) -> web.StreamResponse:
         """Ask a worker's agent to take no new work."""
+        return await self._tell_agent(request, ControlAction.STOP, "drain")
+
+    async def undrain(self, request: web.Request) -> web.StreamResponse:
+        """Ask a drained worker's agent to take work again."""
+        return await self._tell_agent(request, ControlAction.UNTHROTTLE, "undrain")
+
+    async def _tell_agent(
+        self, request: web.Request, action: ControlAction, reason: str
+    ) -> web.StreamResponse:
         worker_id = request.match_info["worker_id"]
         if worker_id not in self._board.workers_by_id:
             return problem(404, "unknown_worker", f"No worker {worker_id!r} is known.")
         no_attempt = AttemptRef("", 0, 0)
-        control = Control(no_attempt, 0, ControlAction.STOP, 0, "drain")
+        control = Control(no_attempt, 0, action, 0, reason)
         if not await self._router.to_worker(worker_id, control):
             return problem(503, "worker_unreachable", "Nothing changed.", retry_in_ms=1_000)
-        log_event("worker_drain_asked", worker=worker_id)
+        log_event(f"worker_{reason}_asked", worker=worker_id)
         return web.json_response({"worker_id": worker_id}, status=202)
 
+    async def forget_entry(self, request: web.Request) -> web.StreamResponse:
+        """Forget an entry whose instance is gone, so that it holds up no configuration."""
+        entry_id = request.match_info["entry_id"]
+        if entry_id in self._board.entries_by_id:
+            return problem(409, "entry_is_live", f"Entry {entry_id!r} holds a lease.")
+        outcome = await self._holders.forget(entry_id)
+        if isinstance(outcome, Unreachable):
+            return store_problem(outcome)
+        if not outcome:
+            return problem(404, "unknown_entry", f"No entry {entry_id!r} is known.")
+        return web.json_response({"entry_id": entry_id})
+
     async def counters(self, request: web.Request) -> web.StreamResponse:
         """Return this entry's counters and the traffic of its open sessions."""
         counts = dict(self._board.metrics.counts)
@@ -141,3 +177,14 @@
         if not self._board.synced:
             return problem(503, "not_synced", "This entry has not read the store yet.")
         return web.json_response({"ready": True})
+
+
+def _not_confirmed(revision: int, missing: tuple[str, ...]) -> web.Response:
+    detail = (
+        f"Revision {revision} is written, but these entries may still follow an older one: "
+        f"{', '.join(missing)}. Apply it again once they answer, or forget those whose instance "
+        "is gone."
+    )
+    return problem(
+        504, "config_not_confirmed", detail, may_have_run=True, retry_in_ms=CONFIRM_RETRY_MS
+    )
