--- a/packages/lycheeslip/lycheeslip/commands/config.py
+++ b/packages/lycheeslip/lycheeslip/commands/config.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator, Mapping
 from pathlib import Path
 from typing import Any, NamedTuple
+from urllib.parse import quote
 
 from lycheeslip.commands.client import EntryClient
 from lycheeslip.commands.options import Options, OutputForm, open_client
@@ -62,14 +63,19 @@
     return ExitCode.OK
 
 
-async def apply_config(options: Options, path: Path, expected: int | None) -> ExitCode:
-    """Apply a file as a whole against the expected revision, or against the current one."""
+async def apply_config(
+    options: Options, path: Path, expected: int | None, without: str = ""
+) -> ExitCode:
+    """Apply a file as a whole against the expected revision, or against the current one.
+
+    `without` names entries, separated by commas, whose instances are known to have ended.
+    """
     text = _read(path)
     after = _parse(path)
     async with open_client(options) as client:
         current = await _current(client)
         expected_revision = current.revision if expected is None else expected
-        outcome = await _put(client, text, expected_revision)
+        outcome = await _put(client, text, expected_revision, without)
         result = await _settle(client, outcome, text, expected_revision)
     changes = describe_changes(_parse_current(current), after)
     document = {
@@ -139,9 +145,10 @@
     return _Current(document["revision"], document["text"], document["applied_at_ms"])
 
 
-async def _put(client: EntryClient, text: str, expected_revision: int) -> Outcome:
+async def _put(client: EntryClient, text: str, expected_revision: int, without: str) -> Outcome:
     headers = {"If-Match": f'"{expected_revision}"', "Content-Type": "application/yaml"}
-    return await client.call("PUT", CONFIG_PATH, body=text.encode(), headers=headers)
+    path = f"{CONFIG_PATH}?without={quote(without)}" if without else CONFIG_PATH
+    return await client.call("PUT", path, body=text.encode(), headers=headers)
 
 
 async def _settle(
--- a/packages/lycheeslip/lycheeslip/commands/fleet.py
+++ b/packages/lycheeslip/lycheeslip/commands/fleet.py
@@ -1,4 +1,4 @@
-"""Commands about the fleet: status, drain, undrain and forget-entry."""
+"""Commands about the fleet: status, drain and undrain."""
 
 from collections.abc import Mapping
 from typing import Any
@@ -8,7 +8,7 @@
 from lycheeslip.commands.outcomes import ExitCode, Reply, error_of
 from lycheeslip.commands.render import print_json, print_result, print_table
 
-__all__ = ["drain_worker", "forget_entry", "show_status", "undrain_worker"]
+__all__ = ["drain_worker", "show_status", "undrain_worker"]
 
 
 async def show_status(options: Options) -> ExitCode:
@@ -36,12 +36,6 @@
     return await _order(options, path, f"worker {worker_id} takes work again")
 
 
-async def forget_entry(options: Options, entry_id: str) -> ExitCode:
-    """Forget an entry whose instance is gone."""
-    path = f"/v1/entries/{quote(entry_id, safe='')}/forget"
-    return await _order(options, path, f"entry {entry_id} is forgotten")
-
-
 async def _order(options: Options, path: str, done: str) -> ExitCode:
     """Post an operator's order and print `done` once it has been taken."""
     async with open_client(options) as client:
--- a/packages/lycheeslip/lycheeslip/entry/peers.py
+++ b/packages/lycheeslip/lycheeslip/entry/peers.py
@@ -58,7 +58,7 @@
         """Dial each leased entry with a higher id, and stop dialling those that left."""
         own_id = self._board.info.entry_id
         while True:
-            wanted = {i: e for i, e in self._board.entries_by_id.items() if i > own_id}
+            wanted = self._wanted(own_id)
             for entry_id, info in wanted.items():
                 if entry_id not in self._diallers_by_peer:
                     task = asyncio.create_task(self._keep_dialled(info))
@@ -67,6 +67,15 @@
                 self._diallers_by_peer.pop(entry_id).cancel()
             await asyncio.sleep(MEMBERSHIP_CHECK_S)
 
+    def _wanted(self, own_id: str) -> dict[str, EntryInfo]:
+        """Return whom to dial: also holders that have lost the store and so can't know us."""
+        leased = self._board.entries_by_id
+        wanted = {i: info for i, info in leased.items() if i > own_id}
+        for entry_id, holder in self._board.holders_by_id.items():
+            if entry_id not in leased and entry_id != own_id:
+                wanted[entry_id] = holder.info
+        return wanted
+
     async def serve(self, session: Session) -> None:
         """Exchange messages with a peer until the session ends."""
         entry_id = session.node_id
@@ -124,10 +133,10 @@
     async def _handle(self, session: Session, message: Message) -> None:
         match message:
             case PeerPing():
-                self._note_acknowledgement(session.node_id, message.peers)
+                self._note_heard(session.node_id, message.peers)
                 await session.send(PeerPong(message.sent_ms, *self._own_status()))
             case PeerPong():
-                self._note_acknowledgement(session.node_id, message.peers)
+                self._note_heard(session.node_id, message.peers)
                 self._board.peers_by_id[session.node_id] = PeerStatus(
                     message.echo_ms,
                     message.config_revision,
@@ -145,10 +154,11 @@
             case _:
                 self._board.metrics.count("session.unexpected_message")
 
-    def _note_acknowledgement(self, peer: str, holders: tuple[str, ...]) -> None:
-        """Note that `peer` knows this entry, and so extends no permit without its word."""
-        if self._board.info.entry_id in holders:
-            self._board.acknowledged_by.add(peer)
+    def _note_heard(self, peer: str, expected_by_peer: tuple[str, ...]) -> None:
+        """Wait for `peer` before extending permits from now on, and note if it waits for us."""
+        self._board.acquainted.add(peer)
+        if self._board.info.entry_id in expected_by_peer:
+            self._board.known_by.add(peer)
 
     async def _handle_relayed(self, message: Message) -> None:
         match message:
@@ -169,7 +179,7 @@
         return PeerPing(monotonic_ms(), *self._own_status())
 
     def _own_status(self) -> tuple[int, bool, tuple[str, ...]]:
-        others = self._board.holders - {self._board.info.entry_id}
+        others = self._board.expected_peers()
         return self._board.config.revision, self._board.store_reachable, tuple(others)
 
     def _end(self, session: Session) -> None:
--- a/packages/lycheeslip/lycheeslip/entry/permits.py
+++ b/packages/lycheeslip/lycheeslip/entry/permits.py
@@ -12,26 +12,29 @@
     config_revision: int,
     permit_ms: int,
     store_reachable: bool,
-    other_holders: frozenset[str],
+    expected_peers: frozenset[str],
     peers_by_id: Mapping[str, PeerStatus],
+    own_id: str,
 ) -> int:
     """Return the monotonic time at which this entry's permits end.
 
     A permit rests on a read of the store that began at `confirmed_at_ms`. While no entry
     reaches the store no configuration can be accepted, so an entry that hears the same from
-    every other holder, and nothing else from any peer, may go on; one that knows no other
-    holder, or misses one, may not.
+    all of its last confirmed peers may go on; one without peers, or that misses one, may not.
+    Nor may one whose peer knows an entry that it doesn't know itself.
     """
     confirmed_until = confirmed_at_ms + permit_ms
-    if store_reachable or not other_holders:
+    if store_reachable or not expected_peers:
         return confirmed_until
-    statuses = [peers_by_id.get(peer) for peer in other_holders]
+    statuses = [peers_by_id.get(peer) for peer in expected_peers]
     heard = [status for status in statuses if status is not None]
-    if len(heard) < len(other_holders):
+    if len(heard) < len(expected_peers):
         return confirmed_until
     alike = all(
-        not status.store_reachable and status.config_revision == config_revision
-        for status in peers_by_id.values()
+        not status.store_reachable
+        and status.config_revision == config_revision
+        and status.peers - {own_id} <= expected_peers
+        for status in heard
     )
     if not alike:
         return confirmed_until
--- a/packages/lycheeslip/tests/membership_tests.py
+++ b/packages/lycheeslip/tests/membership_tests.py
@@ -2,7 +2,6 @@
 
 from lycheeslip.entry.blackboard import Blackboard
 from lycheeslip.entry.membership import Membership
-from lycheeslip.entry.permit_holders import PermitHolders
 from lycheeslip.entry.records import ENTRY_PREFIX, HOLDER_PREFIX
 from lycheeslip_common.store import Store
 from lycheeslip_common.structure.fleet import EntryInfo
@@ -24,7 +23,7 @@
     await platform.start()
     store = Store([platform.address], Metrics())
     board = Blackboard(INFO, Metrics())
-    membership = Membership(board, store, PermitHolders(board, store), LEASE_S)
+    membership = Membership(board, store, LEASE_S)
     running = asyncio.create_task(membership.run())
     await asyncio.sleep(0.2)
     assert await keys(store) == (1, 1)
