--- a/packages/lycheeslip_agent/lycheeslip_agent/sessions.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/sessions.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import random
-from hashlib import sha256
 
 from lycheeslip_common.structure.fleet import EntryInfo
 from lycheeslip_common.structure.jobs import AttemptRef
 from lycheeslip_common.utils.clock import monotonic_ms
 from lycheeslip_common.utils.logs import log_event, log_warning
+from lycheeslip_common.utils.rendezvous import ranked
 from lycheeslip_common.utils.retry import Backoff
 from lycheeslip_common.wire.messages import (
     AttemptReport,
@@ -39,12 +39,9 @@
 
 def rank_entries(node_id: str, region: str, entries: list[EntryInfo]) -> list[EntryInfo]:
     """Return the entries by preference: own region first, then by rendezvous hash."""
-
-    def rank(entry: EntryInfo) -> tuple[bool, bytes]:
-        digest = sha256(f"{node_id}\0{entry.entry_id}".encode()).digest()
-        return (entry.region == region, digest)
-
-    return sorted(entries, key=rank, reverse=True)
+    by_id = {entry.entry_id: entry for entry in entries}
+    preferred = [by_id[entry_id] for entry_id in ranked(node_id, by_id)]
+    return sorted(preferred, key=lambda entry: entry.region != region)
 
 
 class EntrySessions:
