Give jobs without a record attempt numbers of their own

Cause, found by reading: while the store is down, one idempotency key sent with two bodies to two entries led to two tasks of the same id, and a backend server could have answered the second caller with the first one's payload. Ruled out: another job id, since a record that comes in later under the caller's own id has to replace the unrecorded job. The first attempt is numbered at random (48 bits); the limit on attempts counts the attempts made, which is the same for recorded jobs. The new test fails on the code before.

--- a/packages/lycheeslip/lycheeslip/entry/lifecycle.py
+++ b/packages/lycheeslip/lycheeslip/entry/lifecycle.py
@@ -47,9 +47,11 @@
     "request_cancel",
     "start_intent",
     "take_over",
+    "without_record",
 ]
 
 WRITER_BYTES = 8
+UNRECORDED_ATTEMPT_BITS = 48
 ANSWERED_OUTCOME = "answered"
 FAILED_OUTCOME = "task_failed"
 
@@ -102,6 +104,15 @@
     )
 
 
+def without_record(record: JobRecord) -> JobRecord:
+    """Return the form of a job that is never recorded, with attempt numbers of its own.
+
+    Another entry may serve the same key with another body at the same time, so their tasks
+    must not share an id at a backend server.
+    """
+    return _changed(record, attempt=secrets.randbits(UNRECORDED_ATTEMPT_BITS))
+
+
 def mark_running(record: JobRecord, attempt: int, now_ms: int) -> JobRecord | None:
     """Note when the current attempt began to run."""
     if not _is_current(record, attempt) or record["started_at_ms"]:
@@ -248,7 +259,8 @@
     blamed: str = "",
 ) -> JobRecord | None:
     too_late = _is_past_deadline(record, now_ms)
-    if record["attempt"] >= limits.max_attempts or too_late:
+    made = len(record["attempts"]) + 1
+    if made >= limits.max_attempts or too_late:
         ended = _with_summary(record, outcome, now_ms, ran=True, blamed=blamed)
         return finish(ended, verdict, now_ms)
     return back_to_pending(record, record["attempt"], outcome, now_ms, ran=True, blamed=blamed)
--- a/packages/lycheeslip/lycheeslip/http/unrecorded.py
+++ b/packages/lycheeslip/lycheeslip/http/unrecorded.py
@@ -36,7 +36,7 @@
     async def serve(self, record: JobRecord, wait_ms: int) -> web.Response | None:
         """Return the outcome of the job, or None if the store turned out to have a record."""
         job_id = record["job_id"]
-        self._jobs.keep_in_memory(record)
+        self._jobs.keep_in_memory(lifecycle.without_record(record))
         self._board.metrics.count("job.unrecorded")
         try:
             await wait_until_done(self._board, job_id, wait_ms)
--- a/packages/lycheeslip/tests/lifecycle_tests.py
+++ b/packages/lycheeslip/tests/lifecycle_tests.py
@@ -79,6 +79,16 @@
     assert record["verdict"]["tag"] == "cannot_run"
 
 
+def test_jobs_without_a_record_share_no_attempt_and_are_tried_as_often():
+    first, second = (lifecycle.without_record(make_record()) for _ in range(2))
+    assert first["attempt"] != second["attempt"]
+    for made in range(1, LIMITS.max_attempts + 1):
+        first = start(first)
+        lost = lifecycle.after_loss(first, first["attempt"], LIMITS, 5, "gone")
+        assert (lost["state"] is JobState.DONE) == (made == LIMITS.max_attempts)
+        first = lost
+
+
 def test_an_answer_with_another_digest_is_not_taken():
     wrong = report(1, ReportState.ANSWERED)._replace(digest="0" * 64)
     assert lifecycle.after_report(start(make_record()), wrong, LIMITS, 5, 1) is None
