Renew the home map after the store has been restored to an older state

Cause: the planner compared with the revision of the map that it knew; after a restore that revision never came back, so the map was never renewed until the entry restarted. Found by reading for what a restored store does. Ruled out: taking the older map over, since agents refuse an older directive.

--- a/packages/lycheeslip/lycheeslip/entry/upkeep.py
+++ b/packages/lycheeslip/lycheeslip/entry/upkeep.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from lycheeslip_common.store import Store
-from lycheeslip_common.store.outcomes import Written
+from lycheeslip_common.store.outcomes import Conflict, Written
 from lycheeslip_common.structure.jobs import JobState
 from lycheeslip_common.utils.clock import monotonic_ms, wall_ms
 from lycheeslip_common.utils.logs import log_event
@@ -68,7 +68,7 @@
         """Agree on a new home map when the topology or the guarantees change, for ever."""
         while True:
             if is_planner(self._board) and self._board.store_reachable:
-                await self._renew_homes()
+                await self.renew_homes()
             await asyncio.sleep(HOMES_EVERY_S)
 
     async def keep_retention(self) -> None:
@@ -79,7 +79,8 @@
             if is_planner(self._board) and self._board.store_reachable:
                 await self._forget_jobs()
 
-    async def _renew_homes(self) -> None:
+    async def renew_homes(self) -> None:
+        """Write a new home map if the topology or the guarantees call for one."""
         known = self._board.homes
         workers = {worker_id: view.state for worker_id, view in self._board.workers_by_id.items()}
         homes = dict(assign_homes(self._board.config, workers, known.homes))
@@ -87,9 +88,14 @@
             return
         stored = StoredHomes(version=known.version + 1, homes=homes)
         outcome = await self._store.write_if(HOMES_KEY, encode_homes(stored), known.mod_revision)
-        if isinstance(outcome, Written):
-            self._board.homes = HomesRecord(stored["version"], homes, outcome.revision)
-            log_event("homes_assigned", version=stored["version"], workers=len(homes))
+        match outcome:
+            case Written(revision):
+                self._board.homes = HomesRecord(stored["version"], homes, revision)
+                log_event("homes_assigned", version=stored["version"], workers=len(homes))
+            case Conflict(current):
+                # A store restored to an older state holds another revision of an older map.
+                revision = current.mod_revision if current is not None else 0
+                self._board.homes = self._board.homes._replace(mod_revision=revision)
 
     async def _forget_jobs(self) -> None:
         retention_ms = self._board.config.limits.answer_retention_s * MILLISECONDS_PER_SECOND
