Learn run times from whole runs only, forget with the job, and home no guarantee on a failing worker

Cause: a resumed attempt counted as a short run; what was kept for each learned job was never dropped, since nobody called forget; the home map gave guarantees accelerators of quarantined workers although the policy can leave them out. Ruled out for the run times: adding up a job's attempts, since what was done after the last checkpoint is done twice.

--- a/packages/lycheeslip/lycheeslip/app.py
+++ b/packages/lycheeslip/lycheeslip/app.py
@@ -60,7 +60,7 @@
         self._router = Router(self.board)
         jobs = JobStore(self.board, self._store)
         history = History(metrics)
-        self.board.jobs.observers.append(history.observe)
+        self.board.jobs.observers.append(history)
         outcomes = Outcomes(self.board, self._router, jobs, history.health)
         self._sync = StoreSync(self.board, self._store, times.confirm_every_ms)
         self._membership = Membership(self.board, self._store, times.entry_lease_s)
@@ -81,7 +81,9 @@
         self._recovery = Recovery(
             self.board, self._router, jobs, attempts, times.worker_lost_after_ms
         )
-        self._upkeep = Upkeep(self.board, self._store, jobs, self._agents, times.permit_ms)
+        self._upkeep = Upkeep(
+            self.board, self._store, jobs, self._agents, history.health, times.permit_ms
+        )
         config_apply = ConfigApply(self.board, self._store, self._sync, times.permit_ms)
         self._web = web.Application(
             client_max_size=MAX_BODY_BYTES,
--- a/packages/lycheeslip/lycheeslip/entry/history.py
+++ b/packages/lycheeslip/lycheeslip/entry/history.py
@@ -8,7 +8,12 @@
 from lycheeslip_common.utils.logs import log_warning
 from lycheeslip_common.utils.metrics import Metrics
 
-from lycheeslip.entry.lifecycle import ANSWERED_OUTCOME, FAILED_OUTCOME, failed_on
+from lycheeslip.entry.lifecycle import (
+    ANSWERED_OUTCOME,
+    FAILED_OUTCOME,
+    INTERRUPTED_OUTCOME,
+    failed_on,
+)
 from lycheeslip.policy.health import HealthByWorker
 from lycheeslip.policy.learn import RunTimes
 from lycheeslip.policy.usage import UsageByAccount
@@ -33,27 +38,34 @@
         job_id = record["job_id"]
         summaries = record["attempts"]
         learned = self._learned_by_job.get(job_id, 0)
-        for summary in summaries[learned:]:
-            self._learn(record["spec"], summary)
+        for index in range(learned, len(summaries)):
+            was_resumed = any(map(_is_interruption, summaries[:index]))
+            self._learn(record["spec"], summaries[index], was_resumed)
         if len(summaries) > learned:
             self._learned_by_job[job_id] = len(summaries)
         verdict = record["verdict"]
         if record["state"] is JobState.DONE and verdict is not None:
             self._pardon(record, verdict["tag"])
 
+    def known_jobs(self) -> int:
+        """Return how many jobs it remembers having learned from."""
+        return len(self._learned_by_job)
+
     def forget(self, job_id: str) -> None:
         """Drop the mark of a job that has been forgotten."""
         self._learned_by_job.pop(job_id, None)
         self._pardoned.discard(job_id)
 
-    def _learn(self, spec: JobSpec, summary: AttemptSummary) -> None:
+    def _learn(self, spec: JobSpec, summary: AttemptSummary, was_resumed: bool) -> None:
+        """Charge an attempt's use, and learn its run time if it did the job's whole work."""
         if not summary.started_at_ms:
             return
         run_ms = summary.ended_at_ms - summary.started_at_ms
         accelerator_ms = float(run_ms * spec.shape.total_accelerators)
         self.usage.add(spec.account, accelerator_ms, summary.ended_at_ms)
         if summary.outcome == ANSWERED_OUTCOME:
-            self.run_times.record(spec, run_ms)
+            if not was_resumed:
+                self.run_times.record(spec, run_ms)
             for worker_id in set(summary.workers):
                 self.health.succeeded(worker_id)
         if summary.outcome == FAILED_OUTCOME and summary.blamed:
@@ -70,3 +82,7 @@
             return
         self._pardoned.add(record["job_id"])
         self.health.pardon(failed_on(record))
+
+
+def _is_interruption(summary: AttemptSummary) -> bool:
+    return summary.outcome.startswith(INTERRUPTED_OUTCOME)
--- a/packages/lycheeslip/lycheeslip/entry/job_table.py
+++ b/packages/lycheeslip/lycheeslip/entry/job_table.py
@@ -2,13 +2,13 @@
 
 import asyncio
 from collections import Counter, defaultdict
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from contextlib import contextmanager
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 from lycheeslip_common.structure.jobs import JobRecord, JobState
 
-__all__ = ["JobEntry", "JobTable"]
+__all__ = ["JobEntry", "JobObserver", "JobTable"]
 
 
 class JobEntry(NamedTuple):
@@ -23,6 +23,16 @@
         return self.mod_revision > 0
 
 
+class JobObserver(Protocol):
+    """Is told of every newer record, and of jobs that are forgotten."""
+
+    def observe(self, record: JobRecord) -> None:
+        """Take notice of a job's newer record."""
+
+    def forget(self, job_id: str) -> None:
+        """Drop what is kept for a job."""
+
+
 class JobTable:
     """Jobs with the indexes that hot paths need; does no I/O."""
 
@@ -33,7 +43,7 @@
         self._admitting_by_account: Counter[str] = Counter()
         self._ids_by_state: dict[JobState, dict[str, None]] = {state: {} for state in JobState}
         self._changed = changed
-        self.observers: list[Callable[[JobRecord], None]] = []
+        self.observers: list[JobObserver] = []
         self._waiters_by_id: defaultdict[str, set[asyncio.Event]] = defaultdict(set)
 
     @contextmanager
@@ -70,8 +80,8 @@
             self._unindex(known.record)
         self.by_id[job_id] = JobEntry(record, mod_revision)
         self._index(record)
-        for observe in self.observers:
-            observe(record)
+        for observer in self.observers:
+            observer.observe(record)
         self._wake(job_id)
 
     def remove(self, job_id: str) -> None:
@@ -79,6 +89,8 @@
         known = self.by_id.pop(job_id, None)
         if known is not None:
             self._unindex(known.record)
+            for observer in self.observers:
+                observer.forget(job_id)
         self._wake(job_id)
 
     async def wait_for_change(self, job_id: str, timeout_s: float) -> None:
--- a/packages/lycheeslip/lycheeslip/entry/lifecycle.py
+++ b/packages/lycheeslip/lycheeslip/entry/lifecycle.py
@@ -35,6 +35,7 @@
 __all__ = [
     "ANSWERED_OUTCOME",
     "FAILED_OUTCOME",
+    "INTERRUPTED_OUTCOME",
     "after_loss",
     "after_report",
     "back_to_pending",
@@ -54,6 +55,7 @@
 UNRECORDED_ATTEMPT_BITS = 48
 ANSWERED_OUTCOME = "answered"
 FAILED_OUTCOME = "task_failed"
+INTERRUPTED_OUTCOME = "interrupted"
 
 
 def _changed(record: JobRecord, **fields: object) -> JobRecord:
@@ -224,9 +226,9 @@
 
 def _interrupted(record: JobRecord, report: AttemptReport, now_ms: int) -> JobRecord | None:
     if not record["spec"].repeatable and not record["cancel_requested"]:
-        ended = _with_summary(record, "interrupted", now_ms, ran=True)
+        ended = _with_summary(record, INTERRUPTED_OUTCOME, now_ms, ran=True)
         return finish(ended, Failed("interrupted", report.reason), now_ms)
-    outcome = f"interrupted:{report.reason}"
+    outcome = f"{INTERRUPTED_OUTCOME}:{report.reason}"
     return back_to_pending(
         record, report.ref.attempt, outcome, now_ms, ran=True, checkpoint=report.checkpoint
     )
--- a/packages/lycheeslip/lycheeslip/entry/upkeep.py
+++ b/packages/lycheeslip/lycheeslip/entry/upkeep.py
@@ -14,6 +14,7 @@
 from lycheeslip.entry.permits import permit_until_ms
 from lycheeslip.entry.planner import is_planner
 from lycheeslip.entry.records import HOMES_KEY, StoredHomes, encode_homes
+from lycheeslip.policy.health import HealthByWorker
 from lycheeslip.policy.homes import assign_homes
 
 __all__ = ["Upkeep"]
@@ -34,6 +35,7 @@
         store: Store,
         jobs: JobStore,
         agents: AgentSessions,
+        health: HealthByWorker,
         permit_ms: int,
     ) -> None:
         """Issue permits of `permit_ms` from each confirmation."""
@@ -41,6 +43,7 @@
         self._store = store
         self._jobs = jobs
         self._agents = agents
+        self._health = health
         self._permit_ms = permit_ms
 
     async def keep_permits(self) -> None:
@@ -83,7 +86,8 @@
         """Write a new home map if the topology or the guarantees call for one."""
         known = self._board.homes
         workers = {worker_id: view.state for worker_id, view in self._board.workers_by_id.items()}
-        homes = dict(assign_homes(self._board.config, workers, known.homes))
+        unfit = frozenset(self._health.by_worker())
+        homes = dict(assign_homes(self._board.config, workers, known.homes, unfit))
         if homes == known.homes:
             return
         stored = StoredHomes(version=known.version + 1, homes=homes)
--- a/packages/lycheeslip/tests/restored_store_tests.py
+++ b/packages/lycheeslip/tests/restored_store_tests.py
@@ -13,6 +13,7 @@
 )
 from lycheeslip.entry.store_sync import StoreSync
 from lycheeslip.entry.upkeep import Upkeep
+from lycheeslip.policy.health import HealthByWorker
 from lycheeslip_common.store import Store
 from lycheeslip_common.structure.fleet import EntryInfo, WorkerInfo, WorkerState
 from lycheeslip_common.utils.metrics import Metrics
@@ -65,7 +66,7 @@
     info = WorkerInfo("w1", "r", "a", "k", "", 8, 60, 1000, 8)
     cell.board.workers_by_id["w1"] = WorkerView(WorkerState(info, "i", 1, False, ()), "e1")
     cell.board.homes = HomesRecord(5, {}, 99)
-    upkeep = Upkeep(cell.board, cell.store, None, None, 2_500)
+    upkeep = Upkeep(cell.board, cell.store, None, None, HealthByWorker(), 2_500)
     for _ in range(2):
         await upkeep.renew_homes()
     assert decode_homes(await cell.value(HOMES_KEY))["version"] == 6
