Answer health checks from other machines while no tokens are declared

Cause: an entry that listens beyond loopback refused everything in open mode, its health paths too, so the balancer would never have sent it a request; the new table of who may do what failed on it. Ruled out: binding to loopback whatever the settings say, since tokens come with the configuration, after the start.

--- a/packages/lycheeslip/lycheeslip/http/access.py
+++ b/packages/lycheeslip/lycheeslip/http/access.py
@@ -29,9 +29,8 @@
         token = bearer_token(request.headers.get("Authorization", ""))
         caller = identify(board.config, token)
         request[CALLER_KEY] = caller
-        refused = _refusal(request, caller)
-        if refused is None and not allow_remote_without_tokens and _is_remote(board, caller):
-            refused = 403, "tokens_required"
+        needs_tokens = not allow_remote_without_tokens and _is_remote(board, caller)
+        refused = _refusal(request, caller, needs_tokens)
         if refused is None:
             return await _call(board, request, handler)
         board.metrics.count(f"refuse.{refused[1]}")
@@ -51,9 +50,11 @@
     return isinstance(caller, OpenCaller) and not ipaddress.ip_address(host).is_loopback
 
 
-def _refusal(request: web.Request, caller: Caller) -> tuple[int, str] | None:
+def _refusal(request: web.Request, caller: Caller, needs_tokens: bool) -> tuple[int, str] | None:
     if request.path in OPEN_PATHS:
         return None
+    if needs_tokens:
+        return 403, "tokens_required"
     if isinstance(caller, Nobody):
         return 401, "unauthenticated"
     needs_operator = request.path.startswith(OPERATOR_PATHS)
--- /dev/null
+++ b/packages/lycheeslip/tests/start_order_tests.py
@@ -0,0 +1,52 @@
+import asyncio
+import socket
+
+import aiohttp
+from lycheeslip.app import EntryApp
+from lycheeslip_common.config.settings import EntrySettings
+from lycheeslip_standins.platform_store import PlatformStore
+
+FLEET_KEY = "key-of-the-test-fleet"
+READY_WITHIN_S = 10.0
+POLL_S = 0.1
+
+
+def free_address():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+async def status_of(http, address):
+    async with http.get(f"http://{address}/readyz") as response:
+        return response.status
+
+
+async def becomes_ready(http, address):
+    for _ in range(int(READY_WITHIN_S / POLL_S)):
+        if await status_of(http, address) == 200:
+            return True
+        await asyncio.sleep(POLL_S)
+    return False
+
+
+async def test_an_entry_that_starts_before_the_store_waits_for_it():
+    store_address = free_address()
+    settings = EntrySettings(
+        node_id="e1",
+        region="r",
+        zone="z",
+        http_address=free_address(),
+        session_address=free_address(),
+        store_addresses=(store_address,),
+        fleet_key=FLEET_KEY,
+    )
+    entry = EntryApp(settings)
+    await entry.start()
+    platform = PlatformStore(store_address)
+    async with aiohttp.ClientSession() as http:
+        assert await status_of(http, settings.http_address) == 503
+        await platform.start()
+        assert await becomes_ready(http, settings.http_address)
+    await entry.stop()
+    await platform.stop()
