--- a/packages/lycheeslip/lycheeslip/entry/pace.py
+++ b/packages/lycheeslip/lycheeslip/entry/pace.py
@@ -4,7 +4,8 @@
 
 MIN_GAP_MS = 20
 PAUSE_RATIO = 20
-"""Pause after a round, as a multiple of what the round took."""
+IDLE_PAUSE_RATIO = 100
+"""Pauses after a round, as multiples of what the round took."""
 MAX_GAP_MS = 1_000
 IDLE_GAP_MS = 1_000
 MAX_IDLE_GAP_MS = 5_000
@@ -27,9 +28,10 @@
 
     def due_at_ms(self, some_wait: bool, urgent_waiting: frozenset[str]) -> int:
         """Return the earliest time of the next round, on the clock of `note_round`."""
-        pause_ms = PAUSE_RATIO * self._took_ms
         if urgent_waiting - self._urgent_seen:
             return self._ended_at_ms + MIN_GAP_MS
         if some_wait:
+            pause_ms = PAUSE_RATIO * self._took_ms
             return self._ended_at_ms + max(MIN_GAP_MS, min(MAX_GAP_MS, pause_ms))
+        pause_ms = IDLE_PAUSE_RATIO * self._took_ms
         return self._ended_at_ms + max(IDLE_GAP_MS, min(MAX_IDLE_GAP_MS, pause_ms))
--- a/packages/lycheeslip/tests/pace_tests.py
+++ b/packages/lycheeslip/tests/pace_tests.py
@@ -12,7 +12,8 @@
         (400, True, ("seen",), 1_000),
         (400, True, ("seen", "new"), 20),
         (1, False, (), 1_000),
-        (53, False, (), 1_060),
+        (30, False, (), 3_000),
+        (53, False, (), 5_000),
         (400, False, (), 5_000),
     ],
 )
--- a/tests/harness/fleet.py
+++ b/tests/harness/fleet.py
@@ -139,6 +139,8 @@
         for group in (self.entries_by_id, self.backends_by_id, self.agents_by_id):
             for process in group.values():
                 process.thaw()
+                if process.is_ending:
+                    await self.wait_until(process.has_ended, f"{process.name} has ended")
                 if not process.is_running:
                     process.start()
         await self.wait_until(self.entries_are_ready, "the entries are ready")
--- a/tests/harness/processes.py
+++ b/tests/harness/processes.py
@@ -57,6 +57,7 @@
         self._process: subprocess.Popen[bytes] | None = None
         self._starts = 0
         self.started_ms = 0
+        self.is_ending = False
 
     @property
     def incarnation(self) -> str:
@@ -76,6 +77,7 @@
     def start(self) -> None:
         """Start the process, appending to its log."""
         self._starts += 1
+        self.is_ending = False
         self.started_ms = monotonic_ms()
         with self.log_path.open("ab") as log:
             self._process = subprocess.Popen(
@@ -94,6 +96,7 @@
 
     def terminate(self) -> None:
         """Ask the process to end gracefully."""
+        self.is_ending = True
         self.send_signal(signal.SIGTERM)
 
     def freeze(self) -> None:
