Halt a stand-in backend server before its log is read for a kill

The harness read the log and killed the process afterwards; a task that ended in between had answered, and its end was in no log. The digest was right. Ruled out, by the order of the two calls: an answer of the product's own making. The log is now given out only when nothing can be added to it any more. The judge stays as it was.

--- a/packages/lycheeslip_standins/lycheeslip_standins/backend_server.py
+++ b/packages/lycheeslip_standins/lycheeslip_standins/backend_server.py
@@ -31,6 +31,7 @@
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 _load_adapter = TypeAdapter(LoadRequest)
+ADMIN_PREFIX = "/admin/"
 
 
 class BackendServer:
@@ -50,6 +51,7 @@
         self._usage_lag_ms = usage_lag_ms
         self._usage_samples: deque[tuple[int, int]] = deque(maxlen=MAX_USAGE_SAMPLES)
         self._open_requests = 0
+        self._is_halted = False
         self._changed = asyncio.Event()
         self._ended_by_id: dict[str, asyncio.Event] = {}
         self._runner: web.AppRunner | None = None
@@ -92,6 +94,7 @@
             web.post("/v1/tasks/{id}/stop", self._stop),
             web.post("/admin/mode", self._set_mode),
             web.post("/admin/leaving", self._set_leaving),
+            web.post("/admin/halt", self._halt),
             web.get("/admin/log", self._get_log),
         ]
 
@@ -108,6 +111,13 @@
                 async with asyncio.timeout(delay_s):
                     await self._changed.wait()
 
+    async def _halt(self, request: web.Request) -> web.Response:
+        """Return the log once nothing can be added to it any more, for a kill that follows."""
+        self._is_halted = True
+        if self._ticker is not None:
+            self._ticker.cancel()
+        return await self._get_log(request)
+
     def _notify(self, task_id: str) -> None:
         event = self._ended_by_id.pop(task_id, None)
         if event is not None:
@@ -118,6 +128,8 @@
 
     @web.middleware
     async def _guard(self, request: web.Request, handler: Handler) -> web.StreamResponse:
+        if self._is_halted and not request.path.startswith(ADMIN_PREFIX):
+            await asyncio.Event().wait()
         if self._open_requests >= self.table.capacity.connections:
             return web.json_response({"reason": "connections_taken"}, status=503)
         self._open_requests += 1
--- a/packages/lycheeslip_standins/tests/backend_server_contract_tests.py
+++ b/packages/lycheeslip_standins/tests/backend_server_contract_tests.py
@@ -201,3 +201,14 @@
     done, _ = await asyncio.wait({stopping}, timeout=2)
     stopping.cancel()
     assert done
+
+
+async def test_after_a_halt_nothing_more_happens_or_is_answered(caller):
+    await caller.load(run_ms=50)
+    await caller.act("start", not_after_ms=SOON, lease_not_after_ms=LONG)
+    _, log = await caller.call("POST", "/admin/halt")
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(0.2):
+            await caller.ended()
+    assert await caller.events() == [item["event"] for item in log["events"]]
+    assert "finished" not in await caller.events()
--- a/tests/harness/fleet.py
+++ b/tests/harness/fleet.py
@@ -148,7 +148,9 @@
 
     async def kill_backend(self, worker_id: str) -> None:
         """Kill a backend server, keeping its log and noting which tasks died with it."""
-        events = await self._log_of(worker_id)
+        address = self.backend_by_worker[worker_id]
+        async with self.http.post(f"http://{address}/admin/halt") as response:
+            events = parse_events((await response.json())["events"], worker_id)
         self.backends_by_id[worker_id].kill()
         running = {e.task_id: e for e in events if e.event == "started"}
         for event in events:
