--- a/packages/lycheeslip_standins/lycheeslip_standins/backend_server.py
+++ b/packages/lycheeslip_standins/lycheeslip_standins/backend_server.py
@@ -113,10 +113,11 @@
 
     async def _halt(self, request: web.Request) -> web.Response:
         """Return the log once nothing can be added to it any more, for a kill that follows."""
+        log = await self._get_log(request)
         self._is_halted = True
         if self._ticker is not None:
             self._ticker.cancel()
-        return await self._get_log(request)
+        return log
 
     def _notify(self, task_id: str) -> None:
         event = self._ended_by_id.pop(task_id, None)
@@ -214,7 +215,8 @@
         return web.json_response({"leaving": self.leaving})
 
     async def _get_log(self, _: web.Request) -> web.Response:
-        self.table.advance()
+        if not self._is_halted:
+            self.table.advance()
         return web.json_response({"events": list(self.table.events)})
 
 
