Keep nothing in the planner for jobs that have moved on

Cause, by reading: why a job waits, since when it may be tried again and what its attempt was told stayed for ever once the job had been cancelled, had expired or had ended, so an entry's memory grew with every such job. Ruled out: pruning by age, which has to guess how long a job may wait. The planner is told of each newer record and drops what belongs to a state that the job has left. The new test fails on the code before.

--- a/packages/lycheeslip/lycheeslip/app.py
+++ b/packages/lycheeslip/lycheeslip/app.py
@@ -78,6 +78,7 @@
         self._planner = Planner(
             self.board, self._router, attempts, history, plan, times.plan_every_ms
         )
+        self.board.jobs.observers.append(self._planner)
         self._recovery = Recovery(
             self.board, self._router, jobs, attempts, times.worker_lost_after_ms
         )
--- a/packages/lycheeslip/lycheeslip/entry/attempts.py
+++ b/packages/lycheeslip/lycheeslip/entry/attempts.py
@@ -51,6 +51,10 @@
             return True
         return self._not_before_by_job.get(job_id, 0) > now_ms
 
+    def forget(self, job_id: str) -> None:
+        """Drop the delay of a job that waits no more."""
+        self._not_before_by_job.pop(job_id, None)
+
     async def finish(self) -> None:
         """Return when no attempt is between its reservation and its preparation."""
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/packages/lycheeslip/lycheeslip/entry/planner.py
+++ b/packages/lycheeslip/lycheeslip/entry/planner.py
@@ -92,6 +92,19 @@
                 changed = False
                 await self.step()
 
+    def observe(self, record: JobRecord) -> None:
+        """Drop what was kept for a state that the job has left."""
+        job_id = record["job_id"]
+        if record["state"] is not JobState.STARTED:
+            self._issued_by_attempt.pop(attempt_ref(record).key, None)
+        if record["state"] is not JobState.PENDING:
+            self.forget(job_id)
+
+    def forget(self, job_id: str) -> None:
+        """Drop why a job waits and since when it may be tried again."""
+        self._board.wait_reason_by_job.pop(job_id, None)
+        self._attempts.forget(job_id)
+
     async def _wait_for_change(self, timeout_s: float) -> bool:
         """Return whether something has changed within `timeout_s`."""
         try:
--- a/packages/lycheeslip/tests/planner_tests.py
+++ b/packages/lycheeslip/tests/planner_tests.py
@@ -87,3 +87,25 @@
     later_ms = planner.monotonic_ms() + 6_000
     monkeypatch.setattr(planner, "monotonic_ms", lambda: later_ms)
     assert len(await step(planned)) == 1
+
+
+def started_record(app, job_id):
+    return lifecycle.start_intent(app.board.jobs.by_id[job_id].record, "e1", (), 1)
+
+
+async def test_nothing_is_kept_for_a_state_that_a_job_has_left(planned):
+    app, _, _ = planned
+    planner_, attempts = app._planner, app._attempts
+    put(app, "job")
+    planner_._explain("job", planner.BEYOND_RETRY_BUDGET)
+    attempts._not_before_by_job["job"] = 5
+    app.board.jobs.put(started_record(app, "job"), 2)
+    assert app.board.wait_reason_by_job == {}
+    assert attempts._not_before_by_job == {}
+    planner_._issued_by_attempt["job.1"] = planner._Issued("stop", 9)
+    ended = lifecycle.back_to_pending(app.board.jobs.by_id["job"].record, 1, "x", 2, ran=False)
+    app.board.jobs.put(ended, 3)
+    assert planner_._issued_by_attempt == {}
+    planner_._explain("job", planner.BEYOND_RETRY_BUDGET)
+    app.board.jobs.remove("job")
+    assert app.board.wait_reason_by_job == {}
