Record an empty answer

Cause: an agent reported an empty answer without its digest, so the entry took the report for damaged, acknowledged it, and the job stayed started for ever: accepted and never answered. No proof could show it, since the stand-in gave no empty answers; it can now. Ruled out: letting a missing digest pass, which would let a lost answer pass.

--- a/packages/lycheeslip/lycheeslip/entry/outcomes.py
+++ b/packages/lycheeslip/lycheeslip/entry/outcomes.py
@@ -66,7 +66,7 @@
             return False
         if job.record["state"] is JobState.DONE or job.record["attempt"] > report.ref.attempt:
             return True
-        if sha256(report.answer).hexdigest() != report.digest and report.answer:
+        if _is_damaged(report):
             self._board.metrics.count("refuse.answer_digest_mismatch")
             return False
         chunks = await self._keep_answer(job, report)
@@ -106,3 +106,10 @@
             self.answers_by_job[report.ref.job_id] = report.answer
             return 0
         return await self._jobs.write_answer(report.ref.job_id, report.ref.attempt, report.answer)
+
+
+def _is_damaged(report: AttemptReport) -> bool:
+    """Return whether an answer is not the one that its digest was made of."""
+    if report.state is not ReportState.ANSWERED:
+        return False
+    return sha256(report.answer).hexdigest() != report.digest
--- a/packages/lycheeslip_agent/lycheeslip_agent/runs.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/runs.py
@@ -158,16 +158,16 @@
     outcome = anchor.outcome or GangOutcome(GangCause.LOST, 0, "anchor_ended")
     result = run.result
     state = _state_of(outcome, run, anchor.members)
-    answer = b""
+    answer, digest = b"", ""
     if state is ReportState.ANSWERED and result is not None:
-        answer = result.answer()
+        answer, digest = result.answer(), result.digest
     return AttemptReport(
         ref=anchor.ref,
         owner=grant.owner,
         worker_id=node_id,
         state=state,
         answer=answer,
-        digest=result.digest if answer and result is not None else "",
+        digest=digest,
         checkpoint=run.checkpoint if state is ReportState.INTERRUPTED else "",
         reason=outcome.reason,
         run_ms=result.ran_ms if result is not None else 0,
--- a/packages/lycheeslip_standins/lycheeslip_standins/backend_server_tasks.py
+++ b/packages/lycheeslip_standins/lycheeslip_standins/backend_server_tasks.py
@@ -40,7 +40,7 @@
 
 
 class FakeWork(NamedTuple):
-    """What a payload asks a task to do."""
+    """What a payload asks a task to do; a negative `answer_bytes` asks for an empty answer."""
 
     run_ms: int = DEFAULT_RUN_MS
     answer_bytes: int = 0
@@ -63,7 +63,9 @@
     """Return the answer that a task with `payload` gives; it depends on nothing else."""
     work = parse_payload(payload)
     seed = sha256(f"{work.seed}\0{payload}".encode()).hexdigest().encode()
-    if work.answer_bytes <= 0:
+    if work.answer_bytes < 0:
+        return b""
+    if work.answer_bytes == 0:
         return seed
     repeats = work.answer_bytes // len(seed) + 1
     return (seed * repeats)[: work.answer_bytes]
--- a/tests/agent_processes_tests.py
+++ b/tests/agent_processes_tests.py
@@ -2,6 +2,7 @@
 import json
 import signal
 import sys
+from hashlib import sha256
 from pathlib import Path
 
 import aiohttp
@@ -272,6 +273,15 @@
     assert await cell.kinds("w1") == ["prepared", "started", "finished"]
 
 
+async def test_an_empty_answer_is_reported_with_its_digest(cell):
+    await cell.add_workers("w1")
+    ref = AttemptRef("j1", 1, 1)
+    await cell.entry.run(["w1"], ref, payload(answer_bytes=-1))
+    report = await cell.entry.outcome(ref)
+    assert (report.state, report.answer) == (ReportState.ANSWERED, b"")
+    assert report.digest == sha256(b"").hexdigest()
+
+
 async def test_a_gang_starts_and_answers_as_one(cell):
     workers = ["w1", "w2", "w3"]
     await cell.add_workers(*workers)
