--- a/packages/lycheeslip/lycheeslip/entry/config_apply.py
+++ b/packages/lycheeslip/lycheeslip/entry/config_apply.py
@@ -91,20 +91,15 @@
             return Unreachable(False, unaccounted.detail)
         if unaccounted:
             return Unaccounted(unaccounted)
-        current = await self._store.read(CONFIG_KEY)
-        if isinstance(current, Unreachable):
-            return Unreachable(False, current.detail)
-        known = decode_config(current.items[0].value)["revision"] if current.items else 0
-        newest = max(known, self._board.config.revision)
-        if newest != expected_revision:
-            return RevisionConflict(expected_revision, newest)
+        mod_revision = await self._replaceable(expected_revision)
+        if not isinstance(mod_revision, int):
+            return mod_revision
         stored = StoredConfig(
             revision=revision,
             text=text,
             applied_at_ms=wall_ms(),
             writer=secrets.token_hex(WRITER_BYTES),
         )
-        mod_revision = current.items[0].mod_revision if current.items else 0
         outcome = await self._write(stored, mod_revision)
         match outcome:
             case Written(written_at):
@@ -120,6 +115,17 @@
             case Unreachable():
                 return outcome
 
+    async def _replaceable(self, expected_revision: int) -> int | RevisionConflict | Unreachable:
+        """Return the store's revision of the configuration if it is the expected one."""
+        current = await self._store.read(CONFIG_KEY)
+        if isinstance(current, Unreachable):
+            return Unreachable(False, current.detail)
+        known = decode_config(current.items[0].value)["revision"] if current.items else 0
+        newest = max(known, self._board.config.revision)
+        if newest != expected_revision:
+            return RevisionConflict(expected_revision, newest)
+        return current.items[0].mod_revision if current.items else 0
+
     async def history(self) -> list[StoredConfig] | Unreachable:
         """Return the configurations that were applied, oldest first."""
         outcome = await self._store.read_prefix(HISTORY_PREFIX)
--- a/packages/lycheeslip/lycheeslip/entry/outcomes.py
+++ b/packages/lycheeslip/lycheeslip/entry/outcomes.py
@@ -5,7 +5,7 @@
 from hashlib import sha256
 
 from lycheeslip_common.store.outcomes import Unreachable
-from lycheeslip_common.structure.jobs import JobState
+from lycheeslip_common.structure.jobs import JobRecord, JobState
 from lycheeslip_common.utils.clock import wall_ms
 from lycheeslip_common.utils.logs import log_event
 from lycheeslip_common.wire.messages import AnswerRecorded, AttemptReport, ReportState
@@ -84,21 +84,24 @@
         outcome = await self._jobs.update(report.ref.job_id, transition)
         match outcome:
             case Updated(record):
-                self._board.metrics.count(f"attempt.{report.state}")
-                log_event(
-                    "attempt_reported",
-                    job=report.ref.job_id,
-                    attempt=report.ref.attempt,
-                    state=report.state,
-                    job_state=record["state"],
-                    reason=report.reason,
-                )
+                self._note(report, record)
                 return True
             case Declined():
                 return True
             case Unreachable():
                 return False
 
+    def _note(self, report: AttemptReport, record: JobRecord) -> None:
+        self._board.metrics.count(f"attempt.{report.state}")
+        log_event(
+            "attempt_reported",
+            job=report.ref.job_id,
+            attempt=report.ref.attempt,
+            state=report.state,
+            job_state=record["state"],
+            reason=report.reason,
+        )
+
     async def _keep_answer(self, job: JobEntry, report: AttemptReport) -> int | Unreachable:
         if report.state is not ReportState.ANSWERED:
             return 0
