Build the planner's view in a module of its own

Behaviour is as it was. Run: the unit tests of the entry pass; the embedded path answers a job and a gang.

--- a/packages/lycheeslip/lycheeslip/entry/planner.py
+++ b/packages/lycheeslip/lycheeslip/entry/planner.py
@@ -1,12 +1,11 @@
-"""Builds the policy's view of the fleet, runs the policy and carries out its actions."""
+"""Runs the policy over the entry's view of the fleet and carries out its actions."""
 
 import asyncio
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
-from lycheeslip_common.structure.fleet import Grant, GrantState, WorkerState
-from lycheeslip_common.structure.jobs import JobKind, JobRecord, JobState, MemberPlacement
-from lycheeslip_common.utils.clock import monotonic_ms, wall_ms
+from lycheeslip_common.structure.jobs import JobKind, JobRecord, JobState
+from lycheeslip_common.utils.clock import monotonic_ms
 from lycheeslip_common.utils.logs import log_event
 from lycheeslip_common.utils.rendezvous import choose
 from lycheeslip_common.wire.messages import ControlAction
@@ -16,9 +15,10 @@
 from lycheeslip.entry.controls import attempt_ref, control_members
 from lycheeslip.entry.history import History
 from lycheeslip.entry.job_table import JobEntry
-from lycheeslip.entry.lifecycle import FAILED_OUTCOME, failed_on
+from lycheeslip.entry.lifecycle import FAILED_OUTCOME
 from lycheeslip.entry.pace import Pace
 from lycheeslip.entry.router import Router
+from lycheeslip.entry.view import build_view, waiting_job
 from lycheeslip.policy.model import (
     Act,
     Action,
@@ -26,7 +26,6 @@
     FleetView,
     Hold,
     Place,
-    RunningJob,
     WaitingJob,
 )
 from lycheeslip.policy.retry_budget import RetryBudget
@@ -36,8 +35,6 @@
 PlanFunction = Callable[[FleetView], list[Action]]
 PLANNER_KEY = "planner"
 REPEAT_ACT_MS = 2_000
-
-
 BEYOND_RETRY_BUDGET = WaitReason("retry_budget", "too many retries in proportion to first attempts")
 
 
@@ -126,7 +123,9 @@
         if not waiting and not is_planner(self._board):
             return
         started_ms = monotonic_ms()
-        view = self._view(waiting)
+        stopping = self._stopping_attempts()
+        placing = self._attempts.placement_by_job
+        view = build_view(self._board, self._history, waiting, placing, stopping)
         self._board.reservation = None
         actions = self._plan(view)
         ended_at_ms = monotonic_ms()
@@ -184,13 +183,20 @@
         now_ms = monotonic_ms()
         recorded_too = is_planner(self._board) and self._board.store_reachable
         return tuple(
-            self._waiting_job(job)
+            waiting_job(job, self._history)
             for job in self._board.jobs.in_state(JobState.PENDING)
             if (recorded_too or not job.is_recorded)
             and not self._attempts.is_held_back(job.record["job_id"], now_ms)
             and self._may_start(job.record)
         )
 
+    def _stopping_attempts(self) -> frozenset[str]:
+        return frozenset(
+            key
+            for key, issued in self._issued_by_attempt.items()
+            if issued.action in (ControlAction.CHECKPOINT, ControlAction.STOP)
+        )
+
     def _may_start(self, record: JobRecord) -> bool:
         """Leave out retries that can't start, whose places in the plan would stay empty."""
         if not _has_failed(record) or self._retry_budget.has_token(record["spec"].account):
@@ -198,63 +204,6 @@
         self._explain(record["job_id"], BEYOND_RETRY_BUDGET)
         return False
 
-    def _waiting_job(self, job: JobEntry) -> WaitingJob:
-        record = job.record
-        return WaitingJob(
-            job_id=record["job_id"],
-            spec=record["spec"],
-            waiting_since_ms=record["accepted_at_ms"],
-            expected_run_ms=self._history.run_times.expected_ms(record["spec"]),
-            attempts=record["attempt"],
-            avoid=failed_on(record),
-        )
-
-    def _view(self, waiting: tuple[WaitingJob, ...]) -> FleetView:
-        running = {
-            job.record["job_id"]: self._running_job(job)
-            for job in self._board.jobs.in_state(JobState.STARTED)
-        }
-        return FleetView(
-            now_ms=wall_ms(),
-            config=self._board.config,
-            workers_by_id=self._workers_with_attempts_under_way(),
-            waiting=waiting,
-            running_by_job=running,
-            homes=self._board.homes.homes,
-            used_accelerator_ms_by_account=self._history.usage.by_account(wall_ms()),
-            health_by_worker=self._history.health.by_worker(),
-            reservation=self._board.reservation,
-        )
-
-    def _running_job(self, job: JobEntry) -> RunningJob:
-        record = job.record
-        ref = attempt_ref(record)
-        issued = self._issued_by_attempt.get(ref.key)
-        stopping = issued is not None and issued.action in (
-            ControlAction.CHECKPOINT,
-            ControlAction.STOP,
-        )
-        started = record["started_at_ms"] or wall_ms()
-        expected_end = started + self._history.run_times.expected_ms(record["spec"])
-        return RunningJob(ref, record["spec"], record["placement"], started, expected_end, stopping)
-
-    def _workers_with_attempts_under_way(self) -> dict[str, WorkerState]:
-        """Return live workers, with placements that their agents haven't reported yet."""
-        states = {
-            worker_id: view.state
-            for worker_id, view in self._board.workers_by_id.items()
-            if not view.gone_at_ms
-        }
-        for job_id, placement in self._attempts.placement_by_job.items():
-            job = self._board.jobs.by_id.get(job_id)
-            if job is None:
-                continue
-            for member, place in enumerate(placement):
-                state = states.get(place.worker_id)
-                if state is not None:
-                    states[place.worker_id] = _with_grant(state, job, member, place)
-        return states
-
 
 def _urgent_ids(waiting: Iterable[JobEntry]) -> frozenset[str]:
     return frozenset(
@@ -264,27 +213,3 @@
 
 def _has_failed(record: JobRecord) -> bool:
     return bool(record["attempts"]) and record["attempts"][-1].outcome == FAILED_OUTCOME
-
-
-def _with_grant(
-    state: WorkerState, job: JobEntry, member: int, place: MemberPlacement
-) -> WorkerState:
-    job_id = job.record["job_id"]
-    if any(grant.job_id == job_id and grant.member == member for grant in state.grants):
-        return state
-    spec = job.record["spec"]
-    grant = Grant(
-        job_id=job_id,
-        epoch=job.record["epoch"],
-        attempt=job.record["attempt"],
-        member=member,
-        owner=job.record["owner"],
-        account=spec.account,
-        kind=spec.kind,
-        accelerators=place.accelerators,
-        processors=spec.shape.processors,
-        memory_mb=spec.shape.memory_mb,
-        interruptible=spec.interruptible,
-        state=GrantState.RESERVED,
-    )
-    return state._replace(grants=(*state.grants, grant))
