Take a job's record in once

Cause: each write of an entry came back by its own watch under the same revision and was indexed, learned from and planned for a second time. A record is taken in only if its revision is new; jobs without a record are as before. A constant that nothing used is gone from the stand-in. Ruled out: filtering in the watch, since a fresh read brings the same records.

--- a/packages/lycheeslip/lycheeslip/entry/job_table.py
+++ b/packages/lycheeslip/lycheeslip/entry/job_table.py
@@ -71,10 +71,13 @@
                 yield job
 
     def put(self, record: JobRecord, mod_revision: int) -> None:
-        """Take in a job's newer record and wake those who wait for it."""
+        """Take in a job's newer record and wake those who wait for it.
+
+        An entry's own write comes back by its watch under the same revision, with nothing new.
+        """
         job_id = record["job_id"]
         known = self.by_id.get(job_id)
-        if known is not None and known.mod_revision > mod_revision:
+        if known is not None and known.is_recorded and known.mod_revision >= mod_revision:
             return
         if known is not None:
             self._unindex(known.record)
--- a/packages/lycheeslip_standins/lycheeslip_standins/backend_server.py
+++ b/packages/lycheeslip_standins/lycheeslip_standins/backend_server.py
@@ -25,7 +25,6 @@
 
 IDLE_TICK_S = 1.0
 MAX_WAIT_MS = 30_000
-USAGE_SAMPLE_MS = 100
 MAX_USAGE_SAMPLES = 1_000
 MAX_BODY_BYTES = 4 * 1024 * 1024
 
