--- a/Makefile
+++ b/Makefile
@@ -1,14 +1,14 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := packages/lycheeslip_common packages/lycheeslip packages/lycheeslip_agent packages/lycheeslip_standins
-CODE := $(wildcard packages tests benchmarks)
+PACKAGES := packages/lycheeslip_common packages/lycheeslip packages/lycheeslip_agent packages/lycheeslip_standins platform
+CODE := $(wildcard packages tests benchmarks platform)
 
 .PHONY: setup test lint format demo prove bench slopes overload
 
 setup: $(VENV)/.ready
 
-$(VENV)/.ready: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
+$(VENV)/.ready: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml platform/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install -q --disable-pip-version-check -c constraints.txt -r requirements-dev.txt
 	$(BIN)/pip install -q --disable-pip-version-check --no-build-isolation -c constraints.txt $(PACKAGES:%=-e %)
--- /dev/null
+++ b/packages/lycheeslip/lycheeslip/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Dispatch of jobs of several steps: acceptance, records, placement and orders."""
--- /dev/null
+++ b/packages/lycheeslip/lycheeslip/dispatch/board.py
@@ -0,0 +1,86 @@
+"""The entry's blackboard: what its controllers know of the operator, the leader and the jobs."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from lycheeslip_common.utils.clock import steady_ms
+from lycheeslip_common.utils.counters import Counters
+from lycheeslip_common.workload.fleet import Lifetime, WorkerReport
+from lycheeslip_common.workload.link import Link
+from lycheeslip_common.workload.operator import OperatorConfig
+from lycheeslip_common.workload.progress import JobProgress, TaskKey
+from lycheeslip_common.workload.times import DispatchTimes
+
+__all__ = ["Board", "Leadership", "StoredJob", "WorkerView"]
+
+
+@dataclass(slots=True)
+class Leadership:
+    """The entry's term as leader; `revision` of the leader's key is also the epoch."""
+
+    epoch: int
+    lease_id: int
+    valid_until_ms: int
+
+
+@dataclass(slots=True)
+class WorkerView:
+    """What the leader believes about one node's worker."""
+
+    node: str
+    report: WorkerReport
+    heard_at_ms: int
+    link: Link | None
+    failures: int = 0
+    blamed_at_ms: int = 0
+
+    @property
+    def lifetime(self) -> Lifetime | None:
+        """The life of the worker that runs now, if any."""
+        return self.report.lifetime
+
+
+@dataclass(slots=True)
+class StoredJob:
+    """A job with the store revision of its progress record (0: none yet)."""
+
+    progress: JobProgress
+    revision: int
+    arrived_ms: int
+    is_dirty: bool = False
+    is_being_written: bool = False
+    stopping: set[tuple[str, int]] = field(default_factory=set)
+    started_ms: dict[TaskKey, int] = field(default_factory=dict)
+
+
+class Board:
+    """State shared by the controllers of one entry."""
+
+    def __init__(self, node: str, zone: str, address: str, times: DispatchTimes) -> None:
+        """Start with nothing known."""
+        self.node = node
+        self.zone = zone
+        self.address = address
+        self.times = times
+        self.counters = Counters()
+        self.config: OperatorConfig | None = None
+        self.evacuated_zones: set[str] = set()
+        self.confirmed_at_ms = 0
+        self.leadership: Leadership | None = None
+        self.leader_address = ""
+        self.leader_epoch = 0
+        self.jobs: dict[str, StoredJob] = {}
+        self.workers: dict[str, WorkerView] = {}
+        self.is_loaded = False
+        self.is_leaving = False
+        self.work_to_plan = asyncio.Event()
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this entry leads, as far as it knows without asking the store."""
+        return self.leadership is not None
+
+    @property
+    def config_age_ms(self) -> int:
+        """How long ago the store last confirmed that the configuration is the newest."""
+        return steady_ms() - self.confirmed_at_ms
--- /dev/null
+++ b/packages/lycheeslip/lycheeslip/dispatch/entry.py
@@ -0,0 +1,115 @@
+"""Composition root of the entry's dispatch: wires its controllers and runs them."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from lycheeslip_common.store.port import KeyValueStore
+from lycheeslip_common.utils.logs import log_event, log_warning
+from lycheeslip_common.workload.link import listen
+
+from lycheeslip.dispatch.board import Board
+from lycheeslip.dispatch.dispatcher import Dispatcher
+from lycheeslip.dispatch.intake import Intake
+from lycheeslip.dispatch.leadership import Election
+from lycheeslip.dispatch.links import LeaderLink, LinkServer
+from lycheeslip.dispatch.loader import Loader
+from lycheeslip.dispatch.operator_sync import OperatorKeys, OperatorSync
+from lycheeslip.dispatch.recorder import Recorder
+
+__all__ = ["DispatchEntry"]
+
+PLANNING_FAULT_PAUSE_S = 0.2
+
+
+class DispatchEntry:
+    """One entry's controllers; the caller serves its `intake` over HTTP."""
+
+    def __init__(self, board: Board, store: KeyValueStore, operator_keys: OperatorKeys) -> None:
+        """Wire the parts; nothing runs before `start`."""
+        self.board = board
+        self._store = store
+        self._dispatcher = Dispatcher(board)
+        self._recorder = Recorder(board, store, self._dispatcher.note_recorded, self._note_deposed)
+        self._dispatcher.recorder = self._recorder
+        self._loader = Loader(board, store, self._recorder)
+        self._links = LinkServer(board, self._dispatcher)
+        self._leader_link = LeaderLink(board)
+        self._operator = OperatorSync(board, store, operator_keys)
+        self._election = Election(
+            board, store, self._begin_term, self._end_term, self._leader_link.follow
+        )
+        self.intake = Intake(board, store, self._operator, self._leader_link)
+        self._term_tasks: list[asyncio.Task[None]] = []
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Listen for links and run the controllers."""
+        self._server = await listen(self.board.address, self._links.serve)
+        controllers: tuple[Callable[[], Awaitable[None]], ...] = (
+            self._operator.run,
+            self._election.run,
+            self._recorder.run,
+            self._recorder.forget_ended,
+        )
+        self._tasks = [asyncio.create_task(self._supervise(part)) for part in controllers]
+
+    async def release_leadership(self) -> None:
+        """Let another entry lead; calls are served on."""
+        self.board.is_leaving = True
+        await self._election.release()
+
+    async def stop(self) -> None:
+        """Give up the lease and end all controllers."""
+        await self.release_leadership()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._server.close()
+        await self._store.close()
+
+    async def _begin_term(self) -> bool:
+        board = self.board
+        board.jobs.clear()
+        board.workers.clear()
+        self._dispatcher.begin_term()
+        if not await self._loader.load():
+            return False
+        board.is_loaded = True
+        self._term_tasks = [
+            asyncio.create_task(self._supervise(part))
+            for part in (self._loader.run, self._dispatcher.run)
+        ]
+        return True
+
+    def _end_term(self) -> None:
+        self.board.is_loaded = False
+        for task in self._term_tasks:
+            task.cancel()
+        self._term_tasks = []
+        self._links.drop_all()
+
+    def _note_deposed(self) -> None:
+        self._election.deposed()
+
+    async def _supervise(self, controller: Callable[[], Awaitable[None]]) -> None:
+        """Run a controller; one that fails is logged and run again."""
+        while True:
+            try:
+                return await controller()
+            except asyncio.CancelledError:
+                raise
+            except Exception as error:
+                log_warning(
+                    "controller_failed", controller=controller.__qualname__, error=repr(error)
+                )
+                self.board.counters.count("controller_faults")
+                await asyncio.sleep(PLANNING_FAULT_PAUSE_S)
+
+    def log_start(self) -> None:
+        """Log what this process is and listens on."""
+        log_event(
+            "entry_started",
+            node=self.board.node,
+            zone=self.board.zone,
+            address=self.board.address,
+        )
--- /dev/null
+++ b/packages/lycheeslip/lycheeslip/dispatch/intake.py
@@ -0,0 +1,296 @@
+"""Accepts, cancels and looks up jobs for callers; every outcome says what may have happened."""
+
+import asyncio
+from collections.abc import Coroutine
+from dataclasses import dataclass
+from typing import Any, TypeVar
+
+from lycheeslip_common.store import Compare, Put
+from lycheeslip_common.store.outcomes import KeyValue, Unreachable, Written
+from lycheeslip_common.store.port import ConditionFailed, KeyValueStore, LeaseEnded
+from lycheeslip_common.utils.clock import steady_ms, wall_ms
+from lycheeslip_common.utils.logs import log_event
+from lycheeslip_common.workload.jobs import JobSpec, StepSpec
+from lycheeslip_common.workload.operator import OperatorConfig, Queue
+from lycheeslip_common.workload.progress import (
+    JobState,
+    decode_progress,
+    decode_spec,
+    encode_spec,
+)
+
+from lycheeslip.dispatch.board import Board
+from lycheeslip.dispatch.keys import cancel_key, runs_key, spec_key
+from lycheeslip.dispatch.links import LeaderLink, pending_jobs
+from lycheeslip.dispatch.operator_sync import OperatorSync
+
+__all__ = [
+    "Accepted",
+    "Call",
+    "Draft",
+    "Forbidden",
+    "Intake",
+    "Missing",
+    "NotRun",
+    "Outcome",
+    "Shown",
+    "Undecided",
+    "Waiting",
+]
+
+LEADER_ANSWER_S = 0.3  # the leader is at most a few ms away; past that the store is asked
+CONFIRM_S = 0.6  # the store answers in 4 ms; a slow one takes up to 60 times as long
+RETRY_PAUSE_S = 0.1
+RETRY_AFTER_S = 1  # told to callers; a leader's or a store connection's recovery takes about this
+ANSWER_MARGIN_MS = 300  # kept of the caller's deadline for the way back
+
+Result = TypeVar("Result")
+
+
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    """The job, or its cancellation, is in the store."""
+
+
+@dataclass(frozen=True, slots=True)
+class NotRun:
+    """Nothing was stored and nothing will be; the caller may come back after `retry_after_s`."""
+
+    reason: str
+    retry_after_s: int = RETRY_AFTER_S
+
+
+@dataclass(frozen=True, slots=True)
+class Undecided:
+    """The call may have been stored; repeating it with the same id settles that."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Forbidden:
+    """The key is not one of any client account."""
+
+    reason: str = "unknown_key"
+
+
+@dataclass(frozen=True, slots=True)
+class Missing:
+    """There is no such queue, or (`is_job`) no such job."""
+
+    is_job: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Shown:
+    """The state of a job."""
+
+    state: str
+
+
+@dataclass(frozen=True, slots=True)
+class Waiting:
+    """How many jobs of a queue have not started."""
+
+    pending: int
+
+
+Outcome = Accepted | NotRun | Undecided | Forbidden | Missing | Shown | Waiting
+
+
+class Call:
+    """Where a call goes and with which key; `deadline_ms` is on the steady clock."""
+
+    __slots__ = ("deadline_ms", "host", "key", "path")
+
+    def __init__(self, host: str, path: str, key: str, deadline_ms: int) -> None:
+        """Take the call's target as it was received."""
+        self.host = host
+        self.path = path
+        self.key = key
+        self.deadline_ms = deadline_ms
+
+    @property
+    def remaining_s(self) -> float:
+        """Time left in seconds, less what the way back takes."""
+        return (self.deadline_ms - ANSWER_MARGIN_MS - steady_ms()) / 1_000
+
+
+@dataclass(frozen=True, slots=True)
+class Draft:
+    """A job as submitted, before it has a queue and an account."""
+
+    job_id: str
+    payload: str
+    steps: tuple[StepSpec, ...]
+    first_due_ms: int
+    interval_ms: int
+    occurrences: int
+
+
+class Intake:
+    """Serves callers at one entry, whichever entry leads."""
+
+    def __init__(
+        self, board: Board, store: KeyValueStore, operator: OperatorSync, leader: LeaderLink
+    ) -> None:
+        """Store jobs in `store`; ask `leader` before the store for states."""
+        self._board = board
+        self._store = store
+        self._operator = operator
+        self._leader = leader
+
+    async def submit(self, call: Call, draft: Draft) -> Outcome:
+        """Accept a job: it is in the store, under the newest configuration, or it never runs."""
+        may_be_stored = False
+        while call.remaining_s > 0:
+            permitted = await self._permit(call)
+            if not isinstance(permitted, Queue):
+                return Undecided("configuration_unknown") if may_be_stored else permitted
+            config = self._board.config
+            assert config is not None
+            value = encode_spec(self._spec(call, draft, permitted, config))
+            outcome = await self._within(
+                call,
+                self._store.transact(
+                    [
+                        Compare(spec_key(draft.job_id), 0),
+                        Compare(self._operator.config_key, config.revision),
+                    ],
+                    [Put(spec_key(draft.job_id), value)],
+                ),
+            )
+            match outcome:
+                case Written():
+                    return Accepted()
+                case ConditionFailed(items):
+                    if self._is_stored(draft.job_id, items):
+                        return Accepted()
+                    self._note_config(items)
+                case LeaseEnded():
+                    return NotRun("store_refused")
+                case Unreachable(may_have_run, _):
+                    may_be_stored = may_be_stored or may_have_run
+                    if not may_have_run and not may_be_stored:
+                        return NotRun("store_unavailable")
+                    await asyncio.sleep(RETRY_PAUSE_S)
+        return Undecided("store_silent") if may_be_stored else NotRun("deadline")
+
+    def _spec(self, call: Call, draft: Draft, queue: Queue, config: OperatorConfig) -> JobSpec:
+        account = config.account_of(call.key)
+        return JobSpec(
+            draft.job_id,
+            queue.name,
+            account.name if account else "",
+            queue.service,
+            queue.priority,
+            queue.attempts,
+            draft.payload,
+            draft.steps,
+            wall_ms(),
+            draft.first_due_ms,
+            draft.interval_ms,
+            draft.occurrences,
+        )
+
+    def _is_stored(self, job_id: str, items: tuple[KeyValue, ...]) -> bool:
+        return any(item.key == spec_key(job_id) and item.mod_revision for item in items)
+
+    def _note_config(self, items: tuple[KeyValue, ...]) -> None:
+        for item in items:
+            if item.key == self._operator.config_key:
+                self._operator.note(item)
+
+    async def cancel(self, call: Call, job_id: str) -> Outcome:
+        """Ask for a job's cancellation; accepted once that is in the store."""
+        permitted = await self._permit(call)
+        if not isinstance(permitted, Queue):
+            return permitted
+        known = await self._within(call, self._store.read(spec_key(job_id)))
+        if isinstance(known, Unreachable):
+            return NotRun("store_unavailable")
+        if not known.items or not self._is_of(known.items[0].value, permitted):
+            return Missing(is_job=True)
+        while call.remaining_s > 0:
+            outcome = await self._within(
+                call,
+                self._store.transact(
+                    [Compare(cancel_key(job_id), 0)], [Put(cancel_key(job_id), b"1")]
+                ),
+            )
+            if isinstance(outcome, Written | ConditionFailed):
+                return Accepted()
+            if isinstance(outcome, Unreachable) and not outcome.may_have_run:
+                return NotRun("store_unavailable")
+            await asyncio.sleep(RETRY_PAUSE_S)
+        return Undecided("store_silent")
+
+    async def state(self, call: Call, job_id: str) -> Outcome:
+        """Return a job's state: from the leader if it answers soon, else from the store."""
+        permitted = await self._permit(call)
+        if not isinstance(permitted, Queue):
+            return permitted
+        if self._board.leadership is not None and self._board.is_loaded:
+            job = self._board.jobs.get(job_id)
+            is_recorded = job is not None and not job.is_dirty and not job.is_being_written
+            state = job.progress.state.value if job is not None and is_recorded else ""
+        else:
+            state = await self._leader.job_state(job_id, LEADER_ANSWER_S)
+        return Shown(state) if state else await self._stored_state(call, job_id, permitted)
+
+    async def _stored_state(self, call: Call, job_id: str, queue: Queue) -> Outcome:
+        known = await self._within(call, self._store.read(spec_key(job_id)))
+        if isinstance(known, Unreachable):
+            return NotRun("store_unavailable")
+        if not known.items or not self._is_of(known.items[0].value, queue):
+            return Missing(is_job=True)
+        runs = await self._within(call, self._store.read(runs_key(job_id)))
+        if isinstance(runs, Unreachable):
+            return NotRun("store_unavailable")
+        if not runs.items:
+            return Shown(JobState.QUEUED)
+        progress = decode_progress(decode_spec(known.items[0].value), runs.items[0].value)
+        return Shown(progress.state.value)
+
+    async def pending(self, call: Call) -> Outcome:
+        """Return how many jobs of the queue wait."""
+        permitted = await self._permit(call)
+        if not isinstance(permitted, Queue):
+            return permitted
+        if self._board.leadership is not None and self._board.is_loaded:
+            return Waiting(pending_jobs(self._board, permitted.name))
+        pending = await self._leader.pending(permitted.name, LEADER_ANSWER_S)
+        return NotRun("leader_unknown") if pending is None else Waiting(pending)
+
+    async def _permit(self, call: Call) -> Queue | Outcome:
+        """Return the call's queue if a configuration that was confirmed lately allows it."""
+        board = self._board
+        if board.config is None:
+            return NotRun("no_configuration")
+        if board.config_age_ms > board.times.config_fresh_ms:
+            timeout_s = max(0.05, min(CONFIRM_S, call.remaining_s))
+            await self._operator.confirm(timeout_s)
+        if board.config_age_ms > board.times.config_valid_ms:
+            return NotRun("configuration_unconfirmed")
+        queue = board.config.queue_for(call.host, call.path)
+        if queue is None:
+            return Missing(is_job=False)
+        if not queue.is_public and board.config.account_of(call.key) is None:
+            return Forbidden()
+        return queue
+
+    def _is_of(self, value: bytes, queue: Queue) -> bool:
+        try:
+            return decode_spec(value).queue == queue.name
+        except ValueError as error:
+            log_event("record_unreadable", reason=error)
+            return False
+
+    async def _within(
+        self, call: Call, waited: Coroutine[Any, Any, Result]
+    ) -> Result | Unreachable:
+        try:
+            async with asyncio.timeout(max(0.01, call.remaining_s)):
+                return await waited
+        except TimeoutError:
+            return Unreachable(True, "deadline")
--- /dev/null
+++ b/packages/lycheeslip/lycheeslip/dispatch/keys.py
@@ -0,0 +1,33 @@
+"""Names of the keys that entries keep in the platform's store."""
+
+__all__ = [
+    "CANCEL_PREFIX",
+    "JOBS_PREFIX",
+    "LEADER_KEY",
+    "RUNS_PREFIX",
+    "SPEC_PREFIX",
+    "cancel_key",
+    "runs_key",
+    "spec_key",
+]
+
+LEADER_KEY = "lycheeslip/leader"
+JOBS_PREFIX = "lycheeslip/jobs/"
+SPEC_PREFIX = JOBS_PREFIX + "spec/"
+CANCEL_PREFIX = JOBS_PREFIX + "cancel/"
+RUNS_PREFIX = "lycheeslip/runs/"
+
+
+def spec_key(job_id: str) -> str:
+    """Return the key of a job's specification, written once by the entry that accepts it."""
+    return SPEC_PREFIX + job_id
+
+
+def cancel_key(job_id: str) -> str:
+    """Return the key whose presence asks for the job's cancellation."""
+    return CANCEL_PREFIX + job_id
+
+
+def runs_key(job_id: str) -> str:
+    """Return the key of a job's progress, written by the leader alone."""
+    return RUNS_PREFIX + job_id
--- /dev/null
+++ b/packages/lycheeslip/lycheeslip/dispatch/links.py
@@ -0,0 +1,191 @@
+"""Links of this entry: agents and other entries that link up, and its own link to the leader."""
+
+import asyncio
+
+from lycheeslip_common.utils.clock import steady_ms
+from lycheeslip_common.utils.logs import log_event, log_warning
+from lycheeslip_common.workload.fleet import (
+    Farewell,
+    Heartbeat,
+    HeartbeatReply,
+    InvalidMessageError,
+    JobQuery,
+    JobReply,
+    OrderResult,
+    QueueQuery,
+    QueueReply,
+    Redirect,
+    WorkerReport,
+)
+from lycheeslip_common.workload.link import Link, LinkClosedError, dial
+from lycheeslip_common.workload.progress import JobState
+
+from lycheeslip.dispatch.board import Board
+from lycheeslip.dispatch.dispatcher import Dispatcher
+
+__all__ = ["LeaderLink", "LinkServer", "pending_jobs"]
+
+
+def pending_jobs(board: Board, queue: str) -> int:
+    """Return how many accepted jobs of `queue` have not started a task."""
+    return sum(
+        job.progress.spec.queue == queue and job.progress.state == JobState.QUEUED
+        for job in board.jobs.values()
+    )
+
+
+class LinkServer:
+    """Serves agents and entries while this entry leads; names the leader to them otherwise."""
+
+    def __init__(self, board: Board, dispatcher: Dispatcher) -> None:
+        """Pass reports to `dispatcher`."""
+        self._board = board
+        self._dispatcher = dispatcher
+        self._links: set[Link] = set()
+
+    async def serve(self, link: Link) -> None:
+        """Serve one link until it ends or this entry no longer leads."""
+        board = self._board
+        link.post(Redirect(board.leader_address, board.leader_epoch))
+        if board.leadership is None or not board.is_loaded:
+            await asyncio.sleep(0.05)  # lets the redirect out before the link is dropped
+            return
+        self._links.add(link)
+        try:
+            while board.leadership is not None:
+                message = await link.receive(board.times.silence_ms / 1_000)
+                self._handle(link, message)
+        except (LinkClosedError, InvalidMessageError) as error:
+            if link.role == "agent":
+                log_warning("agent_link_ended", node=link.node, reason=error)
+        finally:
+            self._links.discard(link)
+            self._forget(link)
+
+    def drop_all(self) -> None:
+        """End all links: this entry no longer leads."""
+        for link in list(self._links):
+            link.post(Redirect("", 0))
+            link.abort()
+
+    def _forget(self, link: Link) -> None:
+        view = self._board.workers.get(link.node)
+        if view is not None and view.link is link:
+            view.link = None
+            self._board.work_to_plan.set()
+
+    def _handle(self, link: Link, message: object) -> None:
+        match message:
+            case Heartbeat(sent_ms, _):
+                self._extend(link, sent_ms)
+            case WorkerReport():
+                self._dispatcher.take_report(link.node, link, message)
+            case OrderResult():
+                self._dispatcher.take_order_result(link.node, message)
+            case JobQuery(number, job_id):
+                job = self._board.jobs.get(job_id)
+                is_known = job is not None and not job.is_dirty and not job.is_being_written
+                state = job.progress.state.value if job is not None and is_known else ""
+                link.post(JobReply(number, state))
+            case QueueQuery(number, queue):
+                link.post(QueueReply(number, pending_jobs(self._board, queue)))
+            case Farewell(reason):
+                log_event("agent_leaving", node=link.node, reason=reason)
+            case _:
+                log_warning("unexpected_message", node=link.node, kind=type(message).__name__)
+
+    def _extend(self, link: Link, sent_ms: int) -> None:
+        """Extend the agent's lease while this entry certainly leads, and a little longer."""
+        board = self._board
+        term = board.leadership
+        if term is None:
+            return
+        overdue_ms = steady_ms() - term.valid_until_ms
+        if overdue_ms > board.times.leader_overhang_ms:
+            link.post(HeartbeatReply(sent_ms, term.epoch, False))
+            return
+        view = board.workers.get(link.node)
+        if view is not None and view.link is link:
+            view.heard_at_ms = steady_ms()
+        link.post(HeartbeatReply(sent_ms, term.epoch, True))
+
+
+class LeaderLink:
+    """The entry's link to the leader, by which it asks about jobs and queues."""
+
+    def __init__(self, board: Board) -> None:
+        """Start without a link."""
+        self._board = board
+        self._link: Link | None = None
+        self._number = 0
+        self._answers: dict[int, asyncio.Future[JobReply | QueueReply]] = {}
+
+    async def follow(self, address: str) -> None:
+        """Hold a link to the leader at `address` until it ends or says that it doesn't lead."""
+        try:
+            link = await dial(address, "entry", self._board.node)
+        except LinkClosedError as error:
+            log_warning("leader_unreachable", address=address, reason=error)
+            return
+        sender = asyncio.create_task(link.run_sender())
+        beating = asyncio.create_task(self._beat(link))
+        self._link = link
+        log_event("leader_linked", address=address, epoch=self._board.leader_epoch)
+        try:
+            while not self._board.is_leaving:
+                message = await link.receive(self._board.times.silence_ms / 1_000)
+                if not self._take(message):
+                    return
+        except (LinkClosedError, InvalidMessageError) as error:
+            log_warning("leader_lost", dependency="leader", address=address, reason=error)
+        finally:
+            self._link = None
+            beating.cancel()
+            sender.cancel()
+            link.abort()
+
+    def _take(self, message: object) -> bool:
+        match message:
+            case HeartbeatReply(_, _, is_leader):
+                return is_leader
+            case Redirect(address, _):
+                return bool(address)
+            case JobReply(number, _) | QueueReply(number, _):
+                waiting = self._answers.pop(number, None)
+                if waiting is not None and not waiting.done():
+                    waiting.set_result(message)
+        return True
+
+    async def _beat(self, link: Link) -> None:
+        while True:
+            link.post(Heartbeat(steady_ms(), self._board.leader_epoch))
+            await asyncio.sleep(self._board.times.heartbeat_ms / 1_000)
+
+    async def job_state(self, job_id: str, timeout_s: float) -> str:
+        """Return the job's state as the leader has recorded it, or "" if it doesn't say."""
+        self._number += 1
+        answer = await self._ask(JobQuery(self._number, job_id), timeout_s)
+        return answer.state if isinstance(answer, JobReply) else ""
+
+    async def pending(self, queue: str, timeout_s: float) -> int | None:
+        """Return the number of jobs of `queue` that wait, or None if the leader doesn't say."""
+        self._number += 1
+        answer = await self._ask(QueueQuery(self._number, queue), timeout_s)
+        return answer.pending if isinstance(answer, QueueReply) else None
+
+    async def _ask(
+        self, query: JobQuery | QueueQuery, timeout_s: float
+    ) -> JobReply | QueueReply | None:
+        link = self._link
+        if link is None:
+            return None
+        future: asyncio.Future[JobReply | QueueReply] = asyncio.get_running_loop().create_future()
+        self._answers[query.number] = future
+        link.post(query)
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await future
+        except TimeoutError:
+            return None
+        finally:
+            self._answers.pop(query.number, None)
--- /dev/null
+++ b/packages/lycheeslip/lycheeslip/dispatch/loader.py
@@ -0,0 +1,129 @@
+"""Loads all job records when a term begins, and follows new jobs and cancellations after it."""
+
+import asyncio
+
+from lycheeslip_common.store.outcomes import KeyValue, Unreachable
+from lycheeslip_common.store.port import ChangedKeys, HistoryLost, KeyValueStore
+from lycheeslip_common.utils.clock import steady_ms, wall_ms
+from lycheeslip_common.utils.logs import log_event, log_warning
+from lycheeslip_common.utils.retry import Backoff
+from lycheeslip_common.workload.jobs import JobSpec
+from lycheeslip_common.workload.progress import (
+    JobProgress,
+    cancel,
+    decode_progress,
+    decode_spec,
+    open_occurrences,
+)
+
+from lycheeslip.dispatch.board import Board, StoredJob
+from lycheeslip.dispatch.keys import CANCEL_PREFIX, JOBS_PREFIX, RUNS_PREFIX, SPEC_PREFIX
+from lycheeslip.dispatch.recorder import Recorder
+
+__all__ = ["Loader"]
+
+RETRY_FIRST_S = 0.1
+RETRY_LIMIT_S = 0.5
+WATCH_WAIT_MS = 2_000  # a connection gone silent is noticed well within a job's latency objective
+
+
+class Loader:
+    """Brings what entries accepted into the leader's table of jobs."""
+
+    def __init__(self, board: Board, store: KeyValueStore, recorder: Recorder) -> None:
+        """Read from `store` into `board.jobs`."""
+        self._board = board
+        self._store = store
+        self._recorder = recorder
+        self._revision = 0
+
+    async def load(self) -> bool:
+        """Read all records; returns whether the store answered."""
+        jobs = await self._store.read_prefix(JOBS_PREFIX)
+        runs = await self._store.read_prefix(RUNS_PREFIX)
+        if isinstance(jobs, Unreachable) or isinstance(runs, Unreachable):
+            return False
+        stored_by_id = {item.key.removeprefix(RUNS_PREFIX): item for item in runs.items}
+        for item in jobs.items:
+            if item.key.startswith(SPEC_PREFIX):
+                self._take_spec(item, stored_by_id)
+        for item in jobs.items:
+            if item.key.startswith(CANCEL_PREFIX):
+                self._take_cancel(item.key.removeprefix(CANCEL_PREFIX))
+        self._revision = jobs.revision
+        log_event("records_loaded", jobs=len(self._board.jobs), revision=jobs.revision)
+        return True
+
+    async def run(self) -> None:
+        """Follow new jobs and cancellations while leading."""
+        backoff = Backoff(RETRY_FIRST_S, RETRY_LIMIT_S)
+        while self._board.leadership is not None:
+            outcome = await self._store.changes(JOBS_PREFIX, self._revision, WATCH_WAIT_MS)
+            if self._board.leadership is None:
+                return
+            match outcome:
+                case ChangedKeys(events, revision):
+                    for event in events:
+                        if not event.deleted:
+                            self._take(KeyValue(event.key, event.value, event.mod_revision))
+                    self._revision = max(self._revision, revision)
+                    backoff.reset()
+                case HistoryLost():
+                    log_warning("job_history_lost", revision=self._revision)
+                    await self._reread()
+                case Unreachable(_, detail):
+                    log_warning("job_watch_failed", reason=detail)
+                    await asyncio.sleep(backoff.next_delay_s())
+
+    async def _reread(self) -> None:
+        """Read all accepted jobs again; known ones are left as they are."""
+        jobs = await self._store.read_prefix(JOBS_PREFIX)
+        if isinstance(jobs, Unreachable):
+            await asyncio.sleep(RETRY_FIRST_S)
+            return
+        for item in sorted(jobs.items, key=lambda item: item.key, reverse=True):
+            self._take(item)  # specifications sort behind cancellations, so they come first
+        self._revision = max(self._revision, jobs.revision)
+
+    def _take(self, item: KeyValue) -> None:
+        if item.key.startswith(SPEC_PREFIX):
+            self._take_spec(item, {})
+        elif item.key.startswith(CANCEL_PREFIX):
+            self._take_cancel(item.key.removeprefix(CANCEL_PREFIX))
+        self._board.work_to_plan.set()
+
+    def _take_spec(self, item: KeyValue, stored_by_id: dict[str, KeyValue]) -> None:
+        job_id = item.key.removeprefix(SPEC_PREFIX)
+        if job_id in self._board.jobs:
+            return
+        try:
+            spec = decode_spec(item.value)
+            job = self._stored_job(spec, stored_by_id.get(job_id))
+        except ValueError as error:
+            log_warning("record_unreadable", job=job_id, reason=error)
+            return
+        self._board.jobs[job_id] = job
+        log_event(
+            "job_known",
+            job=job_id,
+            queue=spec.queue,
+            account=spec.account,
+            priority=spec.priority,
+            state=job.progress.state,
+            steps=[
+                (s.task_count, s.cpu_milli, s.accelerators, s.gang, s.same_rack) for s in spec.steps
+            ],
+            occurrences=spec.occurrences,
+            delay_ms=wall_ms() - spec.accepted_at_ms,
+        )
+
+    def _stored_job(self, spec: JobSpec, item: KeyValue | None) -> StoredJob:
+        progress = decode_progress(spec, item.value) if item else JobProgress(spec)
+        open_occurrences(progress, wall_ms())
+        return StoredJob(progress, item.mod_revision if item else 0, steady_ms())
+
+    def _take_cancel(self, job_id: str) -> None:
+        job = self._board.jobs.get(job_id)
+        if job is not None and cancel(job.progress, wall_ms()):
+            log_event("job_cancelled", job=job_id)
+            self._recorder.mark(job)
--- /dev/null
+++ b/packages/lycheeslip/lycheeslip/dispatch/operator_sync.py
@@ -0,0 +1,164 @@
+"""Follows what operators write to the store, and knows how old that knowledge is."""
+
+import asyncio
+from collections.abc import Callable
+
+from lycheeslip_common.store.outcomes import KeyValue, Unreachable
+from lycheeslip_common.store.port import ChangedKeys, HistoryLost, KeyValueStore
+from lycheeslip_common.utils.clock import steady_ms
+from lycheeslip_common.utils.logs import log_event, log_warning
+from lycheeslip_common.utils.retry import Backoff
+from lycheeslip_common.workload.operator import (
+    ConfigChange,
+    OperatorChange,
+    OperatorConfig,
+    ZoneChange,
+)
+
+from lycheeslip.dispatch.board import Board
+
+__all__ = ["OperatorKeys", "OperatorSync"]
+
+RETRY_FIRST_S = 0.1  # the configuration is to be in force within 2 s, store faults included
+RETRY_LIMIT_S = 0.5
+EARLY_ANSWER_MS = 100  # a watch that ended this much before its wait confirms its start only
+
+
+class OperatorKeys:
+    """Where operators write, and how to read it; the adapter provides both."""
+
+    def __init__(
+        self,
+        prefix: str,
+        config_key: str,
+        decode: Callable[[KeyValue, bool], OperatorChange | None],
+    ) -> None:
+        """`decode` turns a key (and whether it was deleted) into a change, None if unusable."""
+        self.prefix = prefix
+        self.config_key = config_key
+        self.decode = decode
+
+
+class OperatorSync:
+    """Keeps the board's configuration and evacuated zones up to date; versions only rise."""
+
+    def __init__(self, board: Board, store: KeyValueStore, keys: OperatorKeys) -> None:
+        """Read and watch `keys` in `store`."""
+        self._board = board
+        self._store = store
+        self._keys = keys
+        self._is_store_known_away = False
+
+    @property
+    def config_key(self) -> str:
+        """The key of the newest configuration."""
+        return self._keys.config_key
+
+    async def run(self) -> None:
+        """Follow changes for ever."""
+        backoff = Backoff(RETRY_FIRST_S, RETRY_LIMIT_S)
+        revision = 0
+        while True:
+            if revision == 0:
+                revision = await self._read_all()
+                outcome: object = revision or None
+            else:
+                outcome = await self._follow(revision)
+                revision = outcome if isinstance(outcome, int) else revision
+                if isinstance(outcome, HistoryLost):
+                    revision = 0
+                    continue
+            if outcome is None:
+                await asyncio.sleep(backoff.next_delay_s())
+            else:
+                backoff.reset()
+
+    async def confirm(self, timeout_s: float) -> bool:
+        """Ask the store for the configuration now; returns whether it answered."""
+        asked_at = steady_ms()
+        result = await self._store.read(self._keys.config_key, timeout_s)
+        if isinstance(result, Unreachable):
+            return False
+        for item in result.items:
+            self._apply(self._keys.decode(item, False))
+        self._confirm_as_of(asked_at)
+        return True
+
+    def note(self, item: KeyValue) -> None:
+        """Take in a key of the operator that another call returned."""
+        self._apply(self._keys.decode(item, False))
+
+    async def _read_all(self) -> int:
+        asked_at = steady_ms()
+        result = await self._store.read_prefix(self._keys.prefix)
+        if isinstance(result, Unreachable):
+            self._note_store(False, result.detail)
+            return 0
+        self._note_store(True, "")
+        zones_before = set(self._board.evacuated_zones)
+        self._board.evacuated_zones.clear()
+        for item in result.items:
+            self._apply(self._keys.decode(item, False))
+        for zone in zones_before - self._board.evacuated_zones:
+            log_event("zone_in_service", zone=zone, revision=result.revision)
+        if self._board.config is not None:
+            self._confirm_as_of(asked_at)
+        return result.revision
+
+    async def _follow(self, revision: int) -> int | HistoryLost | None:
+        asked_at = steady_ms()
+        wait_ms = self._board.times.config_watch_ms
+        outcome = await self._store.changes(self._keys.prefix, revision, wait_ms)
+        match outcome:
+            case ChangedKeys(events, new_revision):
+                self._note_store(True, "")
+                for event in events:
+                    item = KeyValue(event.key, event.value, event.mod_revision)
+                    self._apply(self._keys.decode(item, event.deleted))
+                waited_ms = steady_ms() - asked_at
+                is_whole_wait = not events and waited_ms >= wait_ms - EARLY_ANSWER_MS
+                self._confirm_as_of(asked_at + (wait_ms - EARLY_ANSWER_MS) * is_whole_wait)
+                return max(revision, new_revision)
+            case HistoryLost():
+                log_warning("operator_history_lost", revision=revision)
+                return outcome
+            case Unreachable(_, detail):
+                self._note_store(False, detail)
+                return None
+
+    def _confirm_as_of(self, at_ms: int) -> None:
+        self._board.confirmed_at_ms = max(self._board.confirmed_at_ms, at_ms)
+
+    def _note_store(self, is_reachable: bool, detail: str) -> None:
+        if is_reachable and self._is_store_known_away:
+            log_event("store_regained", dependency="store", age_ms=self._board.config_age_ms)
+        if not is_reachable and not self._is_store_known_away:
+            log_warning("store_lost", dependency="store", reason=detail)
+        self._is_store_known_away = not is_reachable
+
+    def _apply(self, change: OperatorChange | None) -> None:
+        board = self._board
+        match change:
+            case ConfigChange(config) if self._is_newer(config):
+                board.config = config
+                log_event(
+                    "config_applied",
+                    version=config.version,
+                    revision=config.revision,
+                    queues=len(config.queues),
+                    accounts=len(config.accounts),
+                )
+                board.counters.gauge("config_version", config.version)
+                board.work_to_plan.set()
+            case ZoneChange(zone, True):
+                board.evacuated_zones.add(zone)
+                log_event("zone_evacuated", zone=zone)
+            case ZoneChange(zone, False):
+                board.evacuated_zones.discard(zone)
+                log_event("zone_in_service", zone=zone)
+                board.work_to_plan.set()
+            case _:
+                return
+
+    def _is_newer(self, config: OperatorConfig) -> bool:
+        return self._board.config is None or config.version > self._board.config.version
--- /dev/null
+++ b/packages/lycheeslip/lycheeslip/dispatch/placement.py
@@ -0,0 +1,310 @@
+"""Decides which waiting units start where, and which runs give way: pure functions.
+
+A unit is a whole gang or a single task. Units are placed in order of priority and age; room is
+held back for an urgent unit whose room is still being freed.
+"""
+
+from collections import Counter
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from lycheeslip_common.workload.fleet import Lifetime
+from lycheeslip_common.workload.jobs import Demand
+
+__all__ = ["Occupant", "Plan", "Room", "Unit", "plan_round"]
+
+StepKey = tuple[str, int, int]
+"""Job, occurrence and step."""
+
+ACCELERATOR_CORES = 8  # what one accelerator counts in core-seconds of lost work
+FAILURE_PENALTY = 1_000  # a worker that fails runs is used only if nothing else fits
+URGENT_PRIORITY = 0
+
+
+class Occupant(NamedTuple):
+    """A run that occupies a worker; `loss` is the work in core-seconds lost by stopping it."""
+
+    job_id: str
+    task: str
+    run: int
+    account: str
+    priority: int
+    demand: Demand
+    loss: float
+    is_stopping: bool
+    unit: tuple[str, int, int]
+
+
+@dataclass(slots=True)
+class Room:
+    """One worker: what is free on it, and who occupies the rest."""
+
+    node: str
+    lifetime: Lifetime
+    service: str
+    zone: str
+    rack: str
+    labels: frozenset[str]
+    total: Demand
+    free_cpu: int
+    free_memory: int
+    free_accelerators: int
+    failures: int = 0
+    occupants: list[Occupant] = field(default_factory=list)
+    counts: Counter[StepKey] = field(default_factory=Counter)
+
+    def admits(self, unit: "Unit") -> bool:
+        """Return whether one more task of `unit` may run here, by room and by its spread."""
+        is_full = unit.max_per_worker and self.counts[unit.step_key] >= unit.max_per_worker
+        return not is_full and self.fits(unit.demand)
+
+    def add(self, unit: "Unit") -> None:
+        """Occupy what one task of `unit` needs."""
+        self.take(unit.demand)
+        self.counts[unit.step_key] += 1
+
+    def fits(self, demand: Demand) -> bool:
+        """Return whether `demand` fits in what is free."""
+        return (
+            demand.cpu_milli <= self.free_cpu
+            and demand.memory_mb <= self.free_memory
+            and demand.accelerators <= self.free_accelerators
+        )
+
+    def take(self, demand: Demand) -> None:
+        """Occupy `demand`; what is free may become negative where room is only held back."""
+        self.free_cpu -= demand.cpu_milli
+        self.free_memory -= demand.memory_mb
+        self.free_accelerators -= demand.accelerators
+
+    def give(self, demand: Demand) -> None:
+        """Free `demand`."""
+        self.take(Demand(-demand.cpu_milli, -demand.memory_mb, -demand.accelerators))
+
+    def copy(self) -> "Room":
+        """Return a room that can be tried on without changing this one."""
+        return Room(
+            self.node,
+            self.lifetime,
+            self.service,
+            self.zone,
+            self.rack,
+            self.labels,
+            self.total,
+            self.free_cpu,
+            self.free_memory,
+            self.free_accelerators,
+            self.failures,
+            list(self.occupants),
+            Counter(self.counts),
+        )
+
+
+class Unit(NamedTuple):
+    """A gang or a single task that may start now."""
+
+    job_id: str
+    occurrence: int
+    step: int
+    indexes: tuple[int, ...]
+    account: str
+    service: str
+    priority: int
+    waiting_since_ms: int
+    demand: Demand
+    label: str
+    data_rack: str
+    same_rack: bool
+    max_per_worker: int
+    avoided_workers: frozenset[str]
+    is_guaranteed: bool
+    is_gang: bool
+
+    @property
+    def step_key(self) -> StepKey:
+        """Identifies the step that the unit belongs to."""
+        return (self.job_id, self.occurrence, self.step)
+
+
+@dataclass(slots=True)
+class Plan:
+    """What a round decided: starts as (unit, room of each member), and runs to stop."""
+
+    starts: list[tuple[Unit, list[Room]]] = field(default_factory=list)
+    stops: list[tuple[Room, Occupant]] = field(default_factory=list)
+    blocked: list[Unit] = field(default_factory=list)
+
+
+def plan_round(units: Sequence[Unit], rooms: Sequence[Room]) -> Plan:
+    """Return what to start and stop; `rooms` are changed to what is then free."""
+    plan = Plan()
+    stopped: set[tuple[str, int]] = set()
+    for unit in sorted(units, key=_order):
+        usable = [room for room in rooms if _may_use(unit, room)]
+        chosen = choose_rooms(unit, usable)
+        if chosen is not None:
+            for room in chosen:
+                room.add(unit)
+            plan.starts.append((unit, chosen))
+            continue
+        plan.blocked.append(unit)
+        if unit.priority == URGENT_PRIORITY:
+            _reclaim(unit, usable, plan, stopped)
+        elif unit.is_gang:
+            _hold_back(unit, usable)
+    return plan
+
+
+def _order(unit: Unit) -> tuple[int, int, int, str]:
+    return (unit.priority, not unit.is_guaranteed, unit.waiting_since_ms, unit.job_id)
+
+
+def _may_use(unit: Unit, room: Room) -> bool:
+    return room.service == unit.service and (not unit.label or unit.label in room.labels)
+
+
+def choose_rooms(unit: Unit, rooms: Sequence[Room]) -> list[Room] | None:
+    """Return a room for each member of `unit`, or None if they don't all fit now."""
+    for group in _groups(unit, rooms):
+        chosen = _pack(unit, group)
+        if chosen is not None:
+            return chosen
+    return None
+
+
+def _groups(unit: Unit, rooms: Sequence[Room]) -> Iterable[list[Room]]:
+    """Yield sets of rooms to try, best first.
+
+    Members that work together stay on one rack if any rack is large enough for them.
+    """
+    ranked = sorted(rooms, key=lambda room: _rank(unit, room))
+    if not unit.same_rack:
+        yield ranked
+        return
+    racks: dict[str, list[Room]] = {}
+    for room in ranked:
+        racks.setdefault(room.rack, []).append(room)
+    yield from sorted(racks.values(), key=_free_accelerators)
+    if not any(_could_hold(unit, group) for group in racks.values()):
+        yield ranked
+
+
+def _free_accelerators(group: Sequence[Room]) -> int:
+    return sum(room.free_accelerators for room in group)
+
+
+def _could_hold(unit: Unit, group: Sequence[Room]) -> bool:
+    """Return whether the rooms of `group` would hold the whole unit if they were empty."""
+    emptied = [room.copy() for room in group]
+    for room in emptied:
+        room.free_cpu, room.free_memory, room.free_accelerators = room.total
+    return _pack(unit, emptied) is not None
+
+
+def _rank(unit: Unit, room: Room) -> tuple[int, int, int, str]:
+    """Prefer the data's rack, sound workers, then the tightest fit, which keeps holes whole."""
+    is_far = bool(unit.data_rack) and room.rack != unit.data_rack
+    penalty = room.failures * FAILURE_PENALTY
+    if room.lifetime.worker_id in unit.avoided_workers:
+        penalty += FAILURE_PENALTY
+    return (is_far, penalty, room.free_accelerators, room.node)
+
+
+def _pack(unit: Unit, ranked: Sequence[Room]) -> list[Room] | None:
+    trial = [(room, room.copy()) for room in ranked]
+    chosen: list[Room] = []
+    for _ in unit.indexes:
+        for room, attempt in trial:
+            if not attempt.admits(unit):
+                continue
+            attempt.add(unit)
+            chosen.append(room)
+            break
+        else:
+            return None
+    return chosen
+
+
+def _reclaim(unit: Unit, usable: Sequence[Room], plan: Plan, stopped: set[tuple[str, int]]) -> None:
+    """Stop the runs whose stop loses least, so that `unit` fits; hold that room back for it."""
+    best: tuple[float, list[Room], list[tuple[Room, Occupant]]] | None = None
+    for group in _groups(unit, usable):
+        option = _eviction(unit, group, stopped)
+        if option is not None and (best is None or option[0] < best[0]):
+            best = option
+    if best is None:
+        return
+    _, chosen, victims = best
+    for room in chosen:
+        room.take(unit.demand)
+    for room, occupant in victims:
+        room.give(occupant.demand)
+        stopped.add((occupant.task, occupant.run))
+        room.occupants.remove(occupant)
+        if not occupant.is_stopping:
+            plan.stops.append((room, occupant))
+
+
+def _gives_way(unit: Unit, occupant: Occupant) -> bool:
+    if occupant.is_stopping:
+        return True
+    return occupant.priority > unit.priority
+
+
+def _eviction(
+    unit: Unit, group: Sequence[Room], stopped: set[tuple[str, int]]
+) -> tuple[float, list[Room], list[tuple[Room, Occupant]]] | None:
+    """Return (loss, rooms, victims) of the cheapest way found to fit `unit` into `group`."""
+    trial = {room.node: room.copy() for room in group}
+    candidates = [
+        (room, occupant)
+        for room in group
+        for occupant in room.occupants
+        if (occupant.task, occupant.run) not in stopped and _gives_way(unit, occupant)
+    ]
+    candidates.sort(key=lambda pair: (not pair[1].is_stopping, pair[1].loss))
+    victims: list[tuple[Room, Occupant]] = []
+    for room, occupant in candidates:
+        trial[room.node].give(occupant.demand)
+        victims.append((room, occupant))
+        packed = _pack(unit, list(trial.values()))
+        if packed is not None:
+            return _trimmed(unit, group, victims, packed)
+    return None
+
+
+def _trimmed(
+    unit: Unit,
+    group: Sequence[Room],
+    victims: list[tuple[Room, Occupant]],
+    packed: list[Room],
+) -> tuple[float, list[Room], list[tuple[Room, Occupant]]]:
+    """Drop the victims that the unit can do without, the most costly first."""
+    by_node = {room.node: room for room in group}
+    kept = list(victims)
+    for pair in reversed(victims):
+        fewer = [other for other in kept if other is not pair]
+        trial = {room.node: room.copy() for room in group}
+        for room, occupant in fewer:
+            trial[room.node].give(occupant.demand)
+        repacked = _pack(unit, list(trial.values()))
+        if repacked is not None:
+            kept, packed = fewer, repacked
+    loss = sum(0.0 if occupant.is_stopping else occupant.loss for _, occupant in kept)
+    return loss, [by_node[room.node] for room in packed], kept
+
+
+def _hold_back(unit: Unit, usable: Sequence[Room]) -> None:
+    """Hold the emptiest rooms back for a blocked gang, so that smaller units don't starve it."""
+    for group in sorted(_groups(unit, usable), key=_free_accelerators, reverse=True):
+        if not _could_hold(unit, group):
+            continue
+        emptied = [room.copy() for room in group]
+        for room in emptied:
+            room.free_cpu, room.free_memory, room.free_accelerators = room.total
+        chosen = _pack(unit, emptied) or []
+        by_node = {room.node: room for room in group}
+        for room in chosen:
+            by_node[room.node].take(unit.demand)
+        return
--- /dev/null
+++ b/packages/lycheeslip/lycheeslip/dispatch/recorder.py
@@ -0,0 +1,143 @@
+"""Writes changed job records, several in one transaction, and resolves lost answers.
+
+Orders and acknowledgements that depend on a record are released only after its write.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+from lycheeslip_common.store import Compare, Put
+from lycheeslip_common.store.outcomes import Unreachable, Written
+from lycheeslip_common.store.port import ConditionFailed, KeyValueStore, LeaseEnded
+from lycheeslip_common.utils.clock import steady_ms, wall_ms
+from lycheeslip_common.utils.logs import log_event, log_warning
+from lycheeslip_common.utils.retry import Backoff
+from lycheeslip_common.workload.progress import encode_progress
+
+from lycheeslip.dispatch.board import Board, StoredJob
+from lycheeslip.dispatch.keys import LEADER_KEY, cancel_key, runs_key, spec_key
+
+__all__ = ["Recorder"]
+
+MAX_JOBS_PER_WRITE = 28  # the platform takes 32 entries a call, one of them the leader's key
+MAX_DELETED_JOBS = 9  # three keys each
+RETRY_FIRST_S = 0.05
+RETRY_LIMIT_S = 0.5
+
+
+class Recorder:
+    """The leader's only writer of progress records; one write is in progress at a time."""
+
+    def __init__(
+        self,
+        board: Board,
+        store: KeyValueStore,
+        on_recorded: Callable[[list[str]], None],
+        on_deposed: Callable[[], None],
+    ) -> None:
+        """Call `on_recorded` with the ids of jobs whose newest state is in the store."""
+        self._board = board
+        self._store = store
+        self._on_recorded = on_recorded
+        self._on_deposed = on_deposed
+        self._changed = asyncio.Event()
+
+    def mark(self, job: StoredJob) -> None:
+        """Note that a job's progress must be written."""
+        job.is_dirty = True
+        self._changed.set()
+
+    async def run(self) -> None:
+        """Write changed records for ever."""
+        while True:
+            await self._changed.wait()
+            self._changed.clear()
+            while self._board.leadership is not None and await self._write_batch():
+                pass
+
+    async def _write_batch(self) -> bool:
+        """Write some dirty jobs; returns whether there may be more."""
+        term = self._board.leadership
+        dirty = [(key, job) for key, job in self._board.jobs.items() if job.is_dirty]
+        batch = dirty[:MAX_JOBS_PER_WRITE]
+        if not batch or term is None:
+            return False
+        values: dict[str, bytes] = {}
+        compares = [Compare(LEADER_KEY, term.epoch)]
+        for job_id, job in batch:
+            values[runs_key(job_id)] = encode_progress(job.progress)
+            compares.append(Compare(runs_key(job_id), job.revision))
+            job.is_dirty, job.is_being_written = False, True
+        puts = [Put(key, value) for key, value in values.items()]
+        began_at = steady_ms()
+        revisions = await self._write_until_known(compares, puts, values)
+        if self._board.leadership is not term:
+            return False
+        if revisions is None:
+            log_warning("record_write_lost_term", epoch=term.epoch, jobs=len(batch))
+            self._on_deposed()
+            return False
+        for job_id, job in batch:
+            job.revision = revisions[runs_key(job_id)]
+            job.is_being_written = False
+        self._board.counters.observe_ms("record_write", steady_ms() - began_at)
+        self._on_recorded([job_id for job_id, job in batch if not job.is_dirty])
+        return True
+
+    async def _write_until_known(
+        self, compares: list[Compare], puts: list[Put], values: dict[str, bytes]
+    ) -> dict[str, int] | None:
+        """Return the new revision of each key, or None if another leader has written."""
+        backoff = Backoff(RETRY_FIRST_S, RETRY_LIMIT_S)
+        term = self._board.leadership
+        while self._board.leadership is term:
+            outcome = await self._store.transact(compares, puts)
+            match outcome:
+                case Written(revision):
+                    return dict.fromkeys(values, revision)
+                case ConditionFailed(items):
+                    # an earlier try whose answer was lost may have taken effect
+                    found = {item.key: item for item in items}
+                    is_ours = all(
+                        key in found and found[key].value == value for key, value in values.items()
+                    )
+                    if not is_ours:
+                        return None
+                    return {key: found[key].mod_revision for key in values}
+                case LeaseEnded():
+                    return None
+                case Unreachable(_, detail):
+                    self._board.counters.count("record_retries", "store_unreachable")
+                    log_warning("record_write_retried", reason=detail, jobs=len(puts))
+                    await asyncio.sleep(backoff.next_delay_s())
+        return None
+
+    async def forget_ended(self) -> None:
+        """Delete the records of jobs that ended longer ago than they must be kept."""
+        while True:
+            await asyncio.sleep(self._board.times.retention_ms / 10_000)
+            term = self._board.leadership
+            expired = [key for key, job in self._board.jobs.items() if self._is_expired(job)]
+            for start in range(0, len(expired), MAX_DELETED_JOBS):
+                if term is None or self._board.leadership is not term:
+                    break
+                await self._delete(term.epoch, expired[start : start + MAX_DELETED_JOBS])
+
+    def _is_expired(self, job: StoredJob) -> bool:
+        ended_at = job.progress.ended_at_ms
+        is_settled = not job.is_dirty and not any(job.progress.placed())
+        return bool(
+            ended_at and is_settled and wall_ms() - ended_at > self._board.times.retention_ms
+        )
+
+    async def _delete(self, epoch: int, job_ids: list[str]) -> None:
+        keys = [
+            key
+            for job_id in job_ids
+            for key in (spec_key(job_id), cancel_key(job_id), runs_key(job_id))
+        ]
+        outcome = await self._store.transact([Compare(LEADER_KEY, epoch)], [], keys)
+        if isinstance(outcome, Written):
+            for job_id in job_ids:
+                self._board.jobs.pop(job_id, None)
+            log_event("jobs_forgotten", count=len(job_ids))
--- /dev/null
+++ b/packages/lycheeslip/lycheeslip/dispatch/view.py
@@ -0,0 +1,165 @@
+"""Builds what the placement decides on from the jobs and workers that the leader knows."""
+
+from collections import Counter
+
+from lycheeslip_common.utils.clock import steady_ms
+from lycheeslip_common.workload.fleet import Lifetime
+from lycheeslip_common.workload.jobs import Demand, StepSpec, demand_of, parse_task_name
+from lycheeslip_common.workload.progress import JobProgress, TaskKey, waiting_units
+
+from lycheeslip.dispatch.board import Board, StoredJob, WorkerView
+from lycheeslip.dispatch.placement import ACCELERATOR_CORES, URGENT_PRIORITY, Occupant, Room, Unit
+
+__all__ = ["build_rooms", "build_units", "service_of", "task_text"]
+
+MAX_COUNTED_FAILURES = 3
+
+
+def task_text(job_id: str, key: TaskKey) -> str:
+    """Return the name of a task as backend servers know it."""
+    return f"{job_id}.{key[0]}.{key[1]}.{key[2]}"
+
+
+def service_of(board: Board, job: JobProgress) -> str:
+    """Return the service that runs the job's queue now; a removed queue keeps its last one."""
+    queue = board.config.queue_named(job.spec.queue) if board.config else None
+    return queue.service if queue else job.spec.service
+
+
+def build_rooms(board: Board) -> list[Room]:
+    """Return all workers that may start tasks, with what is free and who occupies the rest."""
+    occupants = _occupants_by_lifetime(board)
+    rooms = []
+    for view in board.workers.values():
+        if view.link is None or view.lifetime is None:
+            continue
+        room = _room_of(view, view.lifetime)
+        for occupant in occupants.get(view.lifetime, []):
+            room.take(occupant.demand)
+            room.occupants.append(occupant)
+            room.counts[occupant.unit] += 1
+        _take_strays(board, view, room)
+        if view.report.is_ready and view.report.zone not in board.evacuated_zones:
+            rooms.append(room)
+    return rooms
+
+
+def _room_of(view: WorkerView, lifetime: Lifetime) -> Room:
+    report = view.report
+    total = Demand(report.cpu_milli, report.memory_mb, report.accelerators)
+    return Room(
+        view.node,
+        lifetime,
+        report.service,
+        report.zone,
+        report.labels[-1] if report.labels else "",
+        frozenset(report.labels),
+        total,
+        *total,
+        failures=min(view.failures, MAX_COUNTED_FAILURES),
+    )
+
+
+def _occupants_by_lifetime(board: Board) -> dict[Lifetime, list[Occupant]]:
+    now = steady_ms()
+    result: dict[Lifetime, list[Occupant]] = {}
+    for job_id, job in board.jobs.items():
+        for key, task in job.progress.placed():
+            if task.lifetime is not None:
+                occupant = _occupant(job_id, job, key, now)
+                result.setdefault(task.lifetime, []).append(occupant)
+    return result
+
+
+def _occupant(job_id: str, job: StoredJob, key: TaskKey, now_ms: int) -> Occupant:
+    spec = job.progress.spec
+    step = spec.steps[key[1]]
+    task = job.progress.tasks[key]
+    name = task_text(job_id, key)
+    demand = demand_of(step)
+    members = step.task_count if step.gang else 1
+    cores = demand.cpu_milli / 1_000 + demand.accelerators * ACCELERATOR_CORES
+    run_s = (now_ms - job.started_ms.get(key, now_ms)) / 1_000
+    lost_s = min(run_s, 1.0) if step.checkpointing else run_s
+    is_ending = job.progress.has_ended or (name, task.run) in job.stopping
+    return Occupant(
+        job_id,
+        name,
+        task.run,
+        spec.account,
+        spec.priority,
+        demand,
+        cores * lost_s * members,
+        is_ending,
+        (job_id, key[0], key[1]),
+    )
+
+
+def _take_strays(board: Board, view: WorkerView, room: Room) -> None:
+    """Count runs that the worker lists but that no record places there."""
+    placed = {(occupant.task, occupant.run) for occupant in room.occupants}
+    for run in view.report.running:
+        if (run.task, run.run) in placed:
+            continue
+        name = parse_task_name(run.task)
+        job = board.jobs.get(name.job_id) if name else None
+        if name and job and name.step < len(job.progress.spec.steps):
+            room.take(demand_of(job.progress.spec.steps[name.step]))
+        else:
+            room.take(room.total)
+
+
+def build_units(board: Board) -> list[Unit]:
+    """Return all gangs and tasks that may start now."""
+    demands = _urgent_accelerators_by_account(board)
+    accounts = board.config.accounts if board.config else ()
+    guarantees = {account.name: account.guaranteed for account in accounts}
+    units = []
+    for job_id, job in board.jobs.items():
+        account = job.progress.spec.account
+        is_guaranteed = demands.get(account, 0) <= guarantees.get(account, 0)
+        for step, members in waiting_units(job.progress):
+            units.append(_unit(board, job_id, job, step, members, is_guaranteed))
+    return units
+
+
+def _urgent_accelerators_by_account(board: Board) -> dict[str, int]:
+    """Return what each account's most urgent jobs need, counting jobs that haven't ended."""
+    result: Counter[str] = Counter()
+    for job in board.jobs.values():
+        spec = job.progress.spec
+        if spec.priority == URGENT_PRIORITY and not job.progress.has_ended:
+            result[spec.account] += sum(step.task_count * step.accelerators for step in spec.steps)
+    return result
+
+
+def _unit(
+    board: Board,
+    job_id: str,
+    job: StoredJob,
+    step: StepSpec,
+    members: list[TaskKey],
+    is_guaranteed: bool,
+) -> Unit:
+    spec = job.progress.spec
+    occurrence, step_number, _ = members[0]
+    counter = job.progress.tasks[members[0]]
+    due_ms = spec.due_at_ms(occurrence)
+    return Unit(
+        job_id=job_id,
+        occurrence=occurrence,
+        step=step_number,
+        indexes=tuple(key[2] for key in members),
+        account=spec.account,
+        service=service_of(board, job.progress),
+        priority=spec.priority,
+        waiting_since_ms=max(spec.accepted_at_ms, due_ms),
+        demand=demand_of(step),
+        label=step.label,
+        data_rack=step.data_rack,
+        same_rack=step.same_rack and step.gang,
+        max_per_worker=step.max_per_worker,
+        avoided_workers=frozenset(counter.failed_on),
+        is_guaranteed=is_guaranteed and spec.priority == URGENT_PRIORITY,
+        is_gang=step.gang,
+    )
--- /dev/null
+++ b/packages/lycheeslip_agent/lycheeslip_agent/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Runs the leader's orders on the worker beside this agent, under leases."""
--- /dev/null
+++ b/packages/lycheeslip_agent/lycheeslip_agent/dispatch/agent.py
@@ -0,0 +1,66 @@
+"""Composition root of the agent's dispatch: wires its controllers and runs them."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Sequence
+
+from lycheeslip_common.utils.logs import log_event, log_warning
+from lycheeslip_common.workload.fleet import Farewell
+
+from lycheeslip_agent.dispatch.board import Board
+from lycheeslip_agent.dispatch.leader_link import LeaderLink
+from lycheeslip_agent.dispatch.lists import WorkerLists
+from lycheeslip_agent.dispatch.orders import Orders
+from lycheeslip_agent.dispatch.worker_port import WorkerPort
+
+__all__ = ["DispatchAgent"]
+
+FAULT_PAUSE_S = 0.2
+
+
+class DispatchAgent:
+    """One agent's controllers; the caller passes on what the worker says of itself."""
+
+    def __init__(
+        self,
+        board: Board,
+        worker: WorkerPort,
+        seeds: Sequence[str],
+        find_leader: Callable[[], Awaitable[tuple[str, int] | None]],
+    ) -> None:
+        """Wire the parts; nothing runs before `start`."""
+        self.board = board
+        self._worker = worker
+        self.lists = WorkerLists(board, worker)
+        orders = Orders(board, worker, self.lists)
+        self._link = LeaderLink(board, orders, seeds, find_leader)
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Run the controllers."""
+        log_event("agent_started", node=self.board.node)
+        self._tasks = [
+            asyncio.create_task(self._supervise(part)) for part in (self.lists.run, self._link.run)
+        ]
+
+    async def stop(self) -> None:
+        """End the controllers; runs go on under the worker's lease until an agent is back."""
+        self.board.post(Farewell("terminated"))
+        await asyncio.sleep(0)
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._worker.close()
+        log_event("agent_stopped", node=self.board.node)
+
+    async def _supervise(self, controller: Callable[[], Awaitable[None]]) -> None:
+        while True:
+            try:
+                return await controller()
+            except asyncio.CancelledError:
+                raise
+            except Exception as error:
+                log_warning(
+                    "controller_failed", controller=controller.__qualname__, error=repr(error)
+                )
+                self.board.counters.count("controller_faults")
+                await asyncio.sleep(FAULT_PAUSE_S)
--- /dev/null
+++ b/packages/lycheeslip_agent/lycheeslip_agent/dispatch/orders.py
@@ -0,0 +1,163 @@
+"""Carries out start and stop orders until their outcome is certain."""
+
+import asyncio
+
+from lycheeslip_common.utils.clock import steady_ms
+from lycheeslip_common.utils.logs import log_event, log_warning
+from lycheeslip_common.workload.fleet import Lifetime, OrderResult, StartOrder, StopOrder
+
+from lycheeslip_agent.dispatch.board import Board
+from lycheeslip_agent.dispatch.lists import WorkerLists
+from lycheeslip_agent.dispatch.worker_port import (
+    NoAnswer,
+    NoWorker,
+    OrderOutcome,
+    OtherLifetime,
+    Rejected,
+    Taken,
+    WorkerPort,
+)
+
+__all__ = ["Orders"]
+
+RETRY_S = 0.1
+SETTLED_REASONS = frozenset({"room", "ticket", "bad_order", "unhealthy", "late", "fence", "old"})
+
+
+class Orders:
+    """Executes each order in a task of its own; a repeated order is executed once."""
+
+    def __init__(self, board: Board, worker: WorkerPort, lists: WorkerLists) -> None:
+        """Call `worker`; confirmed starts go to `lists`."""
+        self._board = board
+        self._worker = worker
+        self._lists = lists
+        self._tasks: dict[tuple[str, int, str], asyncio.Task[None]] = {}
+        self._stopped: set[tuple[str, int]] = set()
+
+    def take(self, order: StartOrder | StopOrder) -> None:
+        """Begin to carry out `order`."""
+        match order:
+            case StartOrder():
+                self._spawn((order.task, order.run, "start"), self._start(order))
+            case StopOrder():
+                self._stopped.add((order.task, order.run))
+                self._spawn((order.task, order.run, "stop"), self._stop(order))
+
+    def _spawn(self, key: tuple[str, int, str], work) -> None:  # type: ignore[no-untyped-def]
+        if key in self._tasks:
+            work.close()
+            return
+        task = asyncio.create_task(work)
+        self._tasks[key] = task
+        task.add_done_callback(lambda _: self._tasks.pop(key, None))
+
+    async def _start(self, order: StartOrder) -> None:
+        board = self._board
+        run_key = (order.task, order.run)
+        board.pending[run_key] = steady_ms()
+        was_unanswered = False
+        try:
+            while True:
+                refusal = self._refusal(order)
+                if refusal:
+                    await self._give_up(order, refusal, was_unanswered)
+                    return
+                outcome = await self._worker.start(
+                    order.lifetime,
+                    order.task,
+                    order.run,
+                    order.payload,
+                    board.lease_on_worker_clock(),
+                    max(order.epoch, board.epoch),
+                    order.checkpoint,
+                )
+                match outcome:
+                    case Taken():
+                        waited_ms = steady_ms() - board.pending[run_key]
+                        log_event("run_started", task=order.task, run=order.run, took_ms=waited_ms)
+                        board.counters.observe_ms("start_order", waited_ms)
+                        self._lists.note_started(order.task, order.run, order.checkpoint)
+                        return
+                    case Rejected(reason):
+                        await self._give_up(order, reason, was_unanswered)
+                        return
+                    case OtherLifetime() | NoWorker():
+                        self._report(order.lifetime, order.task, order.run, "worker_gone")
+                        return
+                    case NoAnswer(detail):
+                        was_unanswered = True
+                        board.counters.count("start_retries", "no_answer")
+                        log_warning(
+                            "start_unanswered", task=order.task, run=order.run, reason=detail
+                        )
+                        await asyncio.sleep(RETRY_S)
+        finally:
+            board.pending.pop(run_key, None)
+            board.to_report.set()
+
+    def _refusal(self, order: StartOrder) -> str:
+        """Return why the order must not be carried out now, or "" if it may."""
+        board = self._board
+        if (order.task, order.run) in self._stopped:
+            return "stopped"
+        if board.announced is None or board.lifetime != order.lifetime or board.is_gone:
+            return "worker_gone"
+        if not board.announced.is_ready:
+            return "draining"
+        if board.lease_on_worker_clock() == 0:
+            return "no_lease"
+        return ""
+
+    async def _give_up(self, order: StartOrder, reason: str, was_unanswered: bool) -> None:
+        """Report that the order led to no run, once no late copy of it can start one."""
+        if was_unanswered or reason == "old":
+            await self._fence_run(order.lifetime, order.task, order.run)
+        if order.task in self._board.running and (self._board.running[order.task].run == order.run):
+            return  # it runs after all: the worker's lists tell how it ends
+        self._report(order.lifetime, order.task, order.run, reason)
+
+    async def _stop(self, order: StopOrder) -> None:
+        outcome = await self._fence_run(order.lifetime, order.task, order.run)
+        log_event("stop_done", task=order.task, run=order.run, outcome=type(outcome).__name__)
+        known = self._board.running.get(order.task)
+        is_listed = known is not None and known.run == order.run
+        is_listed = is_listed or any(
+            (end.task, end.run) == (order.task, order.run) for end in self._board.ended
+        )
+        if not is_listed:
+            await self._report_if_absent(order)
+
+    async def _report_if_absent(self, order: StopOrder) -> None:
+        """Report a run that never began; the worker lists neither it nor its end."""
+        board = self._board
+        if board.lifetime != order.lifetime:
+            self._report(order.lifetime, order.task, order.run, "worker_gone")
+            return
+        held = await self._worker.hold(
+            order.lifetime, 0, max(order.epoch, board.epoch), board.recorded_number, 0
+        )
+        running = getattr(held, "running", None)
+        if running is None:
+            return  # no list now; the leader asks again
+        names = {(run.task, run.run) for run in running}
+        names.update((end.task, end.run) for end in getattr(held, "ended", ()))
+        if (order.task, order.run) not in names:
+            self._report(order.lifetime, order.task, order.run, "absent")
+
+    async def _fence_run(self, lifetime: Lifetime, task: str, run: int) -> OrderOutcome:
+        """Stop a run until the worker has confirmed it or is gone."""
+        board = self._board
+        while True:
+            outcome = await self._worker.stop(lifetime, task, run, board.epoch)
+            if not isinstance(outcome, NoAnswer):
+                return outcome
+            if board.lifetime != lifetime or board.is_gone:
+                return NoWorker()
+            board.counters.count("stop_retries", "no_answer")
+            await asyncio.sleep(RETRY_S)
+
+    def _report(self, lifetime: Lifetime, task: str, run: int, reason: str) -> None:
+        log_event("order_without_run", task=task, run=run, reason=reason)
+        self._board.counters.count("orders_without_run", reason)
+        self._board.post(OrderResult(lifetime, task, run, reason))
--- a/packages/lycheeslip_common/lycheeslip_common/utils/clock.py
+++ b/packages/lycheeslip_common/lycheeslip_common/utils/clock.py
@@ -2,7 +2,7 @@
 
 import time
 
-__all__ = ["monotonic_ms", "wall_ms"]
+__all__ = ["monotonic_ms", "steady_ms", "wall_ms"]
 
 NANOSECONDS_PER_MILLISECOND = 1_000_000
 
@@ -15,3 +15,8 @@
 def wall_ms() -> int:
     """Return wall-clock milliseconds since the epoch, for calendars, job deadlines and logs."""
     return time.time_ns() // NANOSECONDS_PER_MILLISECOND
+
+
+def steady_ms() -> int:
+    """Return milliseconds of a clock that never jumps and counts the time while suspended."""
+    return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
--- a/packages/lycheeslip_common/lycheeslip_common/utils/logs.py
+++ b/packages/lycheeslip_common/lycheeslip_common/utils/logs.py
@@ -2,6 +2,7 @@
 
 import logging as standard_logging
 import sys
+from typing import Protocol
 
 from absl import flags, logging
 
@@ -13,12 +14,22 @@
 NOISY_LIBRARIES = ("websockets", "aiohttp", "asyncio")
 
 
-def configure_logs(verbosity: str = "info") -> None:
-    """Send logs of `verbosity` (debug, info, warning, error) to standard error."""
+class SupportsWrite(Protocol):
+    """A text stream that log handlers can write to."""
+
+    def write(self, text: str, /) -> int:
+        """Take `text`."""
+
+    def flush(self) -> None:
+        """Pass on what was taken."""
+
+
+def configure_logs(verbosity: str = "info", stream: SupportsWrite | None = None) -> None:
+    """Send logs of `verbosity` (debug, info, warning, error) to `stream` or standard error."""
     flags.FLAGS(PROGRAM_WITHOUT_FLAGS)
     logging.use_absl_handler()
     handler = logging.get_absl_handler().python_handler
-    handler.stream = sys.stderr
+    handler.stream = stream or sys.stderr
     handler.setFormatter(standard_logging.Formatter(LINE_FORMAT, TIME_FORMAT))
     logging.set_verbosity(verbosity)
     for library in NOISY_LIBRARIES:
--- /dev/null
+++ b/packages/lycheeslip_common/lycheeslip_common/workload/progress.py
@@ -0,0 +1,287 @@
+"""How far a job has come: one entry for each task that is due, and the job's own state.
+
+A `JobProgress` changes only through the functions here, which are pure apart from that; the
+caller records it in the store before it acts on the change.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import Any
+
+import cbor2
+import msgspec
+
+from lycheeslip_common.workload.fleet import EndCause, Lifetime
+from lycheeslip_common.workload.jobs import JobSpec, StepSpec
+
+__all__ = [
+    "JobProgress",
+    "JobState",
+    "TaskKey",
+    "TaskProgress",
+    "apply_end",
+    "begin_runs",
+    "cancel",
+    "decode_progress",
+    "decode_spec",
+    "encode_progress",
+    "encode_spec",
+    "open_occurrences",
+    "unit_members",
+    "waiting_units",
+]
+
+MAX_REMEMBERED_FAILURES = 4
+TaskKey = tuple[int, int, int]
+"""Occurrence, step and index of a task within its job."""
+
+
+class JobState(StrEnum):
+    """State of a job as callers see it."""
+
+    QUEUED = "queued"
+    ACTIVE = "active"
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
+TERMINAL_STATES = frozenset({JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED})
+
+
+@dataclass(slots=True)
+class TaskProgress:
+    """State of one task; `run` is the number of its last run (0: none yet)."""
+
+    run: int = 0
+    is_done: bool = False
+    node: str = ""
+    lifetime: Lifetime | None = None
+    checkpoint: str = ""
+    failures: int = 0
+    failed_run: int = 0
+    failed_on: list[str] = field(default_factory=list)
+
+    @property
+    def is_placed(self) -> bool:
+        """Whether a run of the task may be in progress."""
+        return self.lifetime is not None
+
+
+@dataclass(slots=True)
+class JobProgress:
+    """Progress of one job; `ended_at_ms` is Unix time, 0 while the job has not ended."""
+
+    spec: JobSpec
+    state: JobState = JobState.QUEUED
+    opened: int = 0
+    ended_at_ms: int = 0
+    tasks: dict[TaskKey, TaskProgress] = field(default_factory=dict)
+
+    @property
+    def has_ended(self) -> bool:
+        """Whether the job is in its last state."""
+        return self.state in TERMINAL_STATES
+
+    def placed(self) -> Iterator[tuple[TaskKey, TaskProgress]]:
+        """Iterate over the tasks of which a run may be in progress."""
+        return ((key, task) for key, task in self.tasks.items() if task.is_placed)
+
+
+def open_occurrences(job: JobProgress, now_ms: int) -> bool:
+    """Create the tasks of all occurrences that are due by Unix time `now_ms`."""
+    changed = False
+    while job.opened < job.spec.occurrence_count():
+        if job.spec.due_at_ms(job.opened) > now_ms:
+            break
+        for step_number, step in enumerate(job.spec.steps):
+            for index in range(step.task_count):
+                job.tasks[(job.opened, step_number, index)] = TaskProgress()
+        job.opened += 1
+        changed = True
+    return changed
+
+
+def unit_members(job: JobProgress, occurrence: int, step_number: int) -> list[TaskKey]:
+    """Return the keys of all tasks of one step of one occurrence."""
+    count = job.spec.steps[step_number].task_count
+    return [(occurrence, step_number, index) for index in range(count)]
+
+
+def waiting_units(job: JobProgress) -> Iterator[tuple[StepSpec, list[TaskKey]]]:
+    """Iterate over what may start now: whole gangs and single tasks, with their steps."""
+    if job.has_ended:
+        return
+    for occurrence in range(job.opened):
+        for step_number, step in enumerate(job.spec.steps):
+            if not _predecessors_done(job, occurrence, step):
+                continue
+            members = unit_members(job, occurrence, step_number)
+            yield from _waiting_of_step(job, step, members)
+
+
+def _waiting_of_step(
+    job: JobProgress, step: StepSpec, members: list[TaskKey]
+) -> Iterator[tuple[StepSpec, list[TaskKey]]]:
+    if step.gang:
+        tasks = [job.tasks[key] for key in members]
+        if not any(task.is_done or task.is_placed for task in tasks):
+            yield step, members
+        return
+    for key in members:
+        task = job.tasks[key]
+        if not task.is_done and not task.is_placed:
+            yield step, [key]
+
+
+def _predecessors_done(job: JobProgress, occurrence: int, step: StepSpec) -> bool:
+    for earlier in step.after:
+        for key in unit_members(job, occurrence, earlier):
+            if not job.tasks[key].is_done:
+                return False
+    return True
+
+
+def begin_runs(
+    job: JobProgress, placement: dict[TaskKey, tuple[str, Lifetime]], is_gang: bool
+) -> int:
+    """Give the placed tasks their next run number; return the highest.
+
+    The members of a gang share one number and one checkpoint.
+    """
+    shared_run = 1 + max(job.tasks[key].run for key in placement)
+    shared_checkpoint = max((job.tasks[key].checkpoint for key in placement), default="")
+    for key, (node, lifetime) in placement.items():
+        task = job.tasks[key]
+        task.run = shared_run if is_gang else task.run + 1
+        task.checkpoint = shared_checkpoint if is_gang else task.checkpoint
+        task.node, task.lifetime = node, lifetime
+    job.state = JobState.ACTIVE
+    return shared_run
+
+
+def apply_end(
+    job: JobProgress, key: TaskKey, run: int, cause: EndCause, checkpoint: str, now_ms: int
+) -> bool:
+    """Take note of the end of a run; returns whether that changed anything.
+
+    An end of a run other than the last one changes nothing: it has been superseded. A run
+    that was given up as lost may still turn out to have been done.
+    """
+    task = job.tasks.get(key)
+    if task is None or task.run != run:
+        return False
+    if not task.is_placed and (cause != EndCause.DONE or task.is_done):
+        return False
+    worker_id = task.lifetime.worker_id if task.lifetime else ""
+    task.node, task.lifetime = "", None
+    task.checkpoint = checkpoint or task.checkpoint
+    step = job.spec.steps[key[1]]
+    match cause:
+        case EndCause.DONE if not step.long_running:
+            _finish(job, key, step)
+        case EndCause.FAILED:
+            _note_failure(job, key, step, worker_id)
+            _fail_if_exhausted(job, key, step, now_ms)
+        case _:
+            pass
+    _complete_if_done(job, now_ms)
+    return True
+
+
+def _finish(job: JobProgress, key: TaskKey, step: StepSpec) -> None:
+    """Mark a task as done; one end of a gang stands for the ends of all its members."""
+    job.tasks[key].is_done = True
+    if not step.gang:
+        return
+    for member in unit_members(job, key[0], key[1]):
+        job.tasks[member].is_done = True
+
+
+def _failure_counter(job: JobProgress, key: TaskKey, step: StepSpec) -> TaskProgress:
+    """Return the task whose `failures` count: a gang's first member counts for the gang."""
+    return job.tasks[(key[0], key[1], 0)] if step.gang else job.tasks[key]
+
+
+def _note_failure(job: JobProgress, key: TaskKey, step: StepSpec, worker_id: str) -> None:
+    counter = _failure_counter(job, key, step)
+    run = job.tasks[key].run
+    if counter.failed_run < run:  # members that fail in the same run count once
+        counter.failures += 1
+        counter.failed_run = run
+    if worker_id and worker_id not in counter.failed_on:
+        counter.failed_on = [*counter.failed_on, worker_id][-MAX_REMEMBERED_FAILURES:]
+
+
+def _fail_if_exhausted(job: JobProgress, key: TaskKey, step: StepSpec, now_ms: int) -> None:
+    if step.long_running or job.has_ended:
+        return
+    if _failure_counter(job, key, step).failures >= max(1, job.spec.attempts):
+        job.state, job.ended_at_ms = JobState.FAILED, now_ms
+
+
+def _complete_if_done(job: JobProgress, now_ms: int) -> None:
+    if job.has_ended or job.opened < job.spec.occurrence_count():
+        return
+    if all(task.is_done for task in job.tasks.values()):
+        job.state, job.ended_at_ms = JobState.COMPLETED, now_ms
+
+
+def cancel(job: JobProgress, now_ms: int) -> bool:
+    """Cancel a job that has not ended; returns whether that changed it."""
+    if job.has_ended:
+        return False
+    job.state, job.ended_at_ms = JobState.CANCELLED, now_ms
+    return True
+
+
+def encode_spec(spec: JobSpec) -> bytes:
+    """Return the stored form of a job's specification."""
+    return cbor2.dumps(msgspec.to_builtins(spec))
+
+
+def decode_spec(value: bytes) -> JobSpec:
+    """Return the specification in `value`; raises ValueError if it holds none."""
+    return _converted(value, JobSpec)
+
+
+def encode_progress(job: JobProgress) -> bytes:
+    """Return the stored form of a job's progress, without its specification."""
+    tasks = [
+        [
+            *key,
+            task.run,
+            task.is_done,
+            task.node,
+            task.lifetime,
+            task.checkpoint,
+            task.failures,
+            task.failed_run,
+            task.failed_on,
+        ]
+        for key, task in job.tasks.items()
+    ]
+    return cbor2.dumps(
+        msgspec.to_builtins([job.state, job.opened, job.ended_at_ms, tasks], str_keys=False)
+    )
+
+
+StoredTask = tuple[int, int, int, int, bool, str, Lifetime | None, str, int, int, list[str]]
+StoredProgress = tuple[JobState, int, int, list[StoredTask]]
+
+
+def decode_progress(spec: JobSpec, value: bytes) -> JobProgress:
+    """Return the progress in `value`; raises ValueError if it holds none."""
+    state, opened, ended_at_ms, rows = _converted(value, StoredProgress)
+    job = JobProgress(spec, state, opened, ended_at_ms)
+    for occurrence, step, index, *fields in rows:
+        job.tasks[(occurrence, step, index)] = TaskProgress(*fields)
+    return job
+
+
+def _converted(value: bytes, kind: Any) -> Any:
+    try:
+        return msgspec.convert(cbor2.loads(value), kind)
+    except Exception as error:
+        raise ValueError(f"not a stored job: {error}") from error
