--- /dev/null
+++ b/packages/lycheeslip/tests/dispatch/placement_tests.py
@@ -0,0 +1,128 @@
+"""Which units start where, and which runs give way."""
+
+from lycheeslip.dispatch.placement import Occupant, Room, Unit, plan_round
+from lycheeslip_common.workload.fleet import Lifetime
+from lycheeslip_common.workload.jobs import Demand
+
+FULL = Demand(64_000, 256_000, 8)
+
+
+def room(node: str, rack: str = "r1", free: int = 8, **fields) -> Room:
+    return Room(
+        node,
+        Lifetime(node, 1),
+        "service",
+        "zone",
+        rack,
+        frozenset({"a", rack}),
+        FULL,
+        64_000,
+        256_000,
+        free,
+        **fields,
+    )
+
+
+def unit(job_id: str = "job", members: int = 1, accelerators: int = 1, **fields) -> Unit:
+    values = {
+        "job_id": job_id,
+        "occurrence": 0,
+        "step": 0,
+        "indexes": tuple(range(members)),
+        "account": "account",
+        "service": "service",
+        "priority": 1,
+        "waiting_since_ms": 0,
+        "demand": Demand(1_000, 1_000, accelerators),
+        "label": "",
+        "data_rack": "",
+        "same_rack": False,
+        "max_per_worker": 0,
+        "avoided_workers": frozenset(),
+        "is_guaranteed": False,
+        "is_gang": members > 1,
+    }
+    return Unit(**{**values, **fields})
+
+
+def occupant(task: str, accelerators: int, priority: int, loss: float = 1.0, **fields) -> Occupant:
+    values = {"is_stopping": False, "unit": (task, 0, 0), **fields}
+    return Occupant(
+        task, task, 1, "other", priority, Demand(1_000, 1_000, accelerators), loss, **values
+    )
+
+
+def nodes(plan, index: int = 0) -> list[str]:
+    return [chosen.node for chosen in plan.starts[index][1]]
+
+
+def test_single_tasks_fill_the_fullest_worker_first():
+    plan = plan_round([unit()], [room("n1", free=8), room("n2", free=2)])
+    assert nodes(plan) == ["n2"]
+
+
+def test_tasks_of_a_step_spread_within_one_round():
+    units = [unit(indexes=(i,), max_per_worker=2) for i in range(5)]
+    plan = plan_round(units, [room("n1"), room("n2")])
+    placed = [nodes(plan, i)[0] for i in range(len(plan.starts))]
+    assert len(plan.starts) == 4
+    assert {placed.count("n1"), placed.count("n2")} == {2}
+
+
+def test_a_gang_is_placed_whole_or_not_at_all():
+    plan = plan_round([unit(members=3, accelerators=8)], [room("n1"), room("n2")])
+    assert plan.starts == []
+
+
+def test_a_gang_of_one_rack_waits_rather_than_spreads():
+    rooms = [room("n1", "r1"), room("n2", "r1", free=2), room("n3", "r2"), room("n4", "r2", free=2)]
+    gang = unit(members=2, accelerators=8, same_rack=True)
+    assert plan_round([gang], rooms).starts == []
+
+
+def test_a_gang_that_no_rack_could_hold_spreads():
+    rooms = [room("n1", "r1"), room("n2", "r2")]
+    gang = unit(members=2, accelerators=8, same_rack=True)
+    assert sorted(nodes(plan_round([gang], rooms))) == ["n1", "n2"]
+
+
+def test_an_urgent_unit_stops_what_loses_least():
+    cheap, dear = occupant("cheap", 8, 2, 1.0), occupant("dear", 8, 1, 9.0)
+    rooms = [room("n1", free=0, occupants=[dear]), room("n2", free=0, occupants=[cheap])]
+    plan = plan_round([unit(accelerators=8, priority=0)], rooms)
+    assert [victim.task for _, victim in plan.stops] == ["cheap"]
+
+
+def test_an_urgent_unit_stops_nobody_as_urgent():
+    rooms = [room("n1", free=0, occupants=[occupant("peer", 8, 0)])]
+    plan = plan_round([unit(accelerators=8, priority=0)], rooms)
+    assert plan.stops == []
+
+
+def test_room_that_is_being_freed_is_held_back_for_the_urgent_unit():
+    rooms = [room("n1", free=4, occupants=[occupant("victim", 4, 2, is_stopping=True)])]
+    urgent = unit("urgent", accelerators=8, priority=0)
+    plan = plan_round([urgent, unit("small", accelerators=2, priority=2)], rooms)
+    assert plan.starts == []
+    assert plan.stops == []
+
+
+def test_a_blocked_gang_is_not_starved_by_smaller_units():
+    rooms = [room("n1", free=8), room("n2", free=6, occupants=[occupant("busy", 2, 1)])]
+    gang = unit("gang", members=2, accelerators=8, priority=1)
+    plan = plan_round([gang, unit("small", accelerators=1, priority=2)], rooms)
+    assert plan.starts == []
+
+
+def test_a_worker_that_failed_the_task_is_tried_last():
+    plan = plan_round(
+        [unit(avoided_workers=frozenset({"n1"}))], [room("n1", free=2), room("n2", free=8)]
+    )
+    assert nodes(plan) == ["n2"]
+
+
+def test_labels_and_services_are_kept():
+    other = room("n1")
+    other.service = "another"
+    plan = plan_round([unit(), unit("labelled", label="b")], [other, room("n2")])
+    assert [started.job_id for started, _ in plan.starts] == ["job"]
--- /dev/null
+++ b/packages/lycheeslip_common/tests/workload_progress_tests.py
@@ -0,0 +1,206 @@
+"""Transitions of a job's progress, first by example, then by random sequences."""
+
+import pytest
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+from lycheeslip_common.workload.fleet import EndCause, Lifetime
+from lycheeslip_common.workload.jobs import JobSpec, StepSpec, parse_task_name
+from lycheeslip_common.workload.progress import (
+    JobProgress,
+    JobState,
+    apply_end,
+    begin_runs,
+    cancel,
+    decode_progress,
+    decode_spec,
+    encode_progress,
+    encode_spec,
+    open_occurrences,
+    waiting_units,
+)
+
+LIFE = Lifetime("worker-1", 5)
+NOW_MS = 1_000
+
+
+def job_of(*steps: StepSpec, attempts: int = 2, **fields: int) -> JobProgress:
+    spec = JobSpec("a" * 16, "queue", "account", "service", 1, attempts, "x", steps, 0, **fields)
+    job = JobProgress(spec)
+    open_occurrences(job, NOW_MS)
+    return job
+
+
+def begin(job: JobProgress, *keys: tuple[int, int, int]) -> int:
+    gang = job.spec.steps[keys[0][1]].gang
+    return begin_runs(job, dict.fromkeys(keys, ("node-1", LIFE)), gang)
+
+
+def test_a_step_waits_for_all_tasks_of_the_steps_before_it():
+    job = job_of(StepSpec(2), StepSpec(1, after=(0,)))
+    assert [members for _, members in waiting_units(job)] == [[(0, 0, 0)], [(0, 0, 1)]]
+    begin(job, (0, 0, 0))
+    begin(job, (0, 0, 1))
+    apply_end(job, (0, 0, 0), 1, EndCause.DONE, "", NOW_MS)
+    assert list(waiting_units(job)) == []
+    apply_end(job, (0, 0, 1), 1, EndCause.DONE, "", NOW_MS)
+    assert [members for _, members in waiting_units(job)] == [[(0, 1, 0)]]
+
+
+def test_a_gang_shares_one_run_number_and_checkpoint():
+    job = job_of(StepSpec(2, gang=True))
+    job.tasks[(0, 0, 1)].checkpoint = "00000002"
+    job.tasks[(0, 0, 0)].run = 4
+    begin(job, (0, 0, 0), (0, 0, 1))
+    assert {(task.run, task.checkpoint) for task in job.tasks.values()} == {(5, "00000002")}
+
+
+def test_one_end_of_a_gang_stands_for_all():
+    job = job_of(StepSpec(2, gang=True))
+    begin(job, (0, 0, 0), (0, 0, 1))
+    apply_end(job, (0, 0, 1), 1, EndCause.DONE, "", NOW_MS)
+    assert job.state == JobState.COMPLETED
+
+
+def test_a_gang_waits_until_every_old_member_has_ended():
+    job = job_of(StepSpec(2, gang=True))
+    begin(job, (0, 0, 0), (0, 0, 1))
+    apply_end(job, (0, 0, 0), 1, EndCause.LOST, "", NOW_MS)
+    assert list(waiting_units(job)) == []
+    apply_end(job, (0, 0, 1), 1, EndCause.BROKEN, "", NOW_MS)
+    assert len(list(waiting_units(job))) == 1
+
+
+def test_members_that_fail_in_the_same_run_count_as_one_attempt():
+    job = job_of(StepSpec(2, gang=True), attempts=2)
+    begin(job, (0, 0, 0), (0, 0, 1))
+    apply_end(job, (0, 0, 0), 1, EndCause.FAILED, "", NOW_MS)
+    apply_end(job, (0, 0, 1), 1, EndCause.FAILED, "", NOW_MS)
+    assert job.state == JobState.ACTIVE
+
+
+@pytest.mark.parametrize("cause", [EndCause.STOPPED, EndCause.LAPSED, EndCause.LOST])
+def test_ends_that_are_nobodys_fault_use_up_no_attempt(cause: EndCause):
+    job = job_of(StepSpec(1), attempts=1)
+    for run in (1, 2, 3):
+        assert begin(job, (0, 0, 0)) == run
+        apply_end(job, (0, 0, 0), run, cause, "", NOW_MS)
+    assert job.state == JobState.ACTIVE
+
+
+def test_a_job_fails_when_its_attempts_are_used_up():
+    job = job_of(StepSpec(1), attempts=2)
+    for run in (1, 2):
+        begin(job, (0, 0, 0))
+        apply_end(job, (0, 0, 0), run, EndCause.FAILED, "", NOW_MS)
+    assert job.state == JobState.FAILED
+    assert list(waiting_units(job)) == []
+
+
+def test_an_end_of_a_superseded_run_changes_nothing():
+    job = job_of(StepSpec(1))
+    begin(job, (0, 0, 0))
+    apply_end(job, (0, 0, 0), 1, EndCause.LOST, "", NOW_MS)
+    begin(job, (0, 0, 0))
+    assert not apply_end(job, (0, 0, 0), 1, EndCause.DONE, "", NOW_MS)
+    assert job.state == JobState.ACTIVE
+
+
+def test_a_lost_run_that_turns_out_done_is_not_run_again():
+    job = job_of(StepSpec(1))
+    begin(job, (0, 0, 0))
+    apply_end(job, (0, 0, 0), 1, EndCause.LOST, "", NOW_MS)
+    assert apply_end(job, (0, 0, 0), 1, EndCause.DONE, "", NOW_MS)
+    assert list(waiting_units(job)) == []
+    assert job.state == JobState.COMPLETED
+
+
+def test_occurrences_open_when_they_are_due():
+    job = job_of(StepSpec(1), first_due_ms=1_000, interval_ms=500, occurrences=3)
+    assert job.opened == 1
+    begin(job, (0, 0, 0))
+    apply_end(job, (0, 0, 0), 1, EndCause.DONE, "", NOW_MS)
+    assert job.state == JobState.ACTIVE
+    assert open_occurrences(job, 2_000)
+    assert job.opened == 3
+
+
+def test_a_long_running_task_starts_again_however_it_ended():
+    job = job_of(StepSpec(1, long_running=True), attempts=1)
+    for run, cause in enumerate((EndCause.DONE, EndCause.FAILED, EndCause.LAPSED), start=1):
+        begin(job, (0, 0, 0))
+        apply_end(job, (0, 0, 0), run, cause, "", NOW_MS)
+        assert len(list(waiting_units(job))) == 1
+    assert cancel(job, NOW_MS)
+    assert list(waiting_units(job)) == []
+
+
+@pytest.mark.parametrize("text", ["", "a.0.0", "a.0.0.x", "a.0.-1.0", "a.0.0.0.0"])
+def test_a_malformed_task_name_names_no_task(text: str):
+    assert parse_task_name(text) is None
+
+
+@pytest.mark.parametrize("value", [b"", b"\xff", b"\x01", b"\x80"])
+def test_an_unreadable_record_is_refused(value: bytes):
+    with pytest.raises(ValueError, match="not a stored job"):
+        decode_spec(value)
+
+
+class ProgressMachine(RuleBasedStateMachine):
+    """Starts, ends and reloads in any order keep what a job promises."""
+
+    @initialize(
+        gang=st.booleans(), width=st.integers(1, 3), attempts=st.integers(1, 3), after=st.booleans()
+    )
+    def submit(self, gang: bool, width: int, attempts: int, after: bool):
+        second = StepSpec(1, after=(0,) if after else ())
+        self.job = job_of(StepSpec(width, gang=gang), second, attempts=attempts)
+        self.ended_done: set[tuple[int, int, int]] = set()
+        self.starts: dict[tuple[int, int, int], int] = {}
+
+    @rule(data=st.data())
+    def start(self, data: st.DataObject):
+        units = list(waiting_units(self.job))
+        if not units:
+            return
+        step, members = data.draw(st.sampled_from(units))
+        for key in members:
+            assert key not in self.ended_done
+            assert not self.job.tasks[key].is_placed
+        begin(self.job, *members)
+        for key in members:
+            assert self.job.tasks[key].run > self.starts.get(key, 0)
+            self.starts[key] = self.job.tasks[key].run
+        if step.after:
+            assert all(self.job.tasks[(0, 0, i)].is_done for i in range(self._width()))
+
+    @rule(data=st.data(), cause=st.sampled_from(list(EndCause)))
+    def end(self, data: st.DataObject, cause: EndCause):
+        placed = [key for key, _ in self.job.placed()]
+        if not placed:
+            return
+        key = data.draw(st.sampled_from(placed))
+        apply_end(self.job, key, self.job.tasks[key].run, cause, "", NOW_MS)
+        if cause == EndCause.DONE:
+            self.ended_done.add(key)
+
+    @rule()
+    def reload(self):
+        spec = decode_spec(encode_spec(self.job.spec))
+        loaded = decode_progress(spec, encode_progress(self.job))
+        assert loaded == self.job
+        self.job = loaded
+
+    @invariant()
+    def a_completed_job_has_no_open_task(self):
+        if hasattr(self, "job") and self.job.state == JobState.COMPLETED:
+            assert all(task.is_done for task in self.job.tasks.values())
+
+    def _width(self) -> int:
+        return self.job.spec.steps[0].task_count
+
+
+ProgressMachine.TestCase.settings = settings(
+    max_examples=60, deadline=None, suppress_health_check=list(HealthCheck), derandomize=True
+)
+TestProgressMachine = ProgressMachine.TestCase
