--- a/packages/lycheeslip/lycheeslip/dispatch/board.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/board.py
@@ -8,7 +8,7 @@
 from lycheeslip_common.workload.fleet import Lifetime, WorkerReport
 from lycheeslip_common.workload.link import Link
 from lycheeslip_common.workload.operator import OperatorConfig
-from lycheeslip_common.workload.progress import JobProgress, TaskKey
+from lycheeslip_common.workload.progress import JobProgress, JobState, TaskKey
 from lycheeslip_common.workload.times import DispatchTimes
 
 __all__ = ["Board", "Leadership", "StoredJob", "WorkerView"]
@@ -42,13 +42,17 @@
 
 @dataclass(slots=True)
 class StoredJob:
-    """A job with the store revision of its progress record (0: none yet)."""
+    """A job with the store revision of its progress record (0: none yet).
+
+    `recorded_state` is the state in that record, which alone is shown to callers.
+    """
 
     progress: JobProgress
     revision: int
-    arrived_ms: int
+    recorded_state: JobState
     is_dirty: bool = False
     is_being_written: bool = False
+    has_newer_checkpoint: bool = False
     stopping: set[tuple[str, int]] = field(default_factory=set)
     started_ms: dict[TaskKey, int] = field(default_factory=dict)
 
--- a/packages/lycheeslip/lycheeslip/dispatch/dispatcher.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/dispatcher.py
@@ -35,6 +35,7 @@
 COALESCE_S = 0.005  # one round for jobs and reports that arrive together
 GATHER_S = 0.4  # after an election agents link up within this; a fuller view places better
 STOP_AGAIN_MS = 1_000  # a stop without an effect by then is sent again
+CHECKPOINT_RECORD_MS = 2_000  # one write in this time; tasks save their progress once a second
 BLAME_MS = 10_000  # how long a worker is avoided for the failures of its runs
 
 
@@ -50,6 +51,7 @@
         self._acknowledged: dict[Lifetime, int] = {}
         self._stop_sent: dict[tuple[str, int], int] = {}
         self._led_since_ms = 0
+        self._checkpoints_recorded_ms = 0
 
     def begin_term(self) -> None:
         """Forget what an earlier term had in progress."""
@@ -82,6 +84,7 @@
                 self.recorder.mark(job)
         self._end_lost_runs(began)
         self._stop_orphans()
+        self._record_checkpoints(began)
         if self._can_start():
             rooms = build_rooms(self._board)
             plan = plan_round(build_units(self._board), rooms)
@@ -231,8 +234,18 @@
             return
         task = job.progress.tasks.get((name.occurrence, name.step, name.position))
         if task is not None and task.run == run and task.is_placed:
+            job.has_newer_checkpoint |= task.checkpoint != checkpoint
             task.checkpoint = checkpoint
 
+    def _record_checkpoints(self, now_ms: int) -> None:
+        """Record newer checkpoints now and then, so that a lost leader costs little work."""
+        if now_ms - self._checkpoints_recorded_ms < CHECKPOINT_RECORD_MS:
+            return
+        self._checkpoints_recorded_ms = now_ms
+        for job in self._board.jobs.values():
+            if job.has_newer_checkpoint and not job.progress.has_ended:
+                self.recorder.mark(job)
+
     def _take_ends(self, view: WorkerView, report: WorkerReport) -> None:
         if report.lifetime is None or not report.ended:
             return
--- a/packages/lycheeslip/lycheeslip/dispatch/intake.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/intake.py
@@ -232,8 +232,7 @@
             return permitted
         if self._board.leadership is not None and self._board.is_loaded:
             job = self._board.jobs.get(job_id)
-            is_recorded = job is not None and not job.is_dirty and not job.is_being_written
-            state = job.progress.state.value if job is not None and is_recorded else ""
+            state = job.recorded_state.value if job is not None else ""
         else:
             state = await self._leader.job_state(job_id, LEADER_ANSWER_S)
         return Shown(state) if state else await self._stored_state(call, job_id, permitted)
--- a/packages/lycheeslip/lycheeslip/dispatch/links.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/links.py
@@ -84,9 +84,7 @@
                 self._dispatcher.take_order_result(link.node, message)
             case JobQuery(number, job_id):
                 job = self._board.jobs.get(job_id)
-                is_known = job is not None and not job.is_dirty and not job.is_being_written
-                state = job.progress.state.value if job is not None and is_known else ""
-                link.post(JobReply(number, state))
+                link.post(JobReply(number, job.recorded_state.value if job else ""))
             case QueueQuery(number, queue):
                 link.post(QueueReply(number, pending_jobs(self._board, queue)))
             case Farewell(reason):
--- a/packages/lycheeslip/lycheeslip/dispatch/recorder.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/recorder.py
@@ -63,11 +63,13 @@
         if not batch or term is None:
             return False
         values: dict[str, bytes] = {}
+        states = {job_id: job.progress.state for job_id, job in batch}
         compares = [Compare(LEADER_KEY, term.epoch)]
         for job_id, job in batch:
             values[runs_key(job_id)] = encode_progress(job.progress)
             compares.append(Compare(runs_key(job_id), job.revision))
             job.is_dirty, job.is_being_written = False, True
+            job.has_newer_checkpoint = False
         puts = [Put(key, value) for key, value in values.items()]
         began_at = steady_ms()
         revisions = await self._write_until_known(compares, puts, values)
@@ -80,6 +82,7 @@
         for job_id, job in batch:
             job.revision = revisions[runs_key(job_id)]
             job.is_being_written = False
+            job.recorded_state = states[job_id]
         self._board.counters.observe_ms("record_write", steady_ms() - began_at)
         self._on_recorded([job_id for job_id, job in batch if not job.is_dirty])
         return True
--- /dev/null
+++ b/tests/platform_adapter/caller_api_tests.py
@@ -0,0 +1,58 @@
+"""Jobs as callers write them, by tables of good and bad ones."""
+
+import msgspec
+import pytest
+from lycheeslip_platform.caller_api import InvalidJobError, draft_in
+
+JOB_ID = "5c0e7a21d94b36f8"
+
+
+def test_absent_fields_are_zero_false_or_empty():
+    body = {"spec": "x", "steps": [{"count": 4, "cpu": 500, "mem_mb": 256}]}
+    draft = draft_in(JOB_ID, msgspec.json.encode(body))
+    step = draft.steps[0]
+    assert (step.task_count, step.cpu_milli, step.accelerators, step.gang) == (4, 500, 0, False)
+    assert draft.occurrences == 0
+
+
+def test_all_fields_are_read():
+    step = {
+        "count": 2,
+        "cpu": 1000,
+        "mem_mb": 10,
+        "gpu": 8,
+        "estimate_ms": 900,
+        "gang": True,
+        "same_rack": True,
+        "requirements": "a",
+        "data_rack": "r1-1",
+        "anti_affinity": 1,
+        "checkpointing": True,
+    }
+    body = {"spec": "x", "steps": [step, {"count": 1, "after": [0]}], "repeat_count": 3}
+    draft = draft_in(JOB_ID, msgspec.json.encode(body))
+    first, second = draft.steps
+    assert first[:5] == (2, 1000, 10, 8, 900)
+    assert (first.label, first.data_rack, first.max_per_worker) == ("a", "r1-1", 1)
+    assert second.after == (0,)
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"\x1f\x8b not JSON",
+        b"[]",
+        b'{"spec": 1, "steps": [{"count": 1}]}',
+        b'{"spec": "x", "steps": []}',
+        b'{"spec": "x", "steps": [{"count": 0}]}',
+        b'{"spec": "x", "steps": [{"count": -1}]}',
+        b'{"spec": "x", "steps": [{"count": 1, "after": [0]}]}',
+        b'{"spec": "x", "steps": [{"count": 1, "after": [-1]}]}',
+        b'{"spec": "x", "steps": [{"count": 100000}], "repeat_count": 2}',
+        b'{"spec": "x", "steps": [{"count": 1, "cpu": "many"}]}',
+    ],
+)
+def test_a_job_that_cannot_be_read_is_refused(body: bytes):
+    with pytest.raises(InvalidJobError):
+        draft_in(JOB_ID, body)
--- /dev/null
+++ b/tests/platform_adapter/operator_keys_tests.py
@@ -0,0 +1,80 @@
+"""The operator's keys, by tables of good and bad values."""
+
+import msgspec
+import pytest
+from lycheeslip_common.store.outcomes import KeyValue
+from lycheeslip_common.workload.operator import ConfigChange, ZoneChange
+from lycheeslip_platform.operator_keys import decode_operator_key
+
+ROUTE = {
+    "name": "r-1",
+    "host": "a.example",
+    "prefix": "/p/",
+    "kind": "non_idempotent",
+    "timeout_ms": 3000,
+    "target_latency_ms": 250,
+    "service": "s1",
+    "attempts": 4,
+    "stretch": 1.5,
+}
+CONFIG = {
+    "version": 7,
+    "routes": [ROUTE],
+    "services": [{"name": "s1", "health_path": "/health"}, {"name": "s2", "standby": True}],
+    "tenants": [{"name": "t1", "api_keys": ["k1", "k2"], "guaranteed": {"gpu": 16}}],
+}
+
+
+def config_of(document: object) -> ConfigChange | ZoneChange | None:
+    value = document if isinstance(document, bytes) else msgspec.json.encode(document)
+    return decode_operator_key(KeyValue("op/config", value, 12), False)
+
+
+def test_a_configuration_is_read_whole():
+    change = config_of(CONFIG)
+    assert isinstance(change, ConfigChange)
+    config = change.config
+    assert (config.version, config.revision) == (7, 12)
+    assert config.open_services == {"s1"}
+    account = config.account_of("k2")
+    assert account is not None
+    assert account.guaranteed == 16
+    queue = config.queue_for("a.example", "/p/0123456789abcdef")
+    assert queue is not None
+    assert (queue.attempts, queue.priority, queue.needs_advice) == (4, 0, False)
+
+
+@pytest.mark.parametrize(
+    "document",
+    [
+        b"",
+        b"\xff\xfe",
+        b"[]",
+        {"routes": []},
+        {**CONFIG, "version": "seven"},
+        {**CONFIG, "routes": [{"name": "r-1"}]},
+        {**CONFIG, "tenants": [{"name": "t1", "api_keys": 3}]},
+    ],
+)
+def test_an_unreadable_configuration_changes_nothing(document: object):
+    assert config_of(document) is None
+
+
+def test_the_longest_prefix_selects_the_queue():
+    routes = [ROUTE, {**ROUTE, "name": "r-2", "prefix": "/p/q/"}]
+    change = config_of({**CONFIG, "routes": routes})
+    assert isinstance(change, ConfigChange)
+    assert change.config.queue_for("a.example", "/p/q/0").name == "r-2"
+    assert change.config.queue_for("a.example", "/x") is None
+    assert change.config.queue_for("b.example", "/p/") is None
+
+
+def test_zones_are_evacuated_and_taken_back():
+    item = KeyValue("op/evacuate/zone-a", b"{}", 3)
+    assert decode_operator_key(item, False) == ZoneChange("zone-a", True)
+    assert decode_operator_key(item, True) == ZoneChange("zone-a", False)
+
+
+@pytest.mark.parametrize("key", ["op/other", "op/wave/1", "lycheeslip/leader"])
+def test_other_keys_change_nothing(key: str):
+    assert decode_operator_key(KeyValue(key, b"{}", 3), False) is None
--- /dev/null
+++ b/tests/platform_adapter/worker_tests.py
@@ -0,0 +1,58 @@
+"""Heartbeats from workers, by tables of good and bad ones."""
+
+import msgspec
+import pytest
+from lycheeslip_common.workload.fleet import Lifetime
+from lycheeslip_platform.worker import HeartbeatError, announced_in
+
+HEARTBEAT = {
+    "service": "s1",
+    "address": "10.0.0.1:8080",
+    "zone": "zone-a",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "cold_remaining_ms": 0,
+    "capacity": {"cpu": 64000, "mem_mb": 262144, "gpu": 8},
+    "labels": ["a", "r1-3"],
+    "clock_ms": 482113,
+    "sequence": 4,
+    "born": 1776260694782,
+}
+
+
+def test_a_heartbeat_is_read_whole():
+    announced = announced_in("i-1", msgspec.json.encode(HEARTBEAT))
+    assert announced.lifetime == Lifetime("i-1", 1776260694782)
+    assert (announced.cpu_milli, announced.accelerators, announced.is_ready) == (64000, 8, True)
+    assert announced.labels == ("a", "r1-3")
+
+
+def test_a_draining_worker_is_not_ready():
+    fields = {**HEARTBEAT, "state": "draining", "remaining_ms": 1500}
+    announced = announced_in("i-1", msgspec.json.encode(fields))
+    assert (announced.is_ready, announced.remaining_ms) == (False, 1500)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "asleep"},
+        {"state": 1},
+        {"capacity": None},
+        {"capacity": {"cpu": "many", "mem_mb": 1}},
+        {"sequence": "four"},
+        {"labels": "a"},
+        {"born": "yesterday"},
+        {"service": None},
+    ],
+)
+def test_an_unusable_heartbeat_names_no_worker(change: dict[str, object]):
+    with pytest.raises(HeartbeatError):
+        announced_in("i-1", msgspec.json.encode({**HEARTBEAT, **change}))
+
+
+@pytest.mark.parametrize("content", [b"", b"\xff", b"[]", b"{}"])
+def test_unreadable_bytes_name_no_worker(content: bytes):
+    with pytest.raises(HeartbeatError):
+        announced_in("i-1", content)
