Keep a reserve for urgent work while other work can wait

Change: the rack with the least work that is costly to stop is kept for urgent units and for what can be stopped at little loss, while the rest still meets its objective (at most 8 s); an urgent unit without a guarantee costs others at most half of its own work.

--- a/packages/lycheeslip/lycheeslip/dispatch/dispatcher.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/dispatcher.py
@@ -27,7 +27,7 @@
 from lycheeslip.dispatch.board import Board, StoredJob, WorkerView
 from lycheeslip.dispatch.placement import Occupant, Room, Unit, plan_round
 from lycheeslip.dispatch.recorder import Recorder
-from lycheeslip.dispatch.view import build_rooms, build_units, task_text
+from lycheeslip.dispatch.view import build_rooms, build_units, reserve_of, task_text
 
 __all__ = ["Dispatcher"]
 
@@ -87,7 +87,8 @@
         self._record_checkpoints(began)
         if self._can_start():
             rooms = build_rooms(self._board)
-            plan = plan_round(build_units(self._board), rooms)
+            units = build_units(self._board)
+            plan = plan_round(units, rooms, reserve_of(self._board))
             for unit, chosen in plan.starts:
                 self._begin(unit, chosen)
             for room, occupant in plan.stops:
@@ -138,7 +139,13 @@
         job = self._board.jobs[occupant.job_id]
         _, occurrence, step = occupant.unit
         keys = [parse_task_name(occupant.task)]
-        log_event("run_preempted", task=occupant.task, run=occupant.run, node=room.node)
+        log_event(
+            "run_preempted",
+            task=occupant.task,
+            run=occupant.run,
+            node=room.node,
+            loss_core_s=round(occupant.loss),
+        )
         self._board.counters.count("preemptions")
         if job.progress.spec.steps[step].gang:
             for member in unit_members(job.progress, occurrence, step):
--- a/packages/lycheeslip/lycheeslip/dispatch/placement.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/placement.py
@@ -23,6 +23,7 @@
 ACCELERATOR_CORES = 8  # what one accelerator counts in core-seconds of lost work
 FAILURE_PENALTY = 1_000  # a worker that fails runs is used only if nothing else fits
 URGENT_PRIORITY = 0
+MAX_LOSS_SHARE = 0.5  # of its own work that an urgent unit may cost others without a guarantee
 
 
 class Occupant(NamedTuple):
@@ -39,6 +40,7 @@
     unit: StepKey
     is_gang: bool = False
     is_guaranteed: bool = False
+    is_costly_to_stop: bool = False
 
     @property
     def unit_key(self) -> VictimKey:
@@ -63,6 +65,7 @@
     failures: int = 0
     occupants: list[Occupant] = field(default_factory=list)
     counts: Counter[StepKey] = field(default_factory=Counter)
+    is_reserved: bool = False
 
     def admits(self, unit: "Unit") -> bool:
         """Return whether one more task of `unit` may run here, by room and by its spread."""
@@ -108,11 +111,15 @@
             self.failures,
             list(self.occupants),
             Counter(self.counts),
+            self.is_reserved,
         )
 
 
 class Unit(NamedTuple):
-    """A gang or a single task that may start now; `work` is its size in core-seconds."""
+    """A gang or a single task that may start now; `work` is its size in core-seconds.
+
+    `may_wait` says that it would still meet its latency objective if it started later.
+    """
 
     job_id: str
     occurrence: int
@@ -131,6 +138,8 @@
     is_guaranteed: bool
     is_gang: bool
     work: float = 0.0
+    is_costly_to_stop: bool = False
+    may_wait: bool = False
 
     @property
     def step_key(self) -> StepKey:
@@ -147,9 +156,14 @@
     blocked: list[Unit] = field(default_factory=list)
 
 
-def plan_round(units: Sequence[Unit], rooms: Sequence[Room]) -> Plan:
-    """Return what to start and stop; `rooms` are changed to what is then free."""
+def plan_round(units: Sequence[Unit], rooms: Sequence[Room], reserve: int = 0) -> Plan:
+    """Return what to start and stop; `rooms` are changed to what is then free.
+
+    `reserve` accelerators of each service are kept for urgent units and for what can be stopped
+    at little loss, as long as other units can wait.
+    """
     plan = Plan()
+    _mark_reserved(rooms, reserve)
     stopped: set[VictimKey] = set()
     for unit in sorted(units, key=_order):
         usable = [room for room in rooms if _may_use(unit, room)]
@@ -172,9 +186,37 @@
 
 
 def _may_use(unit: Unit, room: Room) -> bool:
+    if room.is_reserved and unit.is_costly_to_stop and unit.may_wait:
+        return False
     return room.service == unit.service and (not unit.label or unit.label in room.labels)
 
 
+def _mark_reserved(rooms: Sequence[Room], reserve: int) -> None:
+    """Reserve the racks that are held least by runs that are costly to stop."""
+    racks: dict[tuple[str, str], list[Room]] = {}
+    for room in rooms:
+        racks.setdefault((room.service, room.rack), []).append(room)
+    reserved: Counter[str] = Counter()
+    for (service, _), group in sorted(racks.items(), key=lambda item: _costly(item[1])):
+        if reserved[service] >= reserve:
+            continue
+        for room in group:
+            room.is_reserved = True
+            reserved[service] += room.total.accelerators
+
+
+def _costly(group: Sequence[Room]) -> tuple[float, str]:
+    """Return the share of a rack's accelerators that are held by runs costly to stop."""
+    total = sum(room.total.accelerators for room in group)
+    held = sum(
+        occupant.demand.accelerators
+        for room in group
+        for occupant in room.occupants
+        if occupant.is_costly_to_stop
+    )
+    return (held / max(1, total), group[0].rack)
+
+
 def choose_rooms(unit: Unit, rooms: Sequence[Room]) -> list[Room] | None:
     """Return a room for each member of `unit`, or None if they don't all fit now."""
     for group in _groups(unit, rooms):
@@ -213,13 +255,14 @@
     return _pack(unit, emptied) is not None
 
 
-def _rank(unit: Unit, room: Room) -> tuple[int, int, int, str]:
-    """Prefer the data's rack, sound workers, then the tightest fit, which keeps holes whole."""
+def _rank(unit: Unit, room: Room) -> tuple[int, int, bool, int, str]:
+    """Prefer the data's rack and sound workers, keep the reserve, then take the tightest fit."""
     is_far = bool(unit.data_rack) and room.rack != unit.data_rack
     penalty = room.failures * FAILURE_PENALTY
     if room.lifetime.worker_id in unit.avoided_workers:
         penalty += FAILURE_PENALTY
-    return (is_far, penalty, room.free_accelerators, room.node)
+    is_misplaced = room.is_reserved == unit.is_costly_to_stop
+    return (is_far, penalty, is_misplaced, room.free_accelerators, room.node)
 
 
 def _pack(unit: Unit, ranked: Sequence[Room]) -> list[Room] | None:
@@ -247,7 +290,7 @@
     if not found:
         return
     best = min(found, key=lambda option: option.loss)
-    if not unit.is_guaranteed and best.loss > unit.work:
+    if not unit.is_guaranteed and best.loss > unit.work * MAX_LOSS_SHARE:
         return
     for room in best.rooms:
         room.take(unit.demand)
--- a/packages/lycheeslip/lycheeslip/dispatch/view.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/view.py
@@ -2,17 +2,19 @@
 
 from collections import Counter
 
-from lycheeslip_common.utils.clock import steady_ms
+from lycheeslip_common.utils.clock import steady_ms, wall_ms
 from lycheeslip_common.workload.fleet import Lifetime
-from lycheeslip_common.workload.jobs import Demand, StepSpec, demand_of, parse_task_name
+from lycheeslip_common.workload.jobs import Demand, JobSpec, StepSpec, demand_of, parse_task_name
 from lycheeslip_common.workload.progress import JobProgress, TaskKey, waiting_units
 
 from lycheeslip.dispatch.board import Board, StoredJob, WorkerView
 from lycheeslip.dispatch.placement import ACCELERATOR_CORES, URGENT_PRIORITY, Occupant, Room, Unit
 
-__all__ = ["build_rooms", "build_units", "service_of", "task_text"]
+__all__ = ["build_rooms", "build_units", "reserve_of", "service_of", "task_text"]
 
 MAX_COUNTED_FAILURES = 3
+SLACK_SHARE = 0.5  # of the time that the latency objective leaves; estimates are off by half
+MAX_WAIT_MS = 8_000  # no unit that fits waits longer for a better place
 
 
 def task_text(job_id: str, key: TaskKey) -> str:
@@ -96,6 +98,7 @@
         (job_id, key[0], key[1]),
         step.gang,
         _is_guaranteed(job.progress, guaranteed),
+        _is_costly_to_stop(spec, step),
     )
 
 
@@ -104,6 +107,25 @@
     return demand.cpu_milli / 1_000 + demand.accelerators * ACCELERATOR_CORES
 
 
+def _is_costly_to_stop(spec: JobSpec, step: StepSpec) -> bool:
+    """Return whether a stop would lose the run's work; urgent runs are short and not stopped."""
+    return spec.priority != URGENT_PRIORITY and not step.checkpointing
+
+
+def _may_wait(board: Board, spec: JobSpec, step: StepSpec, since_ms: int) -> bool:
+    """Return whether a unit that waits since `since_ms` may wait on for a better place."""
+    queue = board.config.queue_named(spec.queue) if board.config else None
+    stretch = queue.stretch if queue else 1.0
+    slack_ms = (stretch - 1) * step.estimate_ms * SLACK_SHARE
+    return wall_ms() - since_ms < min(MAX_WAIT_MS, slack_ms)
+
+
+def reserve_of(board: Board) -> int:
+    """Return how many accelerators to keep: the largest guarantee of any account."""
+    accounts = board.config.accounts if board.config else ()
+    return max((account.guaranteed for account in accounts), default=0)
+
+
 def _take_strays(board: Board, view: WorkerView, room: Room) -> None:
     """Count runs that the worker lists but that no record places there."""
     placed = {(occupant.task, occupant.run) for occupant in room.occupants}
@@ -183,4 +205,6 @@
         is_guaranteed=_is_guaranteed(job.progress, guaranteed),
         is_gang=step.gang,
         work=_cores(demand_of(step)) * len(members) * step.estimate_ms / 1_000,
+        is_costly_to_stop=_is_costly_to_stop(spec, step),
+        may_wait=_may_wait(board, spec, step, max(spec.accepted_at_ms, due_ms)),
     )
