--- a/packages/lycheeslip/lycheeslip/dispatch/leadership.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/leadership.py
@@ -125,6 +125,8 @@
                     self._end_term("lease_ended")
                 case Unreachable(_, detail):
                     log_warning("leader_renewal_failed", epoch=term.epoch, reason=detail)
+                    if steady_ms() > term.valid_until_ms + self._board.times.leader_overhang_ms:
+                        self._end_term("unconfirmed")
 
     def _end_term(self, reason: str) -> None:
         term = self._board.leadership
--- a/packages/lycheeslip/lycheeslip/dispatch/links.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/links.py
@@ -93,13 +93,16 @@
                 log_warning("unexpected_message", node=link.node, kind=type(message).__name__)
 
     def _extend(self, link: Link, sent_ms: int) -> None:
-        """Extend the agent's lease while this entry certainly leads, and a little longer."""
+        """Extend an agent's lease while this entry certainly leads, and a little longer.
+
+        Other entries run for leader as soon as the lease in the store may have ended.
+        """
         board = self._board
         term = board.leadership
         if term is None:
             return
-        overdue_ms = steady_ms() - term.valid_until_ms
-        if overdue_ms > board.times.leader_overhang_ms:
+        overhang_ms = board.times.leader_overhang_ms if link.role == "agent" else 0
+        if steady_ms() - term.valid_until_ms > overhang_ms:
             link.post(HeartbeatReply(sent_ms, term.epoch, False))
             return
         view = board.workers.get(link.node)
