Test jobs through entries, agents and workers on stand-ins of the platform

A store and workers that speak the platform's protocol, with faults (lost answers, refusals, lost history, late starts, a new life under the same id), and 32 tests over them: kills of the leader, outages, restarts of agents, keys and versions, gangs, guarantees, draining, evacuation.

--- a/packages/lycheeslip/lycheeslip/dispatch/entry.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/entry.py
@@ -61,6 +61,11 @@
     async def stop(self) -> None:
         """Give up the lease and end all controllers."""
         await self.release_leadership()
+        await self.abandon()
+
+    async def abandon(self) -> None:
+        """End all controllers at once; a lease in the store ends by itself."""
+        self._end_term()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- /dev/null
+++ b/packages/lycheeslip_standins/lycheeslip_standins/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the users' platform: its store, and workers with their backend servers."""
--- /dev/null
+++ b/packages/lycheeslip_standins/lycheeslip_standins/platform/store.py
@@ -0,0 +1,268 @@
+"""A stand-in for the platform's store: conditions, leases, watches and faults, over HTTP."""
+
+import asyncio
+import base64
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+from aiohttp import web
+
+__all__ = ["PlatformStoreServer", "StoreFaults"]
+
+PAGE_ITEMS = 500
+MAX_ENTRIES = 32
+MAX_WAIT_MS = 30_000
+SWEEP_S = 0.02
+SHUTDOWN_S = 0.05
+
+
+@dataclass(slots=True)
+class StoreFaults:
+    """What goes wrong at the moment; all off at first."""
+
+    is_silent: bool = False
+    status: int = 0
+    lost_answers: int = 0
+    delay_s: float = 0.0
+    refused_sources: set[str] = field(default_factory=set)
+
+
+@dataclass(slots=True)
+class Item:
+    """One stored item."""
+
+    key: str
+    value: str
+    revision: int
+    created: int
+    lease: int
+
+    def document(self) -> dict[str, Any]:
+        """Return the item as it is sent."""
+        return {
+            "key": self.key,
+            "value": self.value,
+            "revision": self.revision,
+            "created": self.created,
+            "lease": self.lease,
+        }
+
+
+class PlatformStoreServer:
+    """Keeps items in memory; `faults` may be changed at any time, `calls` counts by path."""
+
+    def __init__(self, history_items: int = 10_000) -> None:
+        """Remember the last `history_items` changes for watches."""
+        self.faults = StoreFaults()
+        self.calls: Counter[str] = Counter()
+        self.items: dict[str, Item] = {}
+        self.revision = 1
+        self._history: list[dict[str, Any]] = []
+        self._history_items = history_items
+        self._lost_before = 0
+        self._leases: dict[int, tuple[float, int]] = {}
+        self._changed = asyncio.Event()
+        self._runner: web.ServerRunner | None = None
+        self._sweeper: asyncio.Task[None] | None = None
+        self.address = ""
+
+    async def start(self) -> None:
+        """Listen on a free port of the loopback address."""
+        self._runner = web.ServerRunner(
+            web.Server(self._handle, access_log=None), shutdown_timeout=SHUTDOWN_S
+        )
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, "127.0.0.1", 0)
+        await site.start()
+        host, port = self._runner.addresses[0][:2]
+        self.address = f"{host}:{port}"
+        self._sweeper = asyncio.create_task(self._sweep())
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    def put(self, key: str, value: bytes, lease: int = 0) -> int:
+        """Write as an operator does; returns the revision."""
+        self.revision += 1
+        self._write(key, base64.b64encode(value).decode(), lease)
+        self._notify()
+        return self.revision
+
+    def delete(self, key: str) -> None:
+        """Delete as an operator does."""
+        self.revision += 1
+        self._remove(key)
+        self._notify()
+
+    def value(self, key: str) -> bytes | None:
+        """Return a value, None if there is none."""
+        item = self.items.get(key)
+        return base64.b64decode(item.value) if item else None
+
+    def forget_history(self) -> None:
+        """Drop all changes that watches could ask for."""
+        self._history.clear()
+        self._lost_before = self.revision
+        self._notify()
+
+    def end_lease_of(self, key: str) -> None:
+        """End the lease that `key` hangs on, as if it had not been renewed."""
+        item = self.items.get(key)
+        if item is not None and item.lease:
+            self._end_lease(item.lease)
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        self.calls[request.path] += 1
+        body = await request.read()
+        refusal = await self._fault(request)
+        if refusal is not None:
+            return refusal
+        response = await self._answer(request, body)
+        if self.faults.lost_answers > 0 and request.method == "POST":
+            self.faults.lost_answers -= 1
+            self._drop(request)
+        return response
+
+    async def _fault(self, request: web.BaseRequest) -> web.StreamResponse | None:
+        faults = self.faults
+        if request.headers.get("X-Node", "") in faults.refused_sources:
+            return web.Response(status=503)
+        if faults.is_silent:
+            await asyncio.sleep(3_600)
+        if faults.delay_s:
+            await asyncio.sleep(faults.delay_s)
+        return web.Response(status=faults.status) if faults.status else None
+
+    def _drop(self, request: web.BaseRequest) -> None:
+        transport = request.transport
+        if transport is not None:
+            transport.abort()
+
+    async def _answer(self, request: web.BaseRequest, body: bytes) -> web.StreamResponse:
+        query = request.query
+        match (request.method, request.path.split("/")[1:]):
+            case ("GET", ["kv-key"]):
+                item = self.items.get(query["key"])
+                if item is None:
+                    return web.Response(status=404)
+                return _json({**item.document(), "as_of": self.revision})
+            case ("GET", ["kv-range"]):
+                return self._range(query["prefix"], query.get("after", ""))
+            case ("GET", ["kv-watch"]):
+                return await self._watch(query["prefix"], int(query["after"]), query["wait_ms"])
+            case ("POST", ["kv-txn"]):
+                return self._transaction(msgspec.json.decode(body))
+            case ("POST", ["kv-lease"]):
+                return self._grant(int(msgspec.json.decode(body)["ttl_ms"]))
+            case ("POST", ["kv-keep", lease]):
+                return self._renew(int(lease))
+            case ("DELETE", ["kv-lease-end", lease]):
+                self._end_lease(int(lease))
+                return _json({})
+        return web.Response(status=404)
+
+    def _range(self, prefix: str, after: str) -> web.Response:
+        keys = sorted(key for key in self.items if key.startswith(prefix) and key > after)
+        page = [self.items[key].document() for key in keys[:PAGE_ITEMS]]
+        return _json({"items": page, "has_more": len(keys) > PAGE_ITEMS, "as_of": self.revision})
+
+    async def _watch(self, prefix: str, after: int, wait_ms: str) -> web.Response:
+        until = time.monotonic() + min(int(wait_ms), MAX_WAIT_MS) / 1_000
+        while True:
+            if after < self._lost_before:
+                return web.Response(status=410)
+            events = [
+                event
+                for event in self._history
+                if event["revision"] > after and event["key"].startswith(prefix)
+            ]
+            left_s = until - time.monotonic()
+            if events or left_s <= 0:
+                return _json({"events": events, "as_of": self.revision})
+            changed = self._changed
+            try:
+                async with asyncio.timeout(left_s):
+                    await changed.wait()
+            except TimeoutError:
+                continue
+
+    def _transaction(self, body: dict[str, Any]) -> web.Response:
+        compares, writes, removed = body["expected_rev"], body["writes"], body["remove"]
+        if len(compares) + len(writes) + len(removed) > 2 * MAX_ENTRIES:
+            return web.Response(status=400)
+        for row in compares:
+            item = self.items.get(row["key"])
+            if (item.revision if item else 0) != row["revision"]:
+                found = [self.items.get(other["key"]) for other in compares]
+                return _json({"items": [item.document() for item in found if item]}, 412)
+        if any(row.get("lease") and row["lease"] not in self._leases for row in writes):
+            return web.Response(status=404)
+        self.revision += 1
+        for row in writes:
+            self._write(row["key"], row["value"], row.get("lease", 0))
+        for key in removed:
+            self._remove(key)
+        self._notify()
+        return _json({"revision": self.revision})
+
+    def _write(self, key: str, value: str, lease: int) -> None:
+        known = self.items.get(key)
+        created = known.created if known else self.revision
+        self.items[key] = Item(key, value, self.revision, created, lease)
+        self._history.append(self.items[key].document())
+        self._trim()
+
+    def _remove(self, key: str) -> None:
+        if self.items.pop(key, None) is not None:
+            self._history.append({"key": key, "revision": self.revision, "deleted": True})
+            self._trim()
+
+    def _trim(self) -> None:
+        while len(self._history) > self._history_items:
+            self._lost_before = self._history.pop(0)["revision"]
+
+    def _notify(self) -> None:
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+
+    def _grant(self, ttl_ms: int) -> web.Response:
+        lease = 1_000 + len(self._leases) + self.revision * 1_000
+        self._leases[lease] = (time.monotonic() + ttl_ms / 1_000, ttl_ms)
+        return _json({"lease": lease, "ttl_ms": ttl_ms})
+
+    def _renew(self, lease: int) -> web.Response:
+        if lease not in self._leases:
+            return web.Response(status=404)
+        ttl_ms = self._leases[lease][1]
+        self._leases[lease] = (time.monotonic() + ttl_ms / 1_000, ttl_ms)
+        return _json({"ttl_ms": ttl_ms})
+
+    def _end_lease(self, lease: int) -> None:
+        self._leases.pop(lease, None)
+        held = [key for key, item in self.items.items() if item.lease == lease]
+        if held:
+            self.revision += 1
+            for key in held:
+                self._remove(key)
+            self._notify()
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            now = time.monotonic()
+            for lease, (ends_at, _) in list(self._leases.items()):
+                if ends_at < now:
+                    self._end_lease(lease)
+
+
+def _json(document: object, status: int = 200) -> web.Response:
+    return web.Response(
+        status=status, body=msgspec.json.encode(document), content_type="application/json"
+    )
--- /dev/null
+++ b/packages/lycheeslip_standins/lycheeslip_standins/platform/worker.py
@@ -0,0 +1,228 @@
+"""A stand-in for a worker of the platform: runs, leases, gangs, and lies about itself."""
+
+import asyncio
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import Any
+
+import aiohttp
+import msgspec
+from aiohttp import web
+
+__all__ = ["PlatformWorkerServer", "WorkerFaults"]
+
+TICK_S = 0.01
+MAX_HOLD_MS = 10_000
+STOP_S = 0.02
+SHUTDOWN_S = 0.05
+
+
+@dataclass(slots=True)
+class WorkerFaults:
+    """What goes wrong at the moment; all off at first."""
+
+    late_starts: int = 0
+    late_by_s: float = 0.5
+    failing: bool = False
+    status: int = 0
+
+
+@dataclass(slots=True)
+class Run:
+    """One run; `ends_at` is on the monotonic clock, infinite while its gang is not whole."""
+
+    task: str
+    run: int
+    work_s: float
+    began_at: float
+    ends_at: float
+    checkpoint: str = ""
+
+
+@dataclass(slots=True)
+class Started:
+    """Every start that took effect, for tests to judge."""
+
+    by_task: dict[str, list[int]] = field(default_factory=dict)
+
+
+class PlatformWorkerServer:
+    """One worker whose tasks run for as many milliseconds as their payload says."""
+
+    def __init__(self, worker_id: str, service: str, zone: str, rack: str) -> None:
+        """Offer 64 cores, 256 GB and 8 accelerators."""
+        self.worker_id, self.service, self.zone, self.rack = worker_id, service, zone, rack
+        self.born_ms = int(time.time() * 1_000)
+        self.state = "ready"
+        self.faults = WorkerFaults()
+        self.calls: Counter[str] = Counter()
+        self.started = Started()
+        self.acknowledged_ends: list[tuple[str, int, str]] = []
+        self.runs: dict[str, Run] = {}
+        self.address = ""
+        self._ended: list[list[Any]] = []
+        self._number = 0
+        self._highest_over: dict[str, int] = {}
+        self._fence = 0
+        self._until_ms = 0.0
+        self._sequence = 0
+        self._changed = asyncio.Event()
+        self._tasks: list[asyncio.Task[None]] = []
+        self._runner: web.ServerRunner | None = None
+
+    async def start(self) -> None:
+        """Listen on a free port of the loopback address."""
+        self._runner = web.ServerRunner(
+            web.Server(self._handle, access_log=None), shutdown_timeout=SHUTDOWN_S
+        )
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, "127.0.0.1", 0)
+        await site.start()
+        host, port = self._runner.addresses[0][:2]
+        self.address = f"{host}:{port}"
+        self._tasks = [asyncio.create_task(self._run())]
+
+    def announce(self, agent_address: str, every_s: float = 0.1) -> None:
+        """Send heartbeats to the agent."""
+        self._tasks.append(asyncio.create_task(self._beat(agent_address, every_s)))
+
+    async def stop(self) -> None:
+        """Crash: stop listening and drop everything."""
+        for task in self._tasks:
+            task.cancel()
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    def rebirth(self) -> None:
+        """Begin a new life under the same id; everything of before is gone."""
+        self.born_ms = max(self.born_ms + 1, int(time.time() * 1_000))
+        self.runs.clear()
+        self._ended.clear()
+        self._highest_over.clear()
+        self._number = self._fence = self._sequence = 0
+        self._until_ms = 0.0
+
+    def _clock_ms(self) -> int:
+        return int(time.monotonic() * 1_000)
+
+    async def _beat(self, agent_address: str, every_s: float) -> None:
+        async with aiohttp.ClientSession() as session:
+            while True:
+                self._sequence += 1
+                url = f"http://{agent_address}/instances/{self.worker_id}/heartbeat"
+                try:
+                    async with session.post(url, json=self._heartbeat()):
+                        pass
+                except aiohttp.ClientError:
+                    pass
+                await asyncio.sleep(every_s)
+
+    def _heartbeat(self) -> dict[str, Any]:
+        return {
+            "service": self.service,
+            "address": self.address,
+            "zone": self.zone,
+            "version": "v1",
+            "slots": 8,
+            "state": self.state,
+            "cold_remaining_ms": 0,
+            "capacity": {"cpu": 64_000, "mem_mb": 262_144, "gpu": 8},
+            "labels": ["a", self.rack],
+            "clock_ms": self._clock_ms(),
+            "sequence": self._sequence,
+            "born": self.born_ms,
+        }
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        self.calls[request.path] += 1
+        body = msgspec.json.decode(await request.read())
+        if self.faults.status:
+            return web.Response(status=self.faults.status)
+        if request.headers.get("Expected-Instance") != self.worker_id:
+            return web.Response(status=421)
+        if int(body.get("fencing_token", 0)) < self._fence:
+            return self._reply({"reason": "fence"}, 409)
+        self._fence = int(body.get("fencing_token", 0))
+        match request.path:
+            case "/hold":
+                return await self._hold(body)
+            case "/run-start":
+                return await self._start(request, body)
+            case "/run-stop":
+                self._stop(body["task"], body["run"])
+                return self._reply({})
+        return web.Response(status=404)
+
+    def _reply(self, document: dict[str, Any], status: int = 200) -> web.Response:
+        content = msgspec.json.encode({"clock_ms": self._clock_ms(), **document})
+        return web.Response(status=status, body=content, content_type="application/json")
+
+    def _extend(self, body: dict[str, Any]) -> None:
+        latest = self._clock_ms() + MAX_HOLD_MS
+        self._until_ms = max(self._until_ms, min(body.get("until_ms", 0), latest))
+
+    async def _hold(self, body: dict[str, Any]) -> web.Response:
+        self._extend(body)
+        for row in self._ended:
+            if row[0] <= body["last_seen"]:
+                self.acknowledged_ends.append((row[1], row[2], row[3]))
+        self._ended = [row for row in self._ended if row[0] > body["last_seen"]]
+        if not self._ended and body.get("wait_ms"):
+            try:
+                async with asyncio.timeout(body["wait_ms"] / 1_000):
+                    await self._changed.wait()
+            except TimeoutError:
+                pass
+        running = [[run.task, run.run, run.checkpoint, 0] for run in self.runs.values()]
+        return self._reply({"born": self.born_ms, "running": running, "ended": self._ended[:500]})
+
+    async def _start(self, request: web.BaseRequest, body: dict[str, Any]) -> web.Response:
+        if self.faults.late_starts > 0:
+            self.faults.late_starts -= 1
+            asyncio.get_running_loop().call_later(self.faults.late_by_s, self._take, body)
+            await asyncio.sleep(3_600)
+        return self._take(body)
+
+    def _take(self, body: dict[str, Any]) -> web.Response:
+        task, run = body["task"], body["run"]
+        known = self.runs.get(task)
+        if known is not None and known.run == run:
+            return self._reply({})
+        if run <= self._highest_over.get(task, 0) or known is not None:
+            return self._reply({"reason": "old"}, 409)
+        if body["until_ms"] <= self._clock_ms():
+            return self._reply({"reason": "late"}, 409)
+        self._extend(body)
+        now = time.monotonic()
+        work_s = int(body["spec"] or 0) / 1_000
+        self.runs[task] = Run(task, run, work_s, now, now + work_s, body.get("checkpoint", ""))
+        self.started.by_task.setdefault(task, []).append(run)
+        return self._reply({})
+
+    def _stop(self, task: str, run: int) -> None:
+        self._highest_over[task] = max(self._highest_over.get(task, 0), run)
+        known = self.runs.get(task)
+        if known is not None and known.run <= run:
+            asyncio.get_running_loop().call_later(STOP_S, self._end, known, "stopped")
+
+    def _end(self, run: Run, how: str) -> None:
+        if self.runs.get(run.task) is not run:
+            return
+        del self.runs[run.task]
+        self._number += 1
+        self._highest_over[run.task] = max(self._highest_over.get(run.task, 0), run.run)
+        self._ended.append([self._number, run.task, run.run, how, run.checkpoint])
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+
+    async def _run(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            now = time.monotonic()
+            has_lapsed = self._until_ms < self._clock_ms()
+            for run in list(self.runs.values()):
+                if has_lapsed:
+                    self._end(run, "lapsed")
+                elif run.ends_at <= now:
+                    self._end(run, "failed" if self.faults.failing else "done")
--- /dev/null
+++ b/tests/dispatch/configuration_tests.py
@@ -0,0 +1,70 @@
+"""Keys, queues and versions of the configuration at entries, also when the store is away."""
+
+import asyncio
+
+from tests.harness.platform_cell import TIMES, Cell
+
+ONE = {"count": 1, "cpu": 1000, "mem_mb": 100, "gpu": 1}
+BODY = {"spec": "10", "steps": [ONE]}
+PATH = f"/normal/{1:016x}"
+
+
+async def test_unknown_keys_and_queues_are_refused(cell: Cell):
+    assert (await cell.call("POST", PATH, BODY, key="key-b"))[0] == 401
+    assert (await cell.call("GET", PATH, key=""))[0] == 401
+    assert (await cell.call("GET", f"/other/{1:016x}"))[0] == 404
+    assert (await cell.call("GET", PATH))[0] == 410
+    assert (await cell.call("POST", PATH, {"spec": "10", "steps": []}))[0] == 400
+
+
+async def test_a_new_key_is_in_force_at_every_entry(cell: Cell):
+    cell.keys = ["key-b"]
+    version = cell.configure()
+    await cell.until(lambda: all(e.board.config.version == version for e in cell.entries))
+    for entry in (0, 1):
+        assert (await cell.call("GET", PATH, entry=entry, key="key-a"))[0] == 401
+        assert (await cell.call("GET", PATH, entry=entry, key="key-b"))[0] == 410
+
+
+async def test_a_submission_under_a_revoked_key_is_refused_even_before_the_watch_tells(cell: Cell):
+    """The acceptance depends on the configuration's revision in the store."""
+    board = cell.entries[0].board
+    known = board.config
+    cell.keys = ["key-b"]
+    cell.configure()
+    await cell.until(lambda: board.config.version == cell.version)
+    board.config = known._replace(version=known.version)
+    assert (await cell.call("POST", PATH, BODY, key="key-a"))[0] == 401
+
+
+async def test_an_entry_cut_off_from_the_store_stops_answering_keys(cell: Cell):
+    assert (await cell.call("GET", PATH))[0] == 410
+    cell.store.faults.status = 503
+    await asyncio.sleep((TIMES.config_watch_ms + TIMES.config_valid_ms) / 1_000 + 0.2)
+    status, document = await cell.call("GET", PATH)
+    assert (status, document["reason"]) == (503, "configuration_unconfirmed")
+    cell.store.faults.status = 0
+    await cell.until(lambda: cell.entries[0].board.config_age_ms < TIMES.config_valid_ms)
+    assert (await cell.call("GET", PATH))[0] == 410
+
+
+async def test_an_older_version_changes_nothing(cell: Cell):
+    await cell.until(lambda: all(entry.board.config is not None for entry in cell.entries))
+    cell.version = -5
+    cell.configure()
+    await asyncio.sleep(0.3)
+    assert [entry.board.config.version for entry in cell.entries] == [1, 1]
+
+
+async def test_an_unreadable_configuration_leaves_the_last_one_in_force(cell: Cell):
+    cell.store.put("op/config", b"\xff not JSON")
+    await asyncio.sleep(0.3)
+    assert (await cell.call("GET", PATH))[0] == 410
+
+
+async def test_an_entry_without_a_configuration_is_not_ready(free_port):
+    async with Cell(free_port) as cell:
+        cell.store.items.pop("op/config")
+        await cell.add_entry(2)
+        status, document = await cell.call("GET", PATH, entry=2)
+        assert (status, document["reason"]) == (503, "no_configuration")
--- /dev/null
+++ b/tests/dispatch/lifecycle_tests.py
@@ -0,0 +1,219 @@
+"""Jobs through entries, agents and workers, with the failures that each promise names."""
+
+import asyncio
+
+import pytest
+
+from tests.harness.platform_cell import TIMES, Cell, stays
+
+ONE = {"count": 1, "cpu": 1000, "mem_mb": 100, "gpu": 1}
+WHOLE = {"count": 1, "cpu": 1000, "mem_mb": 100, "gpu": 8}
+
+
+async def test_a_job_of_two_steps_runs_each_task_once(cell: Cell):
+    path = await cell.submit(1, {**ONE, "count": 3}, {**ONE, "after": [0]})
+    await cell.until_state(path, "completed")
+    assert list(cell.starts().values()) == [[1]] * 4
+
+
+async def test_states_and_counts_are_the_same_at_every_entry(cell: Cell):
+    path = await cell.submit(1, ONE, work_ms=3_000)
+    for entry in (0, 1):
+        await cell.until_state(path, "active", entry)
+        assert await cell.call("GET", "/normal/", entry=entry) == (200, {"pending": 0})
+
+
+async def test_a_job_is_known_at_an_entry_that_did_not_accept_it_at_once(cell: Cell):
+    for number in range(10):
+        path = await cell.submit(number, ONE, entry=0)
+        assert await cell.state(path, entry=1) in ("queued", "active", "completed")
+
+
+async def test_a_repeated_submission_remains_one_job(cell: Cell):
+    path = await cell.submit(1, ONE)
+    await cell.submit(1, ONE, entry=1)
+    await cell.until_state(path, "completed")
+    await cell.submit(1, ONE)
+    assert cell.starts() == {f"{1:016x}.0.0.0": [1]}
+
+
+@pytest.mark.parametrize("lost", [1, 2])
+async def test_a_lost_answer_of_the_acceptance_is_settled(cell: Cell, lost: int):
+    cell.store.faults.lost_answers = lost
+    path = await cell.submit(1, ONE)
+    await cell.until_state(path, "completed")
+    assert cell.starts() == {f"{1:016x}.0.0.0": [1]}
+
+
+async def test_a_refused_job_never_runs(cell: Cell):
+    cell.store.faults.status = 503
+    status, document = await cell.call("POST", f"/normal/{1:016x}", {"spec": "10", "steps": [ONE]})
+    assert (status, document["reason"]) == (503, "store_unavailable")
+    cell.store.faults.status = 0
+    await stays(lambda: cell.starts() == {}, 1.0)
+
+
+async def test_a_killed_leader_is_replaced_and_nothing_runs_twice(cell: Cell):
+    path = await cell.submit(1, {**ONE, "count": 4}, {**ONE, "after": [0]}, work_ms=700)
+    await cell.until(lambda: cell.running() == 4)
+    leader = cell.leader()
+    assert leader is not None
+    cell.entries.remove(leader)
+    await leader.kill()
+    await cell.until_state(path, "completed")
+    assert list(cell.starts().values()) == [[1]] * 5
+    await leader.store.close()
+
+
+async def test_a_leader_that_was_replaced_writes_nothing_more(cell: Cell):
+    leader = cell.leader()
+    assert leader is not None
+    cell.store.delete("lycheeslip/leader")
+    path = await cell.submit(1, ONE)
+    await cell.until_state(path, "completed")
+    assert cell.starts() == {f"{1:016x}.0.0.0": [1]}
+
+
+async def test_runs_outlive_an_outage_of_the_store(cell: Cell):
+    path = await cell.submit(1, ONE, work_ms=500)
+    await cell.until(lambda: cell.running() == 1)
+    cell.store.faults.status = 503
+    await asyncio.sleep(0.8)
+    cell.store.faults.status = 0
+    await cell.until_state(path, "completed")
+    assert cell.starts() == {f"{1:016x}.0.0.0": [1]}
+
+
+async def test_a_new_job_is_seen_after_history_was_lost(cell: Cell):
+    cell.store.forget_history()
+    path = await cell.submit(1, ONE)
+    await cell.until_state(path, "completed")
+
+
+async def test_a_restarted_agent_adopts_what_runs(cell: Cell):
+    path = await cell.submit(1, {**ONE, "count": 2}, work_ms=900)
+    await cell.until(lambda: cell.running() == 2)
+    for agent in cell.agents:
+        await agent.stop_agent()
+        await agent.start_agent()
+    await cell.until_state(path, "completed")
+    assert list(cell.starts().values()) == [[1]] * 2
+
+
+async def test_a_worker_that_starts_again_under_its_id_gets_a_new_run(cell: Cell):
+    path = await cell.submit(1, ONE, work_ms=400)
+    await cell.until(lambda: cell.running() == 1)
+    busy = next(agent for agent in cell.agents if agent.worker.runs)
+    busy.worker.rebirth()
+    await cell.until_state(path, "completed")
+    assert cell.starts() == {f"{1:016x}.0.0.0": [1, 2]}
+
+
+async def test_a_worker_that_is_gone_gives_its_tasks_back(cell: Cell):
+    path = await cell.submit(1, ONE, work_ms=400)
+    await cell.until(lambda: cell.running() == 1)
+    busy = next(agent for agent in cell.agents if agent.worker.runs)
+    await busy.worker.stop()
+    await cell.until_state(path, "completed")
+    assert cell.starts() == {f"{1:016x}.0.0.0": [1, 2]}
+
+
+async def test_a_silent_agent_keeps_its_runs_until_its_lease_has_lapsed(cell: Cell):
+    path = await cell.submit(1, ONE, work_ms=5_000)
+    await cell.until(lambda: cell.running() == 1)
+    busy = next(agent for agent in cell.agents if agent.worker.runs)
+    await busy.stop_agent()
+    await stays(
+        lambda: len(cell.starts()[f"{1:016x}.0.0.0"]) == 1, TIMES.run_lease_ms / 1_000 - 0.4
+    )
+    await cell.until(lambda: len(cell.starts()[f"{1:016x}.0.0.0"]) == 2)
+    assert not busy.worker.runs
+    await busy.start_agent()
+    assert await cell.state(path) == "active"
+
+
+async def test_a_start_that_is_carried_out_late_is_one_run(cell: Cell):
+    for agent in cell.agents:
+        agent.worker.faults.late_starts = 1
+    path = await cell.submit(1, {**ONE, "count": 2}, work_ms=800)
+    await cell.until_state(path, "completed")
+    assert list(cell.starts().values()) == [[1]] * 2
+
+
+async def test_a_cancelled_job_is_stopped_and_starts_nothing_more(cell: Cell):
+    path = await cell.submit(1, ONE, {**ONE, "after": [0]}, work_ms=5_000)
+    await cell.until(lambda: cell.running() == 1)
+    assert (await cell.call("DELETE", path, entry=1))[0] == 200
+    await cell.until(lambda: cell.running() == 0)
+    await cell.until_state(path, "cancelled")
+    await stays(lambda: len(cell.starts()) == 1, 0.6)
+
+
+async def test_a_job_fails_after_its_attempts(cell: Cell):
+    for agent in cell.agents:
+        agent.worker.faults.failing = True
+    path = await cell.submit(1, ONE)
+    await cell.until_state(path, "failed")
+    assert cell.starts() == {f"{1:016x}.0.0.0": [1, 2, 3]}
+
+
+async def test_a_gang_starts_whole_on_two_workers(cell: Cell):
+    path = await cell.submit(1, {**WHOLE, "count": 2, "gang": True, "same_rack": True})
+    await cell.until_state(path, "completed")
+    assert all(len(agent.worker.started.by_task) == 1 for agent in cell.agents)
+
+
+async def test_a_gang_waits_for_room_for_all_its_members(cell: Cell):
+    await cell.submit(1, WHOLE, work_ms=600)
+    path = await cell.submit(2, {**WHOLE, "count": 2, "gang": True})
+    await cell.until(lambda: cell.running() == 1)
+    await stays(lambda: len(cell.starts()) == 1, 0.3)
+    await cell.until_state(path, "completed")
+
+
+async def test_a_guarantee_is_reclaimed_from_lower_priorities(cell: Cell):
+    await cell.submit(1, {**WHOLE, "count": 2}, work_ms=20_000, priority=2)
+    await cell.until(lambda: cell.running() == 2)
+    path = await cell.submit(2, WHOLE, priority=0)
+    await cell.until_state(path, "completed")
+
+
+async def test_a_worker_is_never_given_more_than_it_has(cell: Cell):
+    await cell.submit(1, {**ONE, "count": 30, "gpu": 2}, work_ms=60, priority=2)
+    path = await cell.submit(2, {**WHOLE, "count": 3}, work_ms=60)
+    over = lambda: any(len(agent.worker.runs) > 4 for agent in cell.agents)  # noqa: E731
+    while await cell.state(path) != "completed":
+        assert not over()
+
+
+async def test_a_draining_worker_gets_no_new_run(cell: Cell):
+    draining, other = cell.agents
+    draining.worker.state = "draining"
+    await cell.until(lambda: not draining.agent.board.announced.is_ready)
+    path = await cell.submit(1, {**ONE, "count": 6})
+    await cell.until_state(path, "completed")
+    assert not draining.worker.started.by_task
+
+
+async def test_a_zone_being_emptied_gets_no_new_run(cell: Cell):
+    cell.store.put("op/evacuate/zone-0", b"{}")
+    await cell.until(lambda: "zone-0" in cell.leader().board.evacuated_zones)
+    path = await cell.submit(1, {**ONE, "count": 6})
+    await cell.until_state(path, "completed")
+    assert not cell.agents[0].worker.started.by_task
+    cell.store.delete("op/evacuate/zone-0")
+    await cell.until(lambda: not cell.leader().board.evacuated_zones)
+    await cell.until_state(await cell.submit(2, {**WHOLE, "count": 2}), "completed")
+    assert cell.agents[0].worker.started.by_task
+
+
+async def test_ends_are_forgotten_only_once_they_are_recorded(cell: Cell):
+    path = await cell.submit(1, ONE, work_ms=300)
+    await cell.until(lambda: cell.running() == 1)
+    cell.store.faults.status = 503
+    await cell.until(lambda: cell.running() == 0)
+    busy = next(agent for agent in cell.agents if agent.worker.started.by_task)
+    await stays(lambda: busy.worker.acknowledged_ends == [], 0.4)
+    cell.store.faults.status = 0
+    await cell.until_state(path, "completed")
+    await cell.until(lambda: len(busy.worker.acknowledged_ends) == 1)
--- /dev/null
+++ b/tests/harness/platform_cell.py
@@ -0,0 +1,257 @@
+"""Entries, agents and stand-ins of the platform in one process, for tests of their dispatch."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from typing import Any
+
+import aiohttp
+import msgspec
+from lycheeslip.dispatch.board import Board as EntryBoard
+from lycheeslip.dispatch.entry import DispatchEntry
+from lycheeslip.dispatch.keys import LEADER_KEY
+from lycheeslip.dispatch.leadership import leader_in
+from lycheeslip_agent.dispatch.agent import DispatchAgent
+from lycheeslip_agent.dispatch.board import Board as AgentBoard
+from lycheeslip_common.store.outcomes import Unreachable
+from lycheeslip_common.workload.times import DispatchTimes
+from lycheeslip_platform.caller_api import CallerApi
+from lycheeslip_platform.heartbeat_api import HeartbeatApi
+from lycheeslip_platform.operator_keys import OPERATOR_KEYS
+from lycheeslip_platform.store import PlatformStore
+from lycheeslip_platform.web import Listeners
+from lycheeslip_platform.worker import PlatformWorker
+from lycheeslip_standins.platform.store import PlatformStoreServer
+from lycheeslip_standins.platform.worker import PlatformWorkerServer
+
+WAIT_S = 15.0
+HOST = "jobs.example"
+PREFIXES = {0: "/urgent/", 1: "/normal/", 2: "/bulk/"}
+TIMES = DispatchTimes(
+    run_lease_ms=1_500,
+    leader_lease_ms=600,
+    leader_renew_ms=150,
+    leader_overhang_ms=200,
+    heartbeat_ms=150,
+    silence_ms=600,
+    lost_margin_ms=200,
+    config_watch_ms=400,
+    config_fresh_ms=600,
+    config_valid_ms=1_000,
+)
+
+
+class EntryProcess:
+    """One entry with its callers' interface."""
+
+    def __init__(self, number: int, store_address: str) -> None:
+        """Make entry `number`; nothing runs before `start`."""
+        self.board = EntryBoard(f"entry-{number}", "zone-a", "", TIMES)
+        self.store = PlatformStore(store_address)
+        self.entry: DispatchEntry
+        self.listeners = Listeners(0.1)
+        self.address = ""
+
+    async def start(self, link_port: int, call_port: int) -> None:
+        """Listen for links and for calls."""
+        self.board.address = f"127.0.0.1:{link_port}"
+        self.address = f"127.0.0.1:{call_port}"
+        self.entry = DispatchEntry(self.board, self.store, OPERATOR_KEYS)
+        api = CallerApi(self.entry.intake, self.board.counters)
+        await self.listeners.add(self.address, api.handle)
+        await self.entry.start()
+
+    async def stop(self) -> None:
+        """End gracefully."""
+        await self.listeners.stop()
+        await self.entry.stop()
+
+    async def kill(self) -> None:
+        """End without releasing anything, as SIGKILL does."""
+        await self.listeners.stop()
+        await self.entry.abandon()
+
+
+class AgentProcess:
+    """One agent with the worker beside it."""
+
+    def __init__(self, number: int, zone: str, rack: str, store_address: str) -> None:
+        """Make agent and worker `number`."""
+        self.node = f"side-{number}"
+        self.worker = PlatformWorkerServer(f"i-{number}", "service", zone, rack)
+        self._store = PlatformStore(store_address)
+        self.agent: DispatchAgent
+        self._port = 0
+
+    async def start(self, port: int) -> None:
+        """Start the worker, then the agent that listens on `port`."""
+        self._port = port
+        await self.worker.start()
+        await self.start_agent()
+        self.worker.announce(f"127.0.0.1:{port}")
+
+    async def start_agent(self) -> None:
+        """Start an agent beside the worker."""
+        board = AgentBoard(self.node, TIMES)
+        port = PlatformWorker(self.worker.address)
+        self.agent = DispatchAgent(board, port, (), self._find_leader)
+        self.listeners = Listeners(0.1)
+        await self.listeners.add(f"127.0.0.1:{self._port}", HeartbeatApi(self.agent).handle)
+        await self.agent.start()
+
+    async def stop_agent(self) -> None:
+        """End the agent; the worker runs on."""
+        await self.agent.stop()
+        await self.listeners.stop()
+
+    async def stop(self) -> None:
+        """End the agent and the worker."""
+        await self.stop_agent()
+        await self.worker.stop()
+        await self._store.close()
+
+    async def _find_leader(self) -> tuple[str, int] | None:
+        found = await self._store.read_prefix(LEADER_KEY, stale_ok=True)
+        if isinstance(found, Unreachable) or not found.items:
+            return None
+        named = leader_in(found.items[0].value)
+        return (named[1], found.items[0].mod_revision) if named else None
+
+
+class Cell:
+    """A small deployment; use as an asynchronous context manager."""
+
+    def __init__(self, free_port: Callable[[], int], entries: int = 2, agents: int = 2) -> None:
+        """Plan the processes; they start with the context."""
+        self._free_port = free_port
+        self._counts = (entries, agents)
+        self.store = PlatformStoreServer()
+        self.entries: list[EntryProcess] = []
+        self.agents: list[AgentProcess] = []
+        self.version = 0
+        self.keys = ["key-a"]
+        self.guaranteed = 8
+
+    async def __aenter__(self) -> "Cell":
+        """Start everything and wait until the leader knows all workers."""
+        await self.store.start()
+        self.configure()
+        for number in range(self._counts[0]):
+            await self.add_entry(number)
+        for number in range(self._counts[1]):
+            agent = AgentProcess(number, f"zone-{number}", "rack-1", self.store.address)
+            await agent.start(self._free_port())
+            self.agents.append(agent)
+        await self.until(lambda: self.leader() is not None and self.known_workers())
+        self._session = aiohttp.ClientSession()
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        """End everything."""
+        await self._session.close()
+        for process in (*self.agents, *self.entries):
+            await process.stop()
+        await self.store.stop()
+
+    async def add_entry(self, number: int) -> None:
+        """Start one more entry."""
+        entry = EntryProcess(number, self.store.address)
+        await entry.start(self._free_port(), self._free_port())
+        self.entries.append(entry)
+
+    def configure(self, **changes: Any) -> int:
+        """Write the next version of the configuration; returns it."""
+        self.version += 1
+        routes = [
+            {
+                "name": f"q-{priority}",
+                "host": HOST,
+                "prefix": prefix,
+                "service": "service",
+                "priority": priority,
+                "attempts": 3,
+                "stretch": 3.0,
+                "target_latency_ms": 250,
+            }
+            for priority, prefix in PREFIXES.items()
+        ]
+        tenant = {"name": "t-a", "api_keys": self.keys, "guaranteed": {"gpu": self.guaranteed}}
+        document = {
+            "version": self.version,
+            "routes": routes,
+            "services": [{"name": "service"}],
+            "tenants": [tenant],
+            **changes,
+        }
+        self.store.put("op/config", msgspec.json.encode(document))
+        return self.version
+
+    def leader(self) -> EntryProcess | None:
+        """Return the entry that leads and has loaded the records."""
+        return next((entry for entry in self.entries if entry.board.is_loaded), None)
+
+    def known_workers(self) -> bool:
+        """Return whether the leader is linked to every agent."""
+        leader = self.leader()
+        if leader is None:
+            return False
+        linked = [view for view in leader.board.workers.values() if view.link is not None]
+        return len(linked) == len(self.agents)
+
+    async def call(
+        self, method: str, path: str, body: object = None, entry: int = 0, key: str = "key-a"
+    ) -> tuple[int, Any]:
+        """Call an entry; returns the status and the document."""
+        headers = {"Host": HOST, "Authorization": f"Bearer {key}", "Deadline-Ms": "3000"}
+        url = f"http://{self.entries[entry].address}{path}"
+        content = None if body is None else msgspec.json.encode(body)
+        async with self._session.request(method, url, data=content, headers=headers) as response:
+            text = await response.read()
+            return response.status, msgspec.json.decode(text) if text else None
+
+    async def submit(
+        self, number: int, *steps: dict[str, Any], work_ms: int = 50, priority: int = 1, **more: Any
+    ) -> str:
+        """Submit a job that must be accepted; returns its path."""
+        path = f"{PREFIXES[priority]}{number:016x}"
+        body = {"spec": str(work_ms), "steps": list(steps)}
+        status, _ = await self.call("POST", path, body, **more)
+        assert status == 200
+        return path
+
+    async def state(self, path: str, entry: int = 0) -> str:
+        """Return a job's state, or the status of a refusal."""
+        status, document = await self.call("GET", path, entry=entry)
+        return document["state"] if status == 200 else str(status)
+
+    async def until_state(self, path: str, state: str, entry: int = 0) -> None:
+        """Wait until the job is in `state`."""
+        async with asyncio.timeout(WAIT_S):
+            while await self.state(path, entry) != state:  # noqa: ASYNC110
+                await asyncio.sleep(0.03)
+
+    async def until(self, condition: Callable[[], object]) -> None:
+        """Wait until `condition` holds."""
+        async with asyncio.timeout(WAIT_S):
+            while not condition():  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+
+    def starts(self) -> dict[str, list[int]]:
+        """Return the runs of each task that took effect on any worker."""
+        found: dict[str, list[int]] = {}
+        for agent in self.agents:
+            for task, runs in agent.worker.started.by_task.items():
+                found.setdefault(task, []).extend(runs)
+        return {task: sorted(runs) for task, runs in found.items()}
+
+    def running(self) -> int:
+        """Return the number of runs in progress on all workers."""
+        return sum(len(agent.worker.runs) for agent in self.agents)
+
+
+async def stays(condition: Callable[[], bool], for_s: float) -> None:
+    """Assert that `condition` holds all the while."""
+    until = time.monotonic() + for_s
+    while time.monotonic() < until:
+        assert condition()
+        await asyncio.sleep(0.02)
