Wait for runs that are about to end before stopping others

Change: until 1.7 s after its arrival an urgent unit counts runs that by their estimate end in that time as free soon and does not stop them.

--- a/packages/lycheeslip/lycheeslip/dispatch/placement.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/placement.py
@@ -27,7 +27,10 @@
 
 
 class Occupant(NamedTuple):
-    """A run that occupies a worker; `loss` is the work in core-seconds lost by stopping it."""
+    """A run that occupies a worker; `loss` is the work in core-seconds lost by stopping it.
+
+    `remaining_ms` estimates when it ends by itself.
+    """
 
     job_id: str
     task: str
@@ -41,6 +44,7 @@
     is_gang: bool = False
     is_guaranteed: bool = False
     is_costly_to_stop: bool = False
+    remaining_ms: float = float("inf")
 
     @property
     def unit_key(self) -> VictimKey:
@@ -118,7 +122,8 @@
 class Unit(NamedTuple):
     """A gang or a single task that may start now; `work` is its size in core-seconds.
 
-    `may_wait` says that it would still meet its latency objective if it started later.
+    `may_wait` says that it would still meet its latency objective if it started later;
+    `patience_ms` is how long an urgent unit still waits for runs to end by themselves.
     """
 
     job_id: str
@@ -140,6 +145,7 @@
     work: float = 0.0
     is_costly_to_stop: bool = False
     may_wait: bool = False
+    patience_ms: float = 0.0
 
     @property
     def step_key(self) -> StepKey:
@@ -297,7 +303,7 @@
     for victim in best.victims:
         stopped.add(victim.key)
         for room, occupant in victim.runs:
-            if not occupant.is_stopping:
+            if not _frees_itself(unit, occupant):
                 plan.stops.append((room, occupant))
 
 
@@ -331,7 +337,7 @@
     victims = [
         Victim(
             key,
-            max(0.0 if occupant.is_stopping else occupant.loss for _, occupant in members),
+            max(0.0 if _frees_itself(unit, run) else run.loss for _, run in members),
             tuple(members),
         )
         for key, members in runs.items()
@@ -339,6 +345,11 @@
     return sorted(victims, key=lambda victim: victim.loss)
 
 
+def _frees_itself(unit: Unit, occupant: Occupant) -> bool:
+    """Return whether a run ends soon enough for `unit` without being stopped for it."""
+    return occupant.is_stopping or occupant.remaining_ms <= unit.patience_ms
+
+
 def _gives_way(unit: Unit, occupant: Occupant) -> bool:
     """Return whether a run may be stopped for `unit`: a guarantee outranks what is borrowed."""
     is_borrowed = unit.is_guaranteed and not occupant.is_guaranteed
--- a/packages/lycheeslip/lycheeslip/dispatch/view.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/view.py
@@ -13,6 +13,7 @@
 __all__ = ["build_rooms", "build_units", "reserve_of", "service_of", "task_text"]
 
 MAX_COUNTED_FAILURES = 3
+MAX_OVERRUN = 1.5  # times its estimate that a run may take before the estimate is not believed
 SLACK_SHARE = 0.5  # of the time that the latency objective leaves; estimates are off by half
 MAX_WAIT_MS = 8_000  # no unit that fits waits longer for a better place
 
@@ -99,6 +100,7 @@
         step.gang,
         _is_guaranteed(job.progress, guaranteed),
         _is_costly_to_stop(spec, step),
+        _remaining_ms(step, run_s * 1_000),
     )
 
 
@@ -107,6 +109,13 @@
     return demand.cpu_milli / 1_000 + demand.accelerators * ACCELERATOR_CORES
 
 
+def _remaining_ms(step: StepSpec, run_ms: float) -> float:
+    """Estimate when a run ends; one that is far over its estimate tells nothing."""
+    if step.long_running or run_ms > step.estimate_ms * MAX_OVERRUN:
+        return float("inf")
+    return max(0.0, step.estimate_ms - run_ms)
+
+
 def _is_costly_to_stop(spec: JobSpec, step: StepSpec) -> bool:
     """Return whether a stop would lose the run's work; urgent runs are short and not stopped."""
     return spec.priority != URGENT_PRIORITY and not step.checkpointing
@@ -186,7 +195,7 @@
     spec = job.progress.spec
     occurrence, step_number, _ = members[0]
     counter = job.progress.tasks[members[0]]
-    due_ms = spec.due_at_ms(occurrence)
+    since_ms = max(spec.accepted_at_ms, spec.due_at_ms(occurrence))
     return Unit(
         job_id=job_id,
         occurrence=occurrence,
@@ -195,7 +204,7 @@
         account=spec.account,
         service=service_of(board, job.progress),
         priority=spec.priority,
-        waiting_since_ms=max(spec.accepted_at_ms, due_ms),
+        waiting_since_ms=since_ms,
         demand=demand_of(step),
         label=step.label,
         data_rack=step.data_rack,
@@ -206,5 +215,6 @@
         is_gang=step.gang,
         work=_cores(demand_of(step)) * len(members) * step.estimate_ms / 1_000,
         is_costly_to_stop=_is_costly_to_stop(spec, step),
-        may_wait=_may_wait(board, spec, step, max(spec.accepted_at_ms, due_ms)),
+        patience_ms=max(0, board.times.reclaim_wait_ms - (wall_ms() - since_ms)),
+        may_wait=_may_wait(board, spec, step, since_ms),
     )
--- a/packages/lycheeslip/tests/dispatch/placement_tests.py
+++ b/packages/lycheeslip/tests/dispatch/placement_tests.py
@@ -177,3 +177,12 @@
     rooms = [room("n1", "r1", free=2), room("n2", "r2", free=8)]
     rooms[0].occupants.append(occupant("busy", 6, 1, is_costly_to_stop=True))
     assert nodes(plan_round([unit()], rooms, reserve=8)) == ["n2"]
+
+
+def test_an_urgent_unit_waits_for_a_run_that_is_about_to_end():
+    ending = occupant("ending", 8, 1, 9.0, remaining_ms=500)
+    patient = unit("urgent", accelerators=8, priority=0, is_guaranteed=True, patience_ms=600)
+    waiting = plan_round([patient, unit("small")], [room("n1", free=0, occupants=[ending])])
+    assert (waiting.stops, waiting.starts) == ([], [])
+    hurried = patient._replace(patience_ms=400)
+    assert len(plan_round([hurried], [room("n1", free=0, occupants=[ending])]).stops) == 1
--- a/packages/lycheeslip_common/lycheeslip_common/workload/times.py
+++ b/packages/lycheeslip_common/lycheeslip_common/workload/times.py
@@ -41,5 +41,9 @@
     config_valid_ms: int = 3_000
     """Age of the last confirmation past which nothing that needs a key is answered."""
 
+    reclaim_wait_ms: int = 1_700
+    """How long an urgent unit waits for runs that are about to end before it stops others; the
+    deployments give 2.7 s to reclaim a guarantee, stops and retries of lost orders included."""
+
     retention_ms: int = 150_000
     """How long an ended job's state is kept; the deployment promises 120 s."""
