Record since when a run is in progress; wait longer while room is scarce

Ruled out: the estimates, the guarantees (8 or 16 accelerators). Change: the start of a run is part of its record. Units that are costly to stop may wait for half of their slack while 60 % of the accelerators are in use, otherwise 8 s as before.

--- a/packages/lycheeslip/lycheeslip/dispatch/board.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/board.py
@@ -8,7 +8,7 @@
 from lycheeslip_common.workload.fleet import Lifetime, WorkerReport
 from lycheeslip_common.workload.link import Link
 from lycheeslip_common.workload.operator import OperatorConfig
-from lycheeslip_common.workload.progress import JobProgress, JobState, TaskKey
+from lycheeslip_common.workload.progress import JobProgress, JobState
 from lycheeslip_common.workload.times import DispatchTimes
 
 __all__ = ["Board", "Leadership", "StoredJob", "WorkerView"]
@@ -54,7 +54,6 @@
     is_being_written: bool = False
     has_newer_checkpoint: bool = False
     stopping: set[tuple[str, int]] = field(default_factory=set)
-    started_ms: dict[TaskKey, int] = field(default_factory=dict)
 
 
 class Board:
--- a/packages/lycheeslip/lycheeslip/dispatch/dispatcher.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/dispatcher.py
@@ -87,7 +87,7 @@
         self._record_checkpoints(began)
         if self._can_start():
             rooms = build_rooms(self._board)
-            units = build_units(self._board)
+            units = build_units(self._board, rooms)
             plan = plan_round(units, rooms, reserve_of(self._board))
             for unit, chosen in plan.starts:
                 self._begin(unit, chosen)
@@ -106,10 +106,9 @@
         placement = {
             key: (room.node, room.lifetime) for key, room in zip(keys, chosen, strict=True)
         }
-        begin_runs(job.progress, placement, unit.is_gang)
+        begin_runs(job.progress, placement, unit.is_gang, wall_ms())
         orders = self._orders.setdefault(unit.job_id, [])
         for key, room in zip(keys, chosen, strict=True):
-            job.started_ms[key] = steady_ms()
             orders.append((room.node, self._order(job, key)))
         log_event(
             "unit_placed",
@@ -288,7 +287,6 @@
         name = task_text(job_id, key)
         job.stopping.discard((name, run))
         self._stop_sent.pop((name, run), None)
-        job.started_ms.pop(key, None)
         log_event(
             "run_ended", task=name, run=run, node=node, cause=cause, job_state=job.progress.state
         )
--- a/packages/lycheeslip/lycheeslip/dispatch/operator_sync.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/operator_sync.py
@@ -146,7 +146,7 @@
                     version=config.version,
                     revision=config.revision,
                     queues=len(config.queues),
-                    accounts=len(config.accounts),
+                    accounts=",".join(f"{a.name}:{a.guaranteed}" for a in config.accounts),
                 )
                 board.counters.gauge("config_version", config.version)
                 board.work_to_plan.set()
--- a/packages/lycheeslip/lycheeslip/dispatch/view.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/view.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 
-from lycheeslip_common.utils.clock import steady_ms, wall_ms
+from lycheeslip_common.utils.clock import wall_ms
 from lycheeslip_common.workload.fleet import Lifetime
 from lycheeslip_common.workload.jobs import Demand, JobSpec, StepSpec, demand_of, parse_task_name
 from lycheeslip_common.workload.progress import JobProgress, TaskKey, waiting_units
@@ -15,7 +15,8 @@
 MAX_COUNTED_FAILURES = 3
 MAX_OVERRUN = 1.5  # times its estimate that a run may take before the estimate is not believed
 SLACK_SHARE = 0.5  # of the time that the latency objective leaves; estimates are off by half
-MAX_WAIT_MS = 8_000  # no unit that fits waits longer for a better place
+MAX_IDLE_WAIT_MS = 8_000  # where room is plenty, no unit waits longer for a better place
+CROWDED = 0.6  # share of a service's accelerators in use from which room is scarce
 
 
 def task_text(job_id: str, key: TaskKey) -> str:
@@ -64,7 +65,7 @@
 
 
 def _occupants_by_lifetime(board: Board) -> dict[Lifetime, list[Occupant]]:
-    now = steady_ms()
+    now = wall_ms()
     guaranteed = _guaranteed_accounts(board)
     result: dict[Lifetime, list[Occupant]] = {}
     for job_id, job in board.jobs.items():
@@ -84,7 +85,7 @@
     name = task_text(job_id, key)
     demand = demand_of(step)
     members = step.task_count if step.gang else 1
-    run_s = (now_ms - job.started_ms.get(key, now_ms)) / 1_000
+    run_s = max(0, now_ms - task.started_at_ms) / 1_000
     lost_s = min(run_s, 1.0) if step.checkpointing else run_s
     is_ending = job.progress.has_ended or (name, task.run) in job.stopping
     return Occupant(
@@ -121,12 +122,26 @@
     return spec.priority != URGENT_PRIORITY and not step.checkpointing
 
 
-def _may_wait(board: Board, spec: JobSpec, step: StepSpec, since_ms: int) -> bool:
+def _may_wait(board: Board, spec: JobSpec, step: StepSpec, since_ms: int, is_crowded: bool) -> bool:
     """Return whether a unit that waits since `since_ms` may wait on for a better place."""
     queue = board.config.queue_named(spec.queue) if board.config else None
     stretch = queue.stretch if queue else 1.0
     slack_ms = (stretch - 1) * step.estimate_ms * SLACK_SHARE
-    return wall_ms() - since_ms < min(MAX_WAIT_MS, slack_ms)
+    if not is_crowded:
+        slack_ms = min(slack_ms, MAX_IDLE_WAIT_MS)
+    return wall_ms() - since_ms < slack_ms
+
+
+def _crowded_services(rooms: list[Room]) -> frozenset[str]:
+    """Return the services of which most accelerators are in use."""
+    total: Counter[str] = Counter()
+    free: Counter[str] = Counter()
+    for room in rooms:
+        total[room.service] += room.total.accelerators
+        free[room.service] += max(0, room.free_accelerators)
+    return frozenset(
+        service for service in total if total[service] - free[service] >= CROWDED * total[service]
+    )
 
 
 def reserve_of(board: Board) -> int:
@@ -149,13 +164,14 @@
             room.take(room.total)
 
 
-def build_units(board: Board) -> list[Unit]:
+def build_units(board: Board, rooms: list[Room]) -> list[Unit]:
     """Return all gangs and tasks that may start now."""
     guaranteed = _guaranteed_accounts(board)
+    crowded = _crowded_services(rooms)
     units = []
     for job_id, job in board.jobs.items():
         for step, members in waiting_units(job.progress):
-            units.append(_unit(board, job_id, job, step, members, guaranteed))
+            units.append(_unit(board, job_id, job, step, members, guaranteed, crowded))
     return units
 
 
@@ -191,10 +207,12 @@
     step: StepSpec,
     members: list[TaskKey],
     guaranteed: frozenset[str],
+    crowded: frozenset[str],
 ) -> Unit:
     spec = job.progress.spec
     occurrence, step_number, _ = members[0]
     counter = job.progress.tasks[members[0]]
+    service = service_of(board, job.progress)
     since_ms = max(spec.accepted_at_ms, spec.due_at_ms(occurrence))
     return Unit(
         job_id=job_id,
@@ -202,7 +220,7 @@
         step=step_number,
         indexes=tuple(key[2] for key in members),
         account=spec.account,
-        service=service_of(board, job.progress),
+        service=service,
         priority=spec.priority,
         waiting_since_ms=since_ms,
         demand=demand_of(step),
@@ -216,5 +234,5 @@
         work=_cores(demand_of(step)) * len(members) * step.estimate_ms / 1_000,
         is_costly_to_stop=_is_costly_to_stop(spec, step),
         patience_ms=max(0, board.times.reclaim_wait_ms - (wall_ms() - since_ms)),
-        may_wait=_may_wait(board, spec, step, since_ms),
+        may_wait=_may_wait(board, spec, step, since_ms, service in crowded),
     )
--- a/packages/lycheeslip_common/lycheeslip_common/workload/progress.py
+++ b/packages/lycheeslip_common/lycheeslip_common/workload/progress.py
@@ -52,7 +52,10 @@
 
 @dataclass(slots=True)
 class TaskProgress:
-    """State of one task; `run` is the number of its last run (0: none yet)."""
+    """State of one task; `run` is the number of its last run (0: none yet).
+
+    `started_at_ms` is the Unix time at which that run was ordered.
+    """
 
     run: int = 0
     is_done: bool = False
@@ -62,6 +65,7 @@
     failures: int = 0
     failed_run: int = 0
     failed_on: list[str] = field(default_factory=list)
+    started_at_ms: int = 0
 
     @property
     def is_placed(self) -> bool:
@@ -144,7 +148,10 @@
 
 
 def begin_runs(
-    job: JobProgress, placement: dict[TaskKey, tuple[str, Lifetime]], is_gang: bool
+    job: JobProgress,
+    placement: dict[TaskKey, tuple[str, Lifetime]],
+    is_gang: bool,
+    now_ms: int,
 ) -> int:
     """Give the placed tasks their next run number; return the highest.
 
@@ -157,6 +164,7 @@
         task.run = shared_run if is_gang else task.run + 1
         task.checkpoint = shared_checkpoint if is_gang else task.checkpoint
         task.node, task.lifetime = node, lifetime
+        task.started_at_ms = now_ms
     job.state = JobState.ACTIVE
     return shared_run
 
@@ -259,6 +267,7 @@
             task.failures,
             task.failed_run,
             task.failed_on,
+            task.started_at_ms,
         ]
         for key, task in job.tasks.items()
     ]
@@ -267,7 +276,7 @@
     )
 
 
-StoredTask = tuple[int, int, int, int, bool, str, Lifetime | None, str, int, int, list[str]]
+StoredTask = tuple[int, int, int, int, bool, str, Lifetime | None, str, int, int, list[str], int]
 StoredProgress = tuple[JobState, int, int, list[StoredTask]]
 
 
--- a/packages/lycheeslip_common/tests/workload_progress_tests.py
+++ b/packages/lycheeslip_common/tests/workload_progress_tests.py
@@ -33,7 +33,7 @@
 
 def begin(job: JobProgress, *keys: tuple[int, int, int]) -> int:
     gang = job.spec.steps[keys[0][1]].gang
-    return begin_runs(job, dict.fromkeys(keys, ("node-1", LIFE)), gang)
+    return begin_runs(job, dict.fromkeys(keys, ("node-1", LIFE)), gang, NOW_MS)
 
 
 def test_a_step_waits_for_all_tasks_of_the_steps_before_it():
@@ -204,3 +204,10 @@
     max_examples=60, deadline=None, suppress_health_check=list(HealthCheck), derandomize=True
 )
 TestProgressMachine = ProgressMachine.TestCase
+
+
+def test_a_new_leader_knows_since_when_a_run_is_in_progress():
+    job = job_of(StepSpec(1))
+    begin(job, (0, 0, 0))
+    loaded = decode_progress(job.spec, encode_progress(job))
+    assert loaded.tasks[(0, 0, 0)].started_at_ms == NOW_MS
