Leave failing workers alone; never retry a task where it failed while others are left

Change: workers that failed a task are left out for it while others are left; a worker that failed two runs in a row is left out for 6 s; a task that failed on several workers blames none.

--- a/packages/lycheeslip/lycheeslip/dispatch/dispatcher.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/dispatcher.py
@@ -266,10 +266,18 @@
                 log_warning("end_of_unknown_job", task=ended.task, node=view.node)
                 continue
             key = (name.occurrence, name.step, name.position)
-            self._blame(view, ended.cause)
+            if not self._failed_elsewhere(job, key, view):
+                self._blame(view, ended.cause)
             self._end(name.job_id, job, key, ended.run, ended.cause, ended.checkpoint)
         self._acknowledge(view)
 
+    def _failed_elsewhere(self, job: StoredJob, key: TaskKey, view: WorkerView) -> bool:
+        """Return whether the task has failed on another worker too, so that it is at fault."""
+        worker_id = view.lifetime.worker_id if view.lifetime else ""
+        first = (key[0], key[1], 0) if job.progress.spec.steps[key[1]].gang else key
+        task = job.progress.tasks.get(first)
+        return task is not None and any(other != worker_id for other in task.failed_on)
+
     def _blame(self, view: WorkerView, cause: EndCause) -> None:
         now = steady_ms()
         if cause == EndCause.FAILED:
--- a/packages/lycheeslip/lycheeslip/dispatch/placement.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/placement.py
@@ -21,7 +21,6 @@
 """Job, occurrence and step, and the task unless the whole step works as a gang."""
 
 ACCELERATOR_CORES = 8  # what one accelerator counts in core-seconds of lost work
-FAILURE_PENALTY = 1_000  # a worker that fails runs is used only if nothing else fits
 URGENT_PRIORITY = 0
 MAX_LOSS_SHARE = 0.5  # of its own work that an urgent unit may cost others without a guarantee
 
@@ -172,7 +171,7 @@
     _mark_reserved(rooms, reserve)
     stopped: set[VictimKey] = set()
     for unit in sorted(units, key=_order):
-        usable = [room for room in rooms if _may_use(unit, room)]
+        usable = _usable(unit, rooms)
         chosen = choose_rooms(unit, usable)
         if chosen is not None:
             for room in chosen:
@@ -191,6 +190,13 @@
     return (unit.priority, not unit.is_guaranteed, unit.waiting_since_ms, unit.job_id)
 
 
+def _usable(unit: Unit, rooms: Sequence[Room]) -> list[Room]:
+    """Return the rooms that `unit` may use, without workers that failed it if others are left."""
+    allowed = [room for room in rooms if _may_use(unit, room)]
+    untried = [room for room in allowed if room.lifetime.worker_id not in unit.avoided_workers]
+    return untried or allowed
+
+
 def _may_use(unit: Unit, room: Room) -> bool:
     if room.is_reserved and unit.is_costly_to_stop and unit.may_wait:
         return False
@@ -264,11 +270,8 @@
 def _rank(unit: Unit, room: Room) -> tuple[int, int, bool, int, str]:
     """Prefer the data's rack and sound workers, keep the reserve, then take the tightest fit."""
     is_far = bool(unit.data_rack) and room.rack != unit.data_rack
-    penalty = room.failures * FAILURE_PENALTY
-    if room.lifetime.worker_id in unit.avoided_workers:
-        penalty += FAILURE_PENALTY
     is_misplaced = room.is_reserved == unit.is_costly_to_stop
-    return (is_far, penalty, is_misplaced, room.free_accelerators, room.node)
+    return (is_far, room.failures, is_misplaced, room.free_accelerators, room.node)
 
 
 def _pack(unit: Unit, ranked: Sequence[Room]) -> list[Room] | None:
--- a/packages/lycheeslip/lycheeslip/dispatch/view.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/view.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 
-from lycheeslip_common.utils.clock import wall_ms
+from lycheeslip_common.utils.clock import steady_ms, wall_ms
 from lycheeslip_common.workload.fleet import Lifetime
 from lycheeslip_common.workload.jobs import Demand, JobSpec, StepSpec, demand_of, parse_task_name
 from lycheeslip_common.workload.progress import JobProgress, TaskKey, waiting_units
@@ -13,6 +13,8 @@
 __all__ = ["build_rooms", "build_units", "reserve_of", "service_of", "task_text"]
 
 MAX_COUNTED_FAILURES = 3
+QUARANTINE_FAILURES = 2  # in a row; sound runs fail one time in fifty, a failing worker's most
+QUARANTINE_MS = 6_000  # a failing worker is tried again after this; such troubles last 5 to 7 s
 MAX_OVERRUN = 1.5  # times its estimate that a run may take before the estimate is not believed
 SLACK_SHARE = 0.5  # of the time that the latency objective leaves; estimates are off by half
 MAX_IDLE_WAIT_MS = 8_000  # where room is plenty, no unit waits longer for a better place
@@ -45,7 +47,19 @@
         _take_strays(board, view, room)
         if view.report.is_ready and view.report.zone not in board.evacuated_zones:
             rooms.append(room)
-    return rooms
+    return _without_failing(board, rooms)
+
+
+def _without_failing(board: Board, rooms: list[Room]) -> list[Room]:
+    """Leave out workers that lately failed what they started, unless most workers did."""
+    now = steady_ms()
+    sound = [
+        room
+        for room in rooms
+        if room.failures < QUARANTINE_FAILURES
+        or now - board.workers[room.node].blamed_at_ms > QUARANTINE_MS
+    ]
+    return sound if 2 * len(sound) >= len(rooms) else rooms
 
 
 def _room_of(view: WorkerView, lifetime: Lifetime) -> Room:
--- a/tests/dispatch/lifecycle_tests.py
+++ b/tests/dispatch/lifecycle_tests.py
@@ -217,3 +217,11 @@
     cell.store.faults.status = 0
     await cell.until_state(path, "completed")
     await cell.until(lambda: len(busy.worker.acknowledged_ends) == 1)
+
+
+async def test_a_worker_that_fails_all_it_starts_costs_a_job_one_attempt(cell: Cell):
+    cell.agents[0].worker.faults.failing = True
+    paths = [await cell.submit(number, {**ONE, "count": 2}) for number in range(4)]
+    for path in paths:
+        await cell.until_state(path, "completed")
+    assert max(len(runs) for runs in cell.starts().values()) == 2
