--- a/packages/lycheeslip/lycheeslip/dispatch/placement.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/placement.py
@@ -22,7 +22,6 @@
 
 ACCELERATOR_CORES = 8  # what one accelerator counts in core-seconds of lost work
 URGENT_PRIORITY = 0
-MAX_LOSS_SHARE = 0.5  # of its own work that an urgent unit may cost others without a guarantee
 
 
 class Occupant(NamedTuple):
@@ -122,7 +121,8 @@
     """A gang or a single task that may start now; `work` is its size in core-seconds.
 
     `may_wait` says that it would still meet its latency objective if it started later;
-    `patience_ms` is how long an urgent unit still waits for runs to end by themselves.
+    `patience_ms` is how long an urgent unit still waits for runs to end by themselves, and
+    `loss_share` how much it may cost others without a guarantee, as a share of its own work.
     """
 
     job_id: str
@@ -145,6 +145,7 @@
     is_costly_to_stop: bool = False
     may_wait: bool = False
     patience_ms: float = 0.0
+    loss_share: float = 1.0
 
     @property
     def step_key(self) -> StepKey:
@@ -299,7 +300,7 @@
     if not found:
         return
     best = min(found, key=lambda option: option.loss)
-    if not unit.is_guaranteed and best.loss > unit.work * MAX_LOSS_SHARE:
+    if not unit.is_guaranteed and best.loss > unit.work * unit.loss_share:
         return
     for room in best.rooms:
         room.take(unit.demand)
--- a/packages/lycheeslip/lycheeslip/dispatch/view.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/view.py
@@ -18,6 +18,8 @@
 MAX_OVERRUN = 1.5  # times its estimate that a run may take before the estimate is not believed
 SLACK_SHARE = 0.5  # of the time that the latency objective leaves; estimates are off by half
 MAX_IDLE_WAIT_MS = 8_000  # where room is plenty, no unit waits longer for a better place
+EARLY_LOSS_SHARE = 0.3  # of its own work that an urgent unit may cost while it has time
+LATE_LOSS_SHARE = 1.0  # and later: a job that is late loses four fifths of its worth
 CROWDED = 0.6  # share of a service's accelerators in use from which room is scarce
 
 
@@ -136,14 +138,26 @@
     return spec.priority != URGENT_PRIORITY and not step.checkpointing
 
 
+def _slack_ms(board: Board, spec: JobSpec, step: StepSpec) -> float:
+    """Return how late a unit may start and still meet its latency objective."""
+    queue = board.config.queue_named(spec.queue) if board.config else None
+    if queue is None:
+        return 0.0
+    return (queue.stretch - 1) * step.estimate_ms + queue.objective_ms
+
+
 def _may_wait(board: Board, spec: JobSpec, step: StepSpec, since_ms: int, is_crowded: bool) -> bool:
     """Return whether a unit that waits since `since_ms` may wait on for a better place."""
-    queue = board.config.queue_named(spec.queue) if board.config else None
-    stretch = queue.stretch if queue else 1.0
-    slack_ms = (stretch - 1) * step.estimate_ms * SLACK_SHARE
+    limit_ms = _slack_ms(board, spec, step) * SLACK_SHARE
     if not is_crowded:
-        slack_ms = min(slack_ms, MAX_IDLE_WAIT_MS)
-    return wall_ms() - since_ms < slack_ms
+        limit_ms = min(limit_ms, MAX_IDLE_WAIT_MS)
+    return wall_ms() - since_ms < limit_ms
+
+
+def _loss_share(board: Board, spec: JobSpec, step: StepSpec, since_ms: int) -> float:
+    """Return how much of others' work a unit may cost: more once half of its slack is used."""
+    is_late = wall_ms() - since_ms > _slack_ms(board, spec, step) * SLACK_SHARE
+    return LATE_LOSS_SHARE if is_late else EARLY_LOSS_SHARE
 
 
 def _crowded_services(rooms: list[Room]) -> frozenset[str]:
@@ -248,5 +262,6 @@
         work=_cores(demand_of(step)) * len(members) * step.estimate_ms / 1_000,
         is_costly_to_stop=_is_costly_to_stop(spec, step),
         patience_ms=max(0, board.times.reclaim_wait_ms - (wall_ms() - since_ms)),
+        loss_share=_loss_share(board, spec, step, since_ms),
         may_wait=_may_wait(board, spec, step, since_ms, service in crowded),
     )
