--- a/packages/lycheeslip/lycheeslip/dispatch/view.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/view.py
@@ -154,12 +154,6 @@
     return wall_ms() - since_ms < limit_ms
 
 
-def _loss_share(board: Board, spec: JobSpec, step: StepSpec, since_ms: int) -> float:
-    """Return how much of others' work a unit may cost: more once half of its slack is used."""
-    is_late = wall_ms() - since_ms > _slack_ms(board, spec, step) * SLACK_SHARE
-    return LATE_LOSS_SHARE if is_late else EARLY_LOSS_SHARE
-
-
 def _crowded_services(rooms: list[Room]) -> frozenset[str]:
     """Return the services of which most accelerators are in use."""
     total: Counter[str] = Counter()
@@ -261,7 +255,7 @@
         is_gang=step.gang,
         work=_cores(demand_of(step)) * len(members) * step.estimate_ms / 1_000,
         is_costly_to_stop=_is_costly_to_stop(spec, step),
-        patience_ms=max(0, board.times.reclaim_wait_ms - (wall_ms() - since_ms)),
-        loss_share=_loss_share(board, spec, step, since_ms),
+        patience_ms=patience_ms,
+        loss_share=EARLY_LOSS_SHARE if patience_ms else LATE_LOSS_SHARE,
         may_wait=_may_wait(board, spec, step, since_ms, service in crowded),
     )
