--- a/packages/lycheeslip/lycheeslip/dispatch/view.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/view.py
@@ -236,6 +236,7 @@
     counter = job.progress.tasks[members[0]]
     service = service_of(board, job.progress)
     since_ms = max(spec.accepted_at_ms, spec.due_at_ms(occurrence))
+    patience_ms = max(0, board.times.reclaim_wait_ms - (wall_ms() - since_ms))
     return Unit(
         job_id=job_id,
         occurrence=occurrence,
