--- a/packages/lycheeslip/lycheeslip/dispatch/placement.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/placement.py
@@ -69,6 +69,11 @@
     counts: Counter[StepKey] = field(default_factory=Counter)
     is_reserved: bool = False
 
+    @property
+    def holds_costly(self) -> bool:
+        """Whether a run is here that is costly to stop."""
+        return any(occupant.is_costly_to_stop for occupant in self.occupants)
+
     def admits(self, unit: "Unit") -> bool:
         """Return whether one more task of `unit` may run here, by room and by its spread."""
         is_full = unit.max_per_worker and self.counts[unit.step_key] >= unit.max_per_worker
@@ -268,11 +273,16 @@
     return _pack(unit, emptied) is not None
 
 
-def _rank(unit: Unit, room: Room) -> tuple[int, int, bool, int, str]:
-    """Prefer the data's rack and sound workers, keep the reserve, then take the tightest fit."""
+def _rank(unit: Unit, room: Room) -> tuple[int, int, bool, bool, int, str]:
+    """Prefer the data's rack and sound workers, keep the reserve, then take the tightest fit.
+
+    Runs that are costly to stop are kept apart from the others, so that whole workers can be
+    freed at little loss.
+    """
     is_far = bool(unit.data_rack) and room.rack != unit.data_rack
     is_misplaced = room.is_reserved == unit.is_costly_to_stop
-    return (is_far, room.failures, is_misplaced, room.free_accelerators, room.node)
+    is_mixed = room.holds_costly != unit.is_costly_to_stop
+    return (is_far, room.failures, is_misplaced, is_mixed, room.free_accelerators, room.node)
 
 
 def _pack(unit: Unit, ranked: Sequence[Room]) -> list[Room] | None:
--- a/packages/lycheeslip/tests/dispatch/placement_tests.py
+++ b/packages/lycheeslip/tests/dispatch/placement_tests.py
@@ -185,3 +185,10 @@
     assert (waiting.stops, waiting.starts) == ([], [])
     hurried = patient._replace(patience_ms=400)
     assert len(plan_round([hurried], [room("n1", free=0, occupants=[ending])]).stops) == 1
+
+
+def test_runs_that_are_costly_to_stop_share_a_worker():
+    rooms = [room("n1", free=3), room("n2", free=7)]
+    rooms[1].occupants.append(occupant("busy", 1, 1, is_costly_to_stop=True))
+    assert nodes(plan_round([unit(is_costly_to_stop=True)], rooms)) == ["n2"]
+    assert nodes(plan_round([unit()], rooms)) == ["n1"]
