--- a/packages/lycheeslip/lycheeslip/dispatch/loader.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/loader.py
@@ -7,7 +7,7 @@
 from lycheeslip_common.utils.clock import wall_ms
 from lycheeslip_common.utils.logs import log_event, log_warning
 from lycheeslip_common.utils.retry import Backoff
-from lycheeslip_common.workload.jobs import JobSpec
+from lycheeslip_common.workload.jobs import JobSpec, StepSpec
 from lycheeslip_common.workload.progress import (
     JobProgress,
     cancel,
@@ -27,6 +27,15 @@
 WATCH_WAIT_MS = 2_000  # a connection gone silent is noticed well within a job's latency objective
 
 
+def _summary(step: StepSpec) -> str:
+    """Return the parts of a step that decide where it may run, for the log."""
+    kind = "gang" if step.gang else "tasks"
+    return (
+        f"{step.task_count}_{kind}:cpu={step.cpu_milli},accelerators={step.accelerators},"
+        f"estimate_ms={step.estimate_ms},same_rack={step.same_rack},saves={step.checkpointing}"
+    )
+
+
 class Loader:
     """Brings what entries accepted into the leader's table of jobs."""
 
@@ -110,9 +119,7 @@
             account=spec.account,
             priority=spec.priority,
             state=job.progress.state,
-            steps=[
-                (s.task_count, s.cpu_milli, s.accelerators, s.gang, s.same_rack) for s in spec.steps
-            ],
+            steps=[_summary(step) for step in spec.steps],
             occurrences=spec.occurrences,
             delay_ms=wall_ms() - spec.accepted_at_ms,
         )
--- a/packages/lycheeslip/lycheeslip/dispatch/placement.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/placement.py
@@ -361,7 +361,7 @@
 
 def _frees_itself(unit: Unit, occupant: Occupant) -> bool:
     """Return whether a run ends soon enough for `unit` without being stopped for it."""
-    return occupant.is_stopping or occupant.remaining_ms <= unit.patience_ms
+    return occupant.is_stopping or occupant.remaining_ms < unit.patience_ms
 
 
 def _gives_way(unit: Unit, occupant: Occupant) -> bool:
--- a/packages/lycheeslip/tests/dispatch/placement_tests.py
+++ b/packages/lycheeslip/tests/dispatch/placement_tests.py
@@ -192,3 +192,9 @@
     rooms[1].occupants.append(occupant("busy", 1, 1, is_costly_to_stop=True))
     assert nodes(plan_round([unit(is_costly_to_stop=True)], rooms)) == ["n2"]
     assert nodes(plan_round([unit()], rooms)) == ["n1"]
+
+
+def test_a_run_that_is_overdue_is_stopped_once_patience_ends():
+    overdue = occupant("overdue", 8, 1, 1.0, remaining_ms=0)
+    urgent = unit("urgent", accelerators=8, priority=0, patience_ms=0)
+    assert len(plan_round([urgent], [room("n1", free=0, occupants=[overdue])]).stops) == 1
