--- a/packages/lycheeslip/lycheeslip/dispatch/board.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/board.py
@@ -33,6 +33,7 @@
     link: Link | None
     failures: int = 0
     blamed_at_ms: int = 0
+    avoided_until_ms: int = 0
 
     @property
     def lifetime(self) -> Lifetime | None:
@@ -44,12 +45,14 @@
 class StoredJob:
     """A job with the store revision of its progress record (0: none yet).
 
-    `recorded_state` is the state in that record, which alone is shown to callers.
+    `recorded_state` is the state in that record, which alone is shown to callers;
+    `known_at_ms` is when this leader learned of the job, on its steady clock.
     """
 
     progress: JobProgress
     revision: int
     recorded_state: JobState
+    known_at_ms: int
     is_dirty: bool = False
     is_being_written: bool = False
     has_newer_checkpoint: bool = False
--- a/packages/lycheeslip/lycheeslip/dispatch/dispatcher.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/dispatcher.py
@@ -36,6 +36,8 @@
 GATHER_S = 0.4  # after an election agents link up within this; a fuller view places better
 STOP_AGAIN_MS = 1_000  # a stop without an effect by then is sent again
 CHECKPOINT_RECORD_MS = 2_000  # one write in this time; tasks save their progress once a second
+REJECTED_PAUSE_MS = 500  # a worker that rejected an order gets no other before this
+REJECTIONS = frozenset({"fence", "late", "no_lease", "room", "ticket", "unhealthy"})
 BLAME_MS = 10_000  # how long a worker is avoided for the failures of its runs
 
 
@@ -344,8 +346,8 @@
         )
         self._board.counters.count("orders_without_run", result.reason)
         view = self._board.workers.get(node)
-        if view is not None and result.reason == "unhealthy":
-            self._blame(view, EndCause.FAILED)
+        if view is not None and result.reason in REJECTIONS:
+            view.avoided_until_ms = steady_ms() + REJECTED_PAUSE_MS
         self._end(name.job_id, job, key, result.run, EndCause.STOPPED, "")
 
     def note_recorded(self, job_ids: list[str]) -> None:
--- a/packages/lycheeslip/lycheeslip/dispatch/loader.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/loader.py
@@ -4,7 +4,7 @@
 
 from lycheeslip_common.store.outcomes import KeyValue, Unreachable
 from lycheeslip_common.store.port import ChangedKeys, HistoryLost, KeyValueStore
-from lycheeslip_common.utils.clock import wall_ms
+from lycheeslip_common.utils.clock import steady_ms, wall_ms
 from lycheeslip_common.utils.logs import log_event, log_warning
 from lycheeslip_common.utils.retry import Backoff
 from lycheeslip_common.workload.jobs import JobSpec, StepSpec
@@ -126,7 +126,7 @@
 
     def _stored_job(self, spec: JobSpec, item: KeyValue | None) -> StoredJob:
         progress = decode_progress(spec, item.value) if item else JobProgress(spec)
-        stored = StoredJob(progress, item.mod_revision if item else 0, progress.state)
+        stored = StoredJob(progress, item.mod_revision if item else 0, progress.state, steady_ms())
         if open_occurrences(progress, wall_ms()):
             self._recorder.mark(stored)
         return stored
--- a/packages/lycheeslip/lycheeslip/dispatch/placement.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/placement.py
@@ -27,7 +27,8 @@
 class Occupant(NamedTuple):
     """A run that occupies a worker; `loss` is the work in core-seconds lost by stopping it.
 
-    `remaining_ms` estimates when it ends by itself.
+    `remaining_ms` estimates when it ends by itself; one that `is_protected` by a disruption
+    budget is never stopped for another.
     """
 
     job_id: str
@@ -43,6 +44,7 @@
     is_guaranteed: bool = False
     is_costly_to_stop: bool = False
     remaining_ms: float = float("inf")
+    is_protected: bool = False
 
     @property
     def unit_key(self) -> VictimKey:
@@ -366,6 +368,8 @@
 
 def _gives_way(unit: Unit, occupant: Occupant) -> bool:
     """Return whether a run may be stopped for `unit`: a guarantee outranks what is borrowed."""
+    if occupant.is_protected:
+        return False
     is_borrowed = unit.is_guaranteed and not occupant.is_guaranteed
     return occupant.is_stopping or occupant.priority > unit.priority or is_borrowed
 
--- a/packages/lycheeslip/lycheeslip/dispatch/view.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/view.py
@@ -47,7 +47,8 @@
             room.occupants.append(occupant)
             room.counts[occupant.unit] += 1
         _take_strays(board, view, room)
-        if view.report.is_ready and view.report.zone not in board.evacuated_zones:
+        is_in_service = view.report.is_ready and view.report.zone not in board.evacuated_zones
+        if is_in_service and steady_ms() >= view.avoided_until_ms:
             rooms.append(room)
     return _without_failing(board, rooms)
 
@@ -118,6 +119,7 @@
         _is_guaranteed(job.progress, guaranteed),
         _is_costly_to_stop(spec, step),
         _remaining_ms(step, run_s * 1_000),
+        step.max_unavailable > 0,
     )
 
 
@@ -236,7 +238,8 @@
     counter = job.progress.tasks[members[0]]
     service = service_of(board, job.progress)
     since_ms = max(spec.accepted_at_ms, spec.due_at_ms(occurrence))
-    patience_ms = max(0, board.times.reclaim_wait_ms - (wall_ms() - since_ms))
+    waited_ms = wall_ms() - since_ms if spec.occurrences else steady_ms() - job.known_at_ms
+    patience_ms = max(0, board.times.reclaim_wait_ms - waited_ms)
     return Unit(
         job_id=job_id,
         occurrence=occurrence,
--- a/packages/lycheeslip/tests/dispatch/placement_tests.py
+++ b/packages/lycheeslip/tests/dispatch/placement_tests.py
@@ -198,3 +198,8 @@
     overdue = occupant("overdue", 8, 1, 1.0, remaining_ms=0)
     urgent = unit("urgent", accelerators=8, priority=0, patience_ms=0)
     assert len(plan_round([urgent], [room("n1", free=0, occupants=[overdue])]).stops) == 1
+
+
+def test_a_run_under_a_disruption_budget_is_not_stopped_for_another():
+    rooms = [room("n1", free=0, occupants=[occupant("serving", 8, 2, is_protected=True)])]
+    assert plan_round([unit(accelerators=8, priority=0)], rooms).stops == []
--- a/tests/dispatch/lifecycle_tests.py
+++ b/tests/dispatch/lifecycle_tests.py
@@ -225,3 +225,14 @@
     for path in paths:
         await cell.until_state(path, "completed")
     assert max(len(runs) for runs in cell.starts().values()) == 2
+
+
+async def test_a_worker_that_rejects_orders_is_asked_seldom(cell: Cell):
+    for agent in cell.agents:
+        agent.worker.faults.status = 503
+    path = await cell.submit(1, ONE)
+    await asyncio.sleep(1.2)
+    assert sum(agent.worker.calls["/run-start"] for agent in cell.agents) <= 8
+    for agent in cell.agents:
+        agent.worker.faults.status = 0
+    await cell.until_state(path, "completed")
