--- a/packages/lycheeslip/lycheeslip/dispatch/board.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/board.py
@@ -3,6 +3,7 @@
 import asyncio
 from dataclasses import dataclass, field
 
+from lycheeslip_common.store.outcomes import KeyValue
 from lycheeslip_common.utils.clock import steady_ms
 from lycheeslip_common.utils.counters import Counters
 from lycheeslip_common.workload.fleet import Lifetime, WorkerReport
@@ -71,7 +72,9 @@
         self.counters = Counters()
         self.config: OperatorConfig | None = None
         self.evacuated_zones: set[str] = set()
+        self.config_item: KeyValue | None = None
         self.confirmed_at_ms = 0
+        self.store_heard_at_ms = 0
         self.leadership: Leadership | None = None
         self.leader_address = ""
         self.leader_epoch = 0
@@ -86,6 +89,13 @@
         """Whether this entry leads, as far as it knows without asking the store."""
         return self.leadership is not None
 
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers should be sent here: the store answers, so jobs can be accepted."""
+        if self.config is None or self.is_leaving:
+            return False
+        return steady_ms() - self.store_heard_at_ms <= self.times.config_valid_ms
+
     @property
     def config_age_ms(self) -> int:
         """How long ago the store last confirmed that the configuration is the newest."""
--- a/packages/lycheeslip/lycheeslip/dispatch/entry.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/entry.py
@@ -33,8 +33,8 @@
         self._dispatcher.recorder = self._recorder
         self._loader = Loader(board, store, self._recorder)
         self._links = LinkServer(board, self._dispatcher)
-        self._leader_link = LeaderLink(board)
         self._operator = OperatorSync(board, store, operator_keys)
+        self._leader_link = LeaderLink(board, self._operator.note)
         self._election = Election(
             board, store, self._begin_term, self._end_term, self._leader_link.follow
         )
--- a/packages/lycheeslip/lycheeslip/dispatch/links.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/links.py
@@ -1,10 +1,13 @@
 """Links of this entry: agents and other entries that link up, and its own link to the leader."""
 
 import asyncio
+from collections.abc import Callable
 
+from lycheeslip_common.store.outcomes import KeyValue
 from lycheeslip_common.utils.clock import steady_ms
 from lycheeslip_common.utils.logs import log_event, log_warning
 from lycheeslip_common.workload.fleet import (
+    ConfigRelay,
     Farewell,
     Heartbeat,
     HeartbeatReply,
@@ -76,8 +79,10 @@
 
     def _handle(self, link: Link, message: object) -> None:
         match message:
-            case Heartbeat(sent_ms, _):
+            case Heartbeat(sent_ms, _, config_version):
                 self._extend(link, sent_ms)
+                if link.role == "entry":
+                    self._relay_config(link, config_version)
             case WorkerReport():
                 self._dispatcher.take_report(link.node, link, message)
             case OrderResult():
@@ -108,15 +113,23 @@
         view = board.workers.get(link.node)
         if view is not None and view.link is link:
             view.heard_at_ms = steady_ms()
-        link.post(HeartbeatReply(sent_ms, term.epoch, True))
+        version = board.config.version if board.config else 0
+        link.post(HeartbeatReply(sent_ms, term.epoch, True, version, board.config_age_ms))
+
+    def _relay_config(self, link: Link, known_version: int) -> None:
+        """Send the configuration to an entry that the store may have turned away."""
+        config, item = self._board.config, self._board.config_item
+        if config is not None and item is not None and known_version < config.version:
+            link.post(ConfigRelay(item.key, item.value, item.mod_revision))
 
 
 class LeaderLink:
     """The entry's link to the leader, by which it asks about jobs and queues."""
 
-    def __init__(self, board: Board) -> None:
-        """Start without a link."""
+    def __init__(self, board: Board, note_config: Callable[[KeyValue], None]) -> None:
+        """Start without a link; configurations that the leader relays go to `note_config`."""
         self._board = board
+        self._note_config = note_config
         self._link: Link | None = None
         self._number = 0
         self._answers: dict[int, asyncio.Future[JobReply | QueueReply]] = {}
@@ -147,8 +160,11 @@
 
     def _take(self, message: object) -> bool:
         match message:
-            case HeartbeatReply(_, _, is_leader):
+            case HeartbeatReply(sent_ms, _, is_leader, version, age_ms):
+                self._confirm_config(version, sent_ms - age_ms)
                 return is_leader
+            case ConfigRelay(key, value, revision):
+                self._note_config(KeyValue(key, value, revision))
             case Redirect(address, _):
                 return bool(address)
             case JobReply(number, _) | QueueReply(number, _):
@@ -157,9 +173,16 @@
                     waiting.set_result(message)
         return True
 
+    def _confirm_config(self, version: int, at_ms: int) -> None:
+        """Take over the leader's confirmation if it is of the version that is known here."""
+        board = self._board
+        if board.config is not None and board.config.version == version:
+            board.confirmed_at_ms = max(board.confirmed_at_ms, at_ms)
+
     async def _beat(self, link: Link) -> None:
         while True:
-            link.post(Heartbeat(steady_ms(), self._board.leader_epoch))
+            version = self._board.config.version if self._board.config else 0
+            link.post(Heartbeat(steady_ms(), self._board.leader_epoch, version))
             await asyncio.sleep(self._board.times.heartbeat_ms / 1_000)
 
     async def job_state(self, job_id: str, timeout_s: float) -> str:
--- a/packages/lycheeslip/lycheeslip/dispatch/operator_sync.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/operator_sync.py
@@ -80,13 +80,13 @@
         if isinstance(result, Unreachable):
             return False
         for item in result.items:
-            self._apply(self._keys.decode(item, False))
+            self._take(item, False)
         self._confirm_as_of(asked_at)
         return True
 
     def note(self, item: KeyValue) -> None:
-        """Take in a key of the operator that another call returned."""
-        self._apply(self._keys.decode(item, False))
+        """Take in a key of the operator that another call or the leader returned."""
+        self._take(item, False)
 
     async def _read_all(self) -> int:
         asked_at = steady_ms()
@@ -98,7 +98,7 @@
         zones_before = set(self._board.evacuated_zones)
         self._board.evacuated_zones.clear()
         for item in result.items:
-            self._apply(self._keys.decode(item, False))
+            self._take(item, False)
         for zone in zones_before - self._board.evacuated_zones:
             log_event("zone_in_service", zone=zone, revision=result.revision)
         if self._board.config is not None:
@@ -114,7 +114,7 @@
                 self._note_store(True, "")
                 for event in events:
                     item = KeyValue(event.key, event.value, event.mod_revision)
-                    self._apply(self._keys.decode(item, event.deleted))
+                    self._take(item, event.deleted)
                 waited_ms = steady_ms() - asked_at
                 is_whole_wait = not events and waited_ms >= wait_ms - EARLY_ANSWER_MS
                 self._confirm_as_of(asked_at + (wait_ms - EARLY_ANSWER_MS) * is_whole_wait)
@@ -128,6 +128,7 @@
 
     def _confirm_as_of(self, at_ms: int) -> None:
         self._board.confirmed_at_ms = max(self._board.confirmed_at_ms, at_ms)
+        self._board.store_heard_at_ms = steady_ms()
 
     def _note_store(self, is_reachable: bool, detail: str) -> None:
         if is_reachable and self._is_store_known_away:
@@ -136,11 +137,11 @@
             log_warning("store_lost", dependency="store", reason=detail)
         self._is_store_known_away = not is_reachable
 
-    def _apply(self, change: OperatorChange | None) -> None:
+    def _take(self, item: KeyValue, is_deleted: bool) -> None:
         board = self._board
-        match change:
+        match self._keys.decode(item, is_deleted):
             case ConfigChange(config) if self._is_newer(config):
-                board.config = config
+                board.config, board.config_item = config, item
                 log_event(
                     "config_applied",
                     version=config.version,
--- a/packages/lycheeslip_common/lycheeslip_common/workload/fleet.py
+++ b/packages/lycheeslip_common/lycheeslip_common/workload/fleet.py
@@ -11,6 +11,7 @@
 import msgspec
 
 __all__ = [
+    "ConfigRelay",
     "EndCause",
     "EndedRun",
     "Farewell",
@@ -95,18 +96,35 @@
 
 
 class Heartbeat(NamedTuple):
-    """Asks the leader to extend the agent's lease; `sent_ms` is the sender's own clock."""
+    """Asks the leader to extend the agent's lease; `sent_ms` is the sender's own clock.
+
+    An entry also says which version of the configuration it knows.
+    """
 
     sent_ms: int
     epoch: int
+    config_version: int = 0
 
 
 class HeartbeatReply(NamedTuple):
-    """Extends the lease that the heartbeat of `sent_ms` asked for, if `is_leader`."""
+    """Extends the lease that the heartbeat of `sent_ms` asked for, if `is_leader`.
+
+    Says how long ago the store confirmed to the leader that `config_version` is the newest.
+    """
 
     sent_ms: int
     epoch: int
     is_leader: bool
+    config_version: int = 0
+    config_age_ms: int = 0
+
+
+class ConfigRelay(NamedTuple):
+    """The newest configuration as the operator wrote it, for an entry that knows an older one."""
+
+    key: str
+    value: bytes
+    revision: int
 
 
 class StartOrder(NamedTuple):
@@ -194,6 +212,7 @@
     | StopOrder
     | OrderResult
     | RecordedEnds
+    | ConfigRelay
     | Redirect
     | Farewell
     | JobQuery
@@ -207,7 +226,8 @@
 
 def encode(message: Message) -> bytes:
     """Return the frame that carries `message`."""
-    return cbor2.dumps([type(message).__name__, msgspec.to_builtins(tuple(message))])
+    fields = msgspec.to_builtins(tuple(message), builtin_types=(bytes,))
+    return cbor2.dumps([type(message).__name__, fields])
 
 
 def decode(frame: bytes | str) -> Message:
@@ -216,7 +236,7 @@
         raise InvalidMessageError("a text frame was received where a binary one is expected")
     try:
         name, fields = cbor2.loads(frame)
-        return msgspec.convert(fields, KINDS_BY_NAME[name])
+        return msgspec.convert(fields, KINDS_BY_NAME[name], builtin_types=(bytes,))
     except KeyError as error:
         raise InvalidMessageError(f"unknown message {error}") from error
     except Exception as error:
--- a/tests/dispatch/configuration_tests.py
+++ b/tests/dispatch/configuration_tests.py
@@ -68,3 +68,18 @@
         await cell.add_entry(2)
         status, document = await cell.call("GET", PATH, entry=2)
         assert (status, document["reason"]) == (503, "no_configuration")
+
+
+async def test_an_entry_that_the_store_turns_away_serves_by_the_leaders_confirmation(cell: Cell):
+    follower = next(entry for entry in cell.entries if entry is not cell.leader())
+    number = cell.entries.index(follower)
+    path = await cell.submit(1, ONE)
+    await cell.until_state(path, "completed")
+    follower.store.client.base = "http://127.0.0.1:9"
+    await cell.until(lambda: not follower.board.is_ready)
+    assert await cell.state(path, entry=number) == "completed"
+    cell.keys = ["key-b"]
+    version = cell.configure()
+    await cell.until(lambda: follower.board.config.version == version)
+    assert (await cell.call("GET", path, entry=number, key="key-a"))[0] == 401
+    assert (await cell.call("GET", path, entry=number, key="key-b"))[0] == 200
