Split placement and the dispatcher by transition

Rooms, packing and reclaiming are modules of their own beside the planning round; starts, stops and ends beside the dispatcher, each with the state that only it needs.

--- a/packages/lycheeslip/lycheeslip/dispatch/entry.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/entry.py
@@ -28,9 +28,8 @@
         """Wire the parts; nothing runs before `start`."""
         self.board = board
         self._store = store
-        self._dispatcher = Dispatcher(board)
-        self._recorder = Recorder(board, store, self._dispatcher.note_recorded, self._note_deposed)
-        self._dispatcher.recorder = self._recorder
+        self._recorder = Recorder(board, store, self._note_recorded, self._note_deposed)
+        self._dispatcher = Dispatcher(board, self._recorder)
         self._loader = Loader(board, store, self._recorder)
         self._links = LinkServer(board, self._dispatcher)
         self._operator = OperatorSync(board, store, operator_keys)
@@ -93,6 +92,9 @@
         self._term_tasks = []
         self._links.drop_all()
 
+    def _note_recorded(self, job_ids: list[str]) -> None:
+        self._dispatcher.note_recorded(job_ids)
+
     def _note_deposed(self) -> None:
         self._election.deposed()
 
--- /dev/null
+++ b/packages/lycheeslip/lycheeslip/dispatch/starts.py
@@ -0,0 +1,93 @@
+"""Starts: units that were placed become recorded runs, and recorded runs become orders."""
+
+from lycheeslip_common.utils.clock import wall_ms
+from lycheeslip_common.utils.logs import log_event
+from lycheeslip_common.workload.fleet import Lifetime, StartOrder, WorkerReport
+from lycheeslip_common.workload.jobs import parse_task_name
+from lycheeslip_common.workload.progress import TaskKey, begin_runs
+
+from lycheeslip.dispatch.board import Board, StoredJob, WorkerView
+from lycheeslip.dispatch.recorder import Recorder
+from lycheeslip.dispatch.rooms import Room, Unit
+from lycheeslip.dispatch.view import task_text
+
+__all__ = ["Starts"]
+
+
+class Starts:
+    """Holds orders back until the record that names their run is in the store."""
+
+    def __init__(self, board: Board, recorder: Recorder) -> None:
+        """Record with `recorder`; orders go to the links on `board`."""
+        self._board = board
+        self._recorder = recorder
+        self._orders: dict[str, list[tuple[str, StartOrder]]] = {}
+
+    def begin_term(self) -> None:
+        """Forget orders of an earlier term."""
+        self._orders.clear()
+
+    def begin(self, unit: Unit, chosen: list[Room]) -> None:
+        """Note the next run of each member of `unit` and record it."""
+        job = self._board.jobs[unit.job_id]
+        keys = [(unit.occurrence, unit.step, index) for index in unit.indexes]
+        placement = {
+            key: (room.node, room.lifetime) for key, room in zip(keys, chosen, strict=True)
+        }
+        begin_runs(job.progress, placement, unit.is_gang, wall_ms())
+        orders = self._orders.setdefault(unit.job_id, [])
+        for key, room in zip(keys, chosen, strict=True):
+            orders.append((room.node, self._order(job, key)))
+        log_event(
+            "unit_placed",
+            job=unit.job_id,
+            unit=f"{unit.occurrence}.{unit.step}",
+            tasks=len(keys),
+            run=job.progress.tasks[keys[0]].run,
+            nodes=",".join(room.node for room in chosen),
+            waited_ms=wall_ms() - unit.waiting_since_ms,
+        )
+        self._recorder.mark(job)
+
+    def _order(self, job: StoredJob, key: TaskKey) -> StartOrder:
+        task = job.progress.tasks[key]
+        term = self._board.leadership
+        return StartOrder(
+            term.epoch if term else 0,
+            task.lifetime or Lifetime("", 0),
+            task_text(job.progress.spec.job_id, key),
+            task.run,
+            job.progress.spec.payload,
+            task.checkpoint,
+        )
+
+    def release(self, job_ids: list[str]) -> None:
+        """Send the orders that waited for the records of these jobs."""
+        for job_id in job_ids:
+            for node, order in self._orders.pop(job_id, []):
+                view = self._board.workers.get(node)
+                if view is not None and view.link is not None and self._is_current(order):
+                    log_event("start_ordered", task=order.task, run=order.run, node=node)
+                    view.link.post(order)
+
+    def _is_current(self, order: StartOrder) -> bool:
+        name = parse_task_name(order.task)
+        job = self._board.jobs.get(name.job_id) if name else None
+        if job is None or name is None or job.progress.has_ended:
+            return False
+        task = job.progress.tasks[(name.occurrence, name.step, name.position)]
+        return task.is_placed and task.run == order.run
+
+    def resend(self, view: WorkerView, report: WorkerReport) -> None:
+        """Order recorded runs again that a newly linked agent doesn't list."""
+        known = {(run.task, run.run) for run in report.running}
+        known.update((ended.task, ended.run) for ended in report.ended)
+        known.update(report.orders_pending)
+        for job_id, job in self._board.jobs.items():
+            unsent = {order.task for _, order in self._orders.get(job_id, [])}
+            for key, task in job.progress.placed():
+                name = task_text(job_id, key)
+                if task.lifetime != report.lifetime or name in unsent:
+                    continue
+                if (name, task.run) not in known and view.link is not None:
+                    view.link.post(self._order(job, key))
--- a/packages/lycheeslip/lycheeslip/dispatch/view.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/view.py
@@ -8,7 +8,7 @@
 from lycheeslip_common.workload.progress import JobProgress, TaskKey, waiting_units
 
 from lycheeslip.dispatch.board import Board, StoredJob, WorkerView
-from lycheeslip.dispatch.placement import ACCELERATOR_CORES, URGENT_PRIORITY, Occupant, Room, Unit
+from lycheeslip.dispatch.rooms import ACCELERATOR_CORES, URGENT_PRIORITY, Occupant, Room, Unit
 
 __all__ = ["build_rooms", "build_units", "reserve_of", "service_of", "task_text"]
 
--- a/packages/lycheeslip/tests/dispatch/placement_tests.py
+++ b/packages/lycheeslip/tests/dispatch/placement_tests.py
@@ -1,6 +1,7 @@
 """Which units start where, and which runs give way."""
 
-from lycheeslip.dispatch.placement import Occupant, Room, Unit, plan_round
+from lycheeslip.dispatch.placement import plan_round
+from lycheeslip.dispatch.rooms import Occupant, Room, Unit
 from lycheeslip_common.workload.fleet import Lifetime
 from lycheeslip_common.workload.jobs import Demand
 
