--- a/packages/lycheeslip/lycheeslip/dispatch/entry.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/entry.py
@@ -4,7 +4,8 @@
 from collections.abc import Awaitable, Callable
 
 from lycheeslip_common.store.port import KeyValueStore
-from lycheeslip_common.utils.logs import log_event, log_warning
+from lycheeslip_common.utils.logs import log_event
+from lycheeslip_common.utils.supervise import supervise
 from lycheeslip_common.workload.link import listen
 
 from lycheeslip.dispatch.board import Board
@@ -18,8 +19,6 @@
 
 __all__ = ["DispatchEntry"]
 
-PLANNING_FAULT_PAUSE_S = 0.2
-
 
 class DispatchEntry:
     """One entry's controllers; the caller serves its `intake` over HTTP."""
@@ -50,7 +49,9 @@
             self._recorder.run,
             self._recorder.forget_ended,
         )
-        self._tasks = [asyncio.create_task(self._supervise(part)) for part in controllers]
+        self._tasks = [
+            asyncio.create_task(supervise(part, self.board.counters)) for part in controllers
+        ]
 
     async def release_leadership(self) -> None:
         """Let another entry lead; calls are served on."""
@@ -80,7 +81,7 @@
             return False
         board.is_loaded = True
         self._term_tasks = [
-            asyncio.create_task(self._supervise(part))
+            asyncio.create_task(supervise(part, self.board.counters))
             for part in (self._loader.run, self._dispatcher.run)
         ]
         return True
@@ -98,20 +99,6 @@
     def _note_deposed(self) -> None:
         self._election.deposed()
 
-    async def _supervise(self, controller: Callable[[], Awaitable[None]]) -> None:
-        """Run a controller; one that fails is logged and run again."""
-        while True:
-            try:
-                return await controller()
-            except asyncio.CancelledError:
-                raise
-            except Exception as error:
-                log_warning(
-                    "controller_failed", controller=controller.__qualname__, error=repr(error)
-                )
-                self.board.counters.count("controller_faults")
-                await asyncio.sleep(PLANNING_FAULT_PAUSE_S)
-
     def log_start(self) -> None:
         """Log what this process is and listens on."""
         log_event(
--- a/packages/lycheeslip/lycheeslip/dispatch/intake.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/intake.py
@@ -140,6 +140,11 @@
         self._operator = operator
         self._leader = leader
 
+    @property
+    def max_body_bytes(self) -> int:
+        """The largest body that operators allow; 0 while no configuration is known."""
+        return self._board.config.max_body_bytes if self._board.config else 0
+
     async def submit(self, call: Call, draft: Draft) -> Outcome:
         """Accept a job: it is in the store, under the newest configuration, or it never runs."""
         may_be_stored = False
--- a/packages/lycheeslip_agent/lycheeslip_agent/dispatch/agent.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/dispatch/agent.py
@@ -3,7 +3,8 @@
 import asyncio
 from collections.abc import Awaitable, Callable, Sequence
 
-from lycheeslip_common.utils.logs import log_event, log_warning
+from lycheeslip_common.utils.logs import log_event
+from lycheeslip_common.utils.supervise import supervise
 from lycheeslip_common.workload.fleet import Farewell
 
 from lycheeslip_agent.dispatch.board import Board
@@ -14,8 +15,6 @@
 
 __all__ = ["DispatchAgent"]
 
-FAULT_PAUSE_S = 0.2
-
 
 class DispatchAgent:
     """One agent's controllers; the caller passes on what the worker says of itself."""
@@ -39,7 +38,8 @@
         """Run the controllers."""
         log_event("agent_started", node=self.board.node)
         self._tasks = [
-            asyncio.create_task(self._supervise(part)) for part in (self.lists.run, self._link.run)
+            asyncio.create_task(supervise(part, self.board.counters))
+            for part in (self.lists.run, self._link.run)
         ]
 
     async def stop(self) -> None:
@@ -51,16 +51,3 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._worker.close()
         log_event("agent_stopped", node=self.board.node)
-
-    async def _supervise(self, controller: Callable[[], Awaitable[None]]) -> None:
-        while True:
-            try:
-                return await controller()
-            except asyncio.CancelledError:
-                raise
-            except Exception as error:
-                log_warning(
-                    "controller_failed", controller=controller.__qualname__, error=repr(error)
-                )
-                self.board.counters.count("controller_faults")
-                await asyncio.sleep(FAULT_PAUSE_S)
--- a/packages/lycheeslip_common/lycheeslip_common/workload/operator.py
+++ b/packages/lycheeslip_common/lycheeslip_common/workload/operator.py
@@ -35,7 +35,6 @@
     revision: int
     queues: tuple[Queue, ...]
     accounts: tuple[Account, ...]
-    open_services: frozenset[str]
     max_body_bytes: int
 
     def queue_for(self, host: str, path: str) -> Queue | None:
--- a/tests/dispatch/configuration_tests.py
+++ b/tests/dispatch/configuration_tests.py
@@ -15,6 +15,8 @@
     assert (await cell.call("GET", f"/other/{1:016x}"))[0] == 404
     assert (await cell.call("GET", PATH))[0] == 410
     assert (await cell.call("POST", PATH, {"spec": "10", "steps": []}))[0] == 400
+    too_long = {"spec": "x" * 300_000, "steps": [ONE]}
+    assert (await cell.call("POST", PATH, too_long))[0] == 413
 
 
 async def test_a_new_key_is_in_force_at_every_entry(cell: Cell):
--- a/tests/platform_adapter/operator_keys_tests.py
+++ b/tests/platform_adapter/operator_keys_tests.py
@@ -35,7 +35,7 @@
     assert isinstance(change, ConfigChange)
     config = change.config
     assert (config.version, config.revision) == (7, 12)
-    assert config.open_services == {"s1"}
+    assert config.max_body_bytes == 262_144
     account = config.account_of("k2")
     assert account is not None
     assert account.guaranteed == 16
