Deny a run only after the worker's lists have shown that it isn't there

Cause, from reading: a start that was rejected as old, or given up after a lost answer, was reported as without a run on the agent's last lists, up to 1.5 s old; had the run been done in between, the task would have started again after its end. A stop whose lists could not be read was never reported. Change: the lists are read anew, until they can be, before the leader is told.

--- a/packages/lycheeslip_agent/lycheeslip_agent/dispatch/orders.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/dispatch/orders.py
@@ -9,6 +9,7 @@
 from lycheeslip_agent.dispatch.board import Board
 from lycheeslip_agent.dispatch.lists import WorkerLists
 from lycheeslip_agent.dispatch.worker_port import (
+    Held,
     NoAnswer,
     NoWorker,
     OrderOutcome,
@@ -21,7 +22,6 @@
 __all__ = ["Orders"]
 
 RETRY_S = 0.1
-SETTLED_REASONS = frozenset({"room", "ticket", "bad_order", "unhealthy", "late", "fence", "old"})
 
 
 class Orders:
@@ -113,37 +113,33 @@
         """Report that the order led to no run, once no late copy of it can start one."""
         if was_unanswered or reason == "old":
             await self._fence_run(order.lifetime, order.task, order.run)
-        if order.task in self._board.running and (self._board.running[order.task].run == order.run):
-            return  # it runs after all: the worker's lists tell how it ends
-        self._report(order.lifetime, order.task, order.run, reason)
+            await self._report_if_absent(order, reason)
+        else:
+            self._report(order.lifetime, order.task, order.run, reason)
 
     async def _stop(self, order: StopOrder) -> None:
         outcome = await self._fence_run(order.lifetime, order.task, order.run)
         log_event("stop_done", task=order.task, run=order.run, outcome=type(outcome).__name__)
-        known = self._board.running.get(order.task)
-        is_listed = known is not None and known.run == order.run
-        is_listed = is_listed or any(
-            (end.task, end.run) == (order.task, order.run) for end in self._board.ended
-        )
-        if not is_listed:
-            await self._report_if_absent(order)
-
-    async def _report_if_absent(self, order: StopOrder) -> None:
-        """Report a run that never began; the worker lists neither it nor its end."""
+        await self._report_if_absent(order, "absent")
+
+    async def _report_if_absent(self, order: StartOrder | StopOrder, reason: str) -> None:
+        """Report a run that the worker lists neither as running nor as ended.
+
+        What it lists needs no report: the lists tell the leader how the run goes on or ended.
+        """
         board = self._board
-        if board.lifetime != order.lifetime:
-            self._report(order.lifetime, order.task, order.run, "worker_gone")
-            return
-        held = await self._worker.hold(
-            order.lifetime, 0, max(order.epoch, board.epoch), board.recorded_number, 0
-        )
-        running = getattr(held, "running", None)
-        if running is None:
-            return  # no list now; the leader asks again
-        names = {(run.task, run.run) for run in running}
-        names.update((end.task, end.run) for end in getattr(held, "ended", ()))
-        if (order.task, order.run) not in names:
-            self._report(order.lifetime, order.task, order.run, "absent")
+        while board.lifetime == order.lifetime and not board.is_gone:
+            held = await self._worker.hold(
+                order.lifetime, 0, max(order.epoch, board.epoch), board.recorded_number, 0
+            )
+            if isinstance(held, Held):
+                listed = {(run.task, run.run) for run in held.running}
+                listed.update((end.task, end.run) for end in held.ended)
+                if (order.task, order.run) not in listed:
+                    self._report(order.lifetime, order.task, order.run, reason)
+                return
+            await asyncio.sleep(RETRY_S)
+        self._report(order.lifetime, order.task, order.run, "worker_gone")
 
     async def _fence_run(self, lifetime: Lifetime, task: str, run: int) -> OrderOutcome:
         """Stop a run until the worker has confirmed it or is gone."""
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,13 +6,18 @@
 
 KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
 TEST_FIELD = "test:"
+COMMAND_FIELD = "command:"
 
 
-def _known_red() -> list[str]:
+def _listed(field: str) -> list[str]:
     if not KNOWN_RED.exists():
         return []
     lines = KNOWN_RED.read_text().splitlines()
-    return [line.removeprefix(TEST_FIELD).strip() for line in lines if line.startswith(TEST_FIELD)]
+    return [line.removeprefix(field).strip() for line in lines if line.startswith(field)]
+
+
+def _known_red() -> list[str]:
+    return _listed(TEST_FIELD)
 
 
 def pytest_collection_modifyitems(items):
@@ -23,5 +28,5 @@
 
 
 def pytest_terminal_summary(terminalreporter):
-    for node_id in _known_red():
-        terminalreporter.write_line(f"KNOWN RED {node_id}")
+    for name in (*_known_red(), *_listed(COMMAND_FIELD)):
+        terminalreporter.write_line(f"KNOWN RED {name}")
