--- a/packages/lycheeslip/lycheeslip/dispatch/view.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/view.py
@@ -19,7 +19,7 @@
 SLACK_SHARE = 0.5  # of the time that the latency objective leaves; estimates are off by half
 MAX_IDLE_WAIT_MS = 8_000  # where room is plenty, no unit waits longer for a better place
 EARLY_LOSS_SHARE = 0.3  # of its own work that an urgent unit may cost while it has time
-LATE_LOSS_SHARE = 2.0  # and later: an urgent job that is late loses four fifths of its worth
+LATE_LOSS_SHARE = 1.0  # and later: an urgent job that is late loses four fifths of its worth
 CROWDED = 0.6  # share of a service's accelerators in use from which room is scarce
 
 
