Ask for advice where queues need it; pace tasks that fill; hold short leases

Cause: a queue with advice had all its starts rejected for want of a ticket, so that its jobs never ran; tasks that fill were never slowed, so that a serving task beside them could stay above its latency target; a task that lasts could wait up to 8 s for a better place, and its own ends were blamed on its worker, which was then left out for 6 s.

Change: the leader asks the advice service for the workers on which a blocked unit would fit, at most 30 a call and one call at a time, keeps what was denied, renews tickets of approved workers, and frees room for an urgent unit only on approved ones. The agent learns which runs serve and which fill from the leader, also after a restart, and halves the share of the latter from 0.8 of a target, down to nothing after 1 s above it. Long-running units never wait for a better place.

Found by the test of a restarted agent: a quiet call to the worker waits 1.5 s, which is as long as a lease of 1.5 s; runs lapsed in the steady state. Ruled out: the restart itself (runs lapsed without one as well). A call now waits at most a quarter of the lease.

Tests: tests/dispatch/advice_tests.py, sharing_tests.py, pacing_tests.py; the restart test failed before the change.

--- a/packages/lycheeslip/lycheeslip/dispatch/board.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/board.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from lycheeslip_common.store.outcomes import KeyValue
 from lycheeslip_common.utils.clock import steady_ms
@@ -12,7 +13,9 @@
 from lycheeslip_common.workload.progress import JobProgress, JobState
 from lycheeslip_common.workload.times import DispatchTimes
 
-__all__ = ["Board", "Leadership", "StoredJob", "WorkerView"]
+from lycheeslip.dispatch.rooms import StepKey
+
+__all__ = ["Board", "Leadership", "StepAdvice", "StoredJob", "Ticket", "WorkerView"]
 
 
 @dataclass(slots=True)
@@ -60,6 +63,21 @@
     stopping: set[tuple[str, int]] = field(default_factory=set)
 
 
+class Ticket(NamedTuple):
+    """Allows the tasks of one step on one worker until a time on the steady clock."""
+
+    text: str
+    valid_until_ms: int
+
+
+@dataclass(slots=True)
+class StepAdvice:
+    """What is known of one step; which workers may run it never changes."""
+
+    tickets: dict[Lifetime, Ticket] = field(default_factory=dict)
+    denied: set[Lifetime] = field(default_factory=set)
+
+
 class Board:
     """State shared by the controllers of one entry."""
 
@@ -80,6 +98,7 @@
         self.leader_epoch = 0
         self.jobs: dict[str, StoredJob] = {}
         self.workers: dict[str, WorkerView] = {}
+        self.advice: dict[StepKey, StepAdvice] = {}
         self.is_loaded = False
         self.is_leaving = False
         self.work_to_plan = asyncio.Event()
--- a/packages/lycheeslip/lycheeslip/dispatch/dispatcher.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/dispatcher.py
@@ -9,6 +9,7 @@
 from lycheeslip_common.workload.link import Link
 from lycheeslip_common.workload.progress import open_occurrences
 
+from lycheeslip.dispatch.advice import Advisor
 from lycheeslip.dispatch.board import Board, WorkerView
 from lycheeslip.dispatch.ends import Ends
 from lycheeslip.dispatch.placement import plan_round
@@ -24,16 +25,17 @@
 GATHER_S = 0.4  # after an election agents link up within this; a fuller view places better
 CHECKPOINT_RECORD_MS = 2_000  # one write in this time; tasks save their progress once a second
 REJECTED_PAUSE_MS = 500  # a worker that rejected an order gets no other before this
-REJECTIONS = frozenset({"fence", "late", "no_lease", "room", "ticket", "unhealthy"})
+REJECTIONS = frozenset({"fence", "late", "no_lease", "room", "unhealthy"})
 
 
 class Dispatcher:
     """Plans while this entry leads; acts only on what is recorded."""
 
-    def __init__(self, board: Board, recorder: Recorder) -> None:
-        """Work on `board`, recording with `recorder`."""
+    def __init__(self, board: Board, recorder: Recorder, advisor: Advisor) -> None:
+        """Work on `board`, recording with `recorder` and asking `advisor` where queues need it."""
         self._board = board
         self._recorder = recorder
+        self._advisor = advisor
         self._starts = Starts(board, recorder)
         self._stops = Stops(board)
         self._ends = Ends(board, recorder, self._stops)
@@ -42,6 +44,7 @@
     def begin_term(self) -> None:
         """Forget what an earlier term had in progress."""
         self._starts.begin_term()
+        self._advisor.begin_term()
         self._stops.begin_term()
         self._ends.begin_term()
 
@@ -82,6 +85,7 @@
                 self._starts.begin(unit, chosen)
             for room, occupant in plan.stops:
                 self._stops.preempt(room, occupant)
+            self._advisor.want(plan.advice_requests)
         self._board.counters.observe_ms("planning_round", steady_ms() - began)
 
     def _can_start(self) -> bool:
@@ -147,4 +151,7 @@
         view = self._board.workers.get(node)
         if view is not None and result.reason in REJECTIONS:
             view.avoided_until_ms = steady_ms() + REJECTED_PAUSE_MS
+        advice = self._board.advice.get((name.job_id, name.occurrence, name.step))
+        if advice is not None and result.reason == "ticket":
+            advice.tickets.pop(result.lifetime, None)
         self._ends.end(name.job_id, job, key, result.run, EndCause.STOPPED, "")
--- a/packages/lycheeslip/lycheeslip/dispatch/ends.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/ends.py
@@ -81,13 +81,18 @@
                 log_warning("end_of_unknown_job", task=ended.task, node=view.node)
                 continue
             key = (name.occurrence, name.step, name.position)
-            if not self._failed_elsewhere(job, key, view):
+            if not self._is_tasks_fault(job, key, view):
                 self._blame(view, ended.cause)
             self.end(name.job_id, job, key, ended.run, ended.cause, ended.checkpoint)
         self._acknowledge(view)
 
-    def _failed_elsewhere(self, job: StoredJob, key: TaskKey, view: WorkerView) -> bool:
-        """Return whether the task has failed on another worker too, so that it is at fault."""
+    def _is_tasks_fault(self, job: StoredJob, key: TaskKey, view: WorkerView) -> bool:
+        """Return whether the worker isn't to blame for the end of a run.
+
+        Long-running tasks may end at any time, and others have failed elsewhere too.
+        """
+        if job.progress.spec.steps[key[1]].long_running:
+            return True
         worker_id = view.lifetime.worker_id if view.lifetime else ""
         first = (key[0], key[1], 0) if job.progress.spec.steps[key[1]].gang else key
         task = job.progress.tasks.get(first)
--- a/packages/lycheeslip/lycheeslip/dispatch/entry.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/entry.py
@@ -8,6 +8,7 @@
 from lycheeslip_common.utils.supervise import supervise
 from lycheeslip_common.workload.link import listen
 
+from lycheeslip.dispatch.advice import AdvicePort, Advisor
 from lycheeslip.dispatch.board import Board
 from lycheeslip.dispatch.dispatcher import Dispatcher
 from lycheeslip.dispatch.intake import Intake
@@ -23,12 +24,20 @@
 class DispatchEntry:
     """One entry's controllers; the caller serves its `intake` over HTTP."""
 
-    def __init__(self, board: Board, store: KeyValueStore, operator_keys: OperatorKeys) -> None:
+    def __init__(
+        self,
+        board: Board,
+        store: KeyValueStore,
+        operator_keys: OperatorKeys,
+        advice: AdvicePort,
+    ) -> None:
         """Wire the parts; nothing runs before `start`."""
         self.board = board
         self._store = store
         self._recorder = Recorder(board, store, self._note_recorded, self._note_deposed)
-        self._dispatcher = Dispatcher(board, self._recorder)
+        self._advice = advice
+        self._advisor = Advisor(board, advice)
+        self._dispatcher = Dispatcher(board, self._recorder, self._advisor)
         self._loader = Loader(board, store, self._recorder)
         self._links = LinkServer(board, self._dispatcher)
         self._operator = OperatorSync(board, store, operator_keys)
@@ -71,6 +80,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self._server.close()
         await self._store.close()
+        await self._advice.close()
 
     async def _begin_term(self) -> bool:
         board = self.board
@@ -82,7 +92,7 @@
         board.is_loaded = True
         self._term_tasks = [
             asyncio.create_task(supervise(part, self.board.counters))
-            for part in (self._loader.run, self._dispatcher.run)
+            for part in (self._loader.run, self._dispatcher.run, self._advisor.run)
         ]
         return True
 
--- a/packages/lycheeslip/lycheeslip/dispatch/placement.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/placement.py
@@ -7,6 +7,7 @@
 from collections import Counter
 from collections.abc import Sequence
 
+from lycheeslip.dispatch.approval import advice_request, approved, with_ticket
 from lycheeslip.dispatch.packing import (
     choose_rooms,
     could_hold,
@@ -31,13 +32,15 @@
     stopped: set[VictimKey] = set()
     for unit in sorted(units, key=_order):
         usable = _usable(unit, rooms)
-        chosen = choose_rooms(unit, usable)
+        chosen = choose_rooms(unit, with_ticket(unit, usable))
         if chosen is not None:
             for room in chosen:
                 room.add(unit)
             plan.starts.append((unit, chosen))
             continue
         plan.blocked.append(unit)
+        plan.advice_requests += advice_request(unit, usable)
+        usable = approved(unit, usable)
         if unit.priority == URGENT_PRIORITY:
             reclaim(unit, usable, plan, stopped)
         elif unit.is_gang:
@@ -59,6 +62,8 @@
 def _may_use(unit: Unit, room: Room) -> bool:
     if room.is_reserved and unit.is_costly_to_stop and unit.may_wait:
         return False
+    if unit.advice is not None and room.lifetime in unit.advice.denied:
+        return False
     return room.service == unit.service and (not unit.label or unit.label in room.labels)
 
 
--- a/packages/lycheeslip/lycheeslip/dispatch/rooms.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/rooms.py
@@ -9,6 +9,8 @@
 
 __all__ = [
     "ACCELERATOR_CORES",
+    "Advice",
+    "AdviceRequest",
     "URGENT_PRIORITY",
     "Occupant",
     "Plan",
@@ -128,12 +130,28 @@
         )
 
 
+class Advice(NamedTuple):
+    """Which workers the advice service allows for a step, and for which a ticket is valid now."""
+
+    ticketed: frozenset[Lifetime]
+    approved: frozenset[Lifetime]
+    denied: frozenset[Lifetime]
+
+
+class AdviceRequest(NamedTuple):
+    """Workers to ask about for one step."""
+
+    step: StepKey
+    lifetimes: tuple[Lifetime, ...]
+
+
 class Unit(NamedTuple):
     """A gang or a single task that may start now; `work` is its size in core-seconds.
 
     `may_wait` says that it would still meet its latency objective if it started later;
     `patience_ms` is how long an urgent unit still waits for runs to end by themselves, and
     `loss_share` how much it may cost others without a guarantee, as a share of its own work.
+    `advice` is None if any worker of the service may run it.
     """
 
     job_id: str
@@ -157,6 +175,7 @@
     may_wait: bool = False
     patience_ms: float = 0.0
     loss_share: float = 1.0
+    advice: Advice | None = None
 
     @property
     def step_key(self) -> StepKey:
@@ -166,8 +185,9 @@
 
 @dataclass(slots=True)
 class Plan:
-    """What a round decided: starts as (unit, room of each member), and runs to stop."""
+    """What a round decided: starts as (unit, room of each member), runs to stop, advice to ask."""
 
     starts: list[tuple[Unit, list[Room]]] = field(default_factory=list)
     stops: list[tuple[Room, Occupant]] = field(default_factory=list)
     blocked: list[Unit] = field(default_factory=list)
+    advice_requests: list[AdviceRequest] = field(default_factory=list)
--- a/packages/lycheeslip/lycheeslip/dispatch/starts.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/starts.py
@@ -2,7 +2,7 @@
 
 from lycheeslip_common.utils.clock import wall_ms
 from lycheeslip_common.utils.logs import log_event
-from lycheeslip_common.workload.fleet import Lifetime, StartOrder, WorkerReport
+from lycheeslip_common.workload.fleet import Lifetime, RunTraits, StartOrder, WorkerReport
 from lycheeslip_common.workload.jobs import parse_task_name
 from lycheeslip_common.workload.progress import TaskKey, begin_runs
 
@@ -59,8 +59,14 @@
             task.run,
             job.progress.spec.payload,
             task.checkpoint,
+            self._ticket(job.progress.spec.job_id, key, task.lifetime),
         )
 
+    def _ticket(self, job_id: str, key: TaskKey, lifetime: Lifetime | None) -> str:
+        known = self._board.advice.get((job_id, key[0], key[1]))
+        ticket = known.tickets.get(lifetime) if known and lifetime else None
+        return ticket.text if ticket else ""
+
     def release(self, job_ids: list[str]) -> None:
         """Send the orders that waited for the records of these jobs."""
         for job_id in job_ids:
@@ -69,6 +75,20 @@
                 if view is not None and view.link is not None and self._is_current(order):
                     log_event("start_ordered", task=order.task, run=order.run, node=node)
                     view.link.post(order)
+                    self._tell_traits(view, order)
+
+    def _tell_traits(self, view: WorkerView, order: StartOrder) -> None:
+        """Tell the agent how the run shares its worker, if that needs care."""
+        name = parse_task_name(order.task)
+        job = self._board.jobs.get(name.job_id) if name else None
+        if job is None or name is None or view.link is None:
+            return
+        step = job.progress.spec.steps[name.step]
+        if step.target_ms or step.fills_idle:
+            traits = RunTraits(
+                order.lifetime, order.task, order.run, step.target_ms, step.fills_idle
+            )
+            view.link.post(traits)
 
     def _is_current(self, order: StartOrder) -> bool:
         name = parse_task_name(order.task)
@@ -79,7 +99,7 @@
         return task.is_placed and task.run == order.run
 
     def resend(self, view: WorkerView, report: WorkerReport) -> None:
-        """Order recorded runs again that a newly linked agent doesn't list."""
+        """Order recorded runs again that a new link's agent doesn't list, and tell their traits."""
         known = {(run.task, run.run) for run in report.running}
         known.update((ended.task, ended.run) for ended in report.ended)
         known.update(report.orders_pending)
@@ -89,5 +109,7 @@
                 name = task_text(job_id, key)
                 if task.lifetime != report.lifetime or name in unsent:
                     continue
+                order = self._order(job, key)
+                self._tell_traits(view, order)
                 if (name, task.run) not in known and view.link is not None:
-                    view.link.post(self._order(job, key))
+                    view.link.post(order)
--- a/packages/lycheeslip/lycheeslip/dispatch/view.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/view.py
@@ -7,8 +7,16 @@
 from lycheeslip_common.workload.jobs import Demand, JobSpec, StepSpec, demand_of, parse_task_name
 from lycheeslip_common.workload.progress import JobProgress, TaskKey, waiting_units
 
-from lycheeslip.dispatch.board import Board, StoredJob, WorkerView
-from lycheeslip.dispatch.rooms import ACCELERATOR_CORES, URGENT_PRIORITY, Occupant, Room, Unit
+from lycheeslip.dispatch.board import Board, StepAdvice, StoredJob, WorkerView
+from lycheeslip.dispatch.rooms import (
+    ACCELERATOR_CORES,
+    URGENT_PRIORITY,
+    Advice,
+    Occupant,
+    Room,
+    StepKey,
+    Unit,
+)
 
 __all__ = ["build_rooms", "build_units", "reserve_of", "service_of", "task_text"]
 
@@ -143,7 +151,7 @@
 def _slack_ms(board: Board, spec: JobSpec, step: StepSpec) -> float:
     """Return how late a unit may start and still meet its latency objective."""
     queue = board.config.queue_named(spec.queue) if board.config else None
-    if queue is None:
+    if queue is None or step.long_running:
         return 0.0
     return (queue.stretch - 1) * step.estimate_ms + queue.objective_ms
 
@@ -224,6 +232,17 @@
     return result
 
 
+def _advice(board: Board, spec: JobSpec, step: StepKey) -> Advice | None:
+    """Return what the advice service has said of a step, None if its queue needs none."""
+    queue = board.config.queue_named(spec.queue) if board.config else None
+    if queue is None or queue.advice is None:
+        return None
+    known = board.advice.get(step, StepAdvice())
+    now = steady_ms()
+    valid = (lifetime for lifetime, ticket in known.tickets.items() if now < ticket.valid_until_ms)
+    return Advice(frozenset(valid), frozenset(known.tickets), frozenset(known.denied))
+
+
 def _unit(
     board: Board,
     job_id: str,
@@ -262,4 +281,5 @@
         patience_ms=patience_ms,
         loss_share=EARLY_LOSS_SHARE if patience_ms else LATE_LOSS_SHARE,
         may_wait=_may_wait(board, spec, step, since_ms, service in crowded),
+        advice=_advice(board, spec, (job_id, occurrence, step_number)),
     )
--- a/packages/lycheeslip_agent/lycheeslip_agent/dispatch/agent.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/dispatch/agent.py
@@ -11,6 +11,7 @@
 from lycheeslip_agent.dispatch.leader_link import LeaderLink
 from lycheeslip_agent.dispatch.lists import WorkerLists
 from lycheeslip_agent.dispatch.orders import Orders
+from lycheeslip_agent.dispatch.pacing import Pacer
 from lycheeslip_agent.dispatch.worker_port import WorkerPort
 
 __all__ = ["DispatchAgent"]
@@ -31,6 +32,7 @@
         self._worker = worker
         self.lists = WorkerLists(board, worker)
         orders = Orders(board, worker, self.lists)
+        self._pacer = Pacer(board, worker)
         self._link = LeaderLink(board, orders, seeds, find_leader)
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -39,7 +41,7 @@
         log_event("agent_started", node=self.board.node)
         self._tasks = [
             asyncio.create_task(supervise(part, self.board.counters))
-            for part in (self.lists.run, self._link.run)
+            for part in (self.lists.run, self._link.run, self._pacer.run)
         ]
 
     async def stop(self) -> None:
--- a/packages/lycheeslip_agent/lycheeslip_agent/dispatch/board.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/dispatch/board.py
@@ -1,10 +1,18 @@
 """The agent's blackboard: its worker, the runs there, and the lease that it holds."""
 
 import asyncio
+from collections.abc import Iterator
 
 from lycheeslip_common.utils.clock import steady_ms
 from lycheeslip_common.utils.counters import Counters
-from lycheeslip_common.workload.fleet import EndedRun, Lifetime, Message, RunningRun, WorkerReport
+from lycheeslip_common.workload.fleet import (
+    EndedRun,
+    Lifetime,
+    Message,
+    RunningRun,
+    RunTraits,
+    WorkerReport,
+)
 from lycheeslip_common.workload.link import Link
 from lycheeslip_common.workload.times import CLOCK_DRIFT, DispatchTimes
 
@@ -29,19 +37,34 @@
         self.recorded_number = 0
         self.epoch = 0
         self.lease_until_ms = 0
-        self.worker_lease_until_ms = 0
         self.clock_ms = 0
         self.clock_read_at_ms = 0
         self.link: Link | None = None
         self.pending: dict[tuple[str, int], int] = {}
         self.to_report = asyncio.Event()
         self.to_hold = asyncio.Event()
+        self.lists_taken = asyncio.Event()
+        self.traits: dict[str, RunTraits] = {}
 
     @property
     def lifetime(self) -> Lifetime | None:
         """The life of the worker that is announced now."""
         return self.announced.lifetime if self.announced else None
 
+    def serving_runs(self) -> Iterator[tuple[RunningRun, RunTraits]]:
+        """Iterate over the runs that serve under a latency target."""
+        return (found for found in self._runs_with_traits() if found[1].target_ms > 0)
+
+    def filling_runs(self) -> Iterator[RunningRun]:
+        """Iterate over the runs that use what others leave."""
+        return (run for run, traits in self._runs_with_traits() if traits.is_filling)
+
+    def _runs_with_traits(self) -> Iterator[tuple[RunningRun, RunTraits]]:
+        for run in self.running.values():
+            traits = self.traits.get(run.task)
+            if traits is not None and traits.run == run.run:
+                yield run, traits
+
     def note_clock(self, clock_ms: int) -> None:
         """Take note of the worker's clock, as read just now."""
         self.clock_ms, self.clock_read_at_ms = clock_ms, steady_ms()
--- a/packages/lycheeslip_agent/lycheeslip_agent/dispatch/leader_link.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/dispatch/leader_link.py
@@ -12,6 +12,7 @@
     InvalidMessageError,
     RecordedEnds,
     Redirect,
+    RunTraits,
     StartOrder,
     StopOrder,
 )
@@ -120,6 +121,9 @@
                 board.lease_until_ms = max(board.lease_until_ms, lease_until_ms)
             case StartOrder() | StopOrder():
                 self._orders.take(message)
+            case RunTraits(lifetime, task):
+                if lifetime == board.lifetime:
+                    board.traits[task] = message
             case RecordedEnds(lifetime, number):
                 if lifetime == board.lifetime:
                     board.recorded_number = max(board.recorded_number, number)
--- a/packages/lycheeslip_agent/lycheeslip_agent/dispatch/lists.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/dispatch/lists.py
@@ -20,6 +20,8 @@
 __all__ = ["WorkerLists"]
 
 WAIT_MS = 1_500  # a quiet worker costs one call in this time; ends answer at once
+SHORT_WAIT_MS = 300  # latencies cover half a second, and calls on this instance cost little
+CALLS_PER_LEASE = 4  # each call extends the lease; one may be lost, another late
 UNRECORDED_PAUSE_S = 0.1  # ends not yet recorded answer at once; this bounds the calls meanwhile
 RETRY_S = 0.2
 GONE_AFTER_REFUSALS = 3  # a process that restarts listens again within two tries
@@ -68,7 +70,7 @@
         board.recorded_number = 0
         board.clock_ms = 0
         board.has_lists = False
-        board.worker_lease_until_ms = 0
+        board.traits.clear()
         board.announced = announced
         self._started_at_ms.clear()
         self._refusals = 0
@@ -104,9 +106,8 @@
         lifetime = board.lifetime
         assert lifetime is not None
         has_unrecorded = any(end.number > board.recorded_number for end in board.ended)
-        wait_ms = WAIT_MS if board.has_lists and not has_unrecorded else 0
         lease = board.lease_on_worker_clock()
-        lease_until_ms = board.lease_until_ms if lease else 0
+        wait_ms = self._wait_ms(lease) if board.has_lists and not has_unrecorded else 0
         asked_at = steady_ms()
         outcome = await self._worker.hold(
             lifetime, lease, board.epoch, board.recorded_number, wait_ms
@@ -121,7 +122,6 @@
                     return
                 self._refusals = 0
                 board.note_clock(clock_ms)
-                board.worker_lease_until_ms = max(board.worker_lease_until_ms, lease_until_ms)
                 self._take_lists(asked_at, running, ended)
                 if has_unrecorded:
                     await asyncio.sleep(UNRECORDED_PAUSE_S)
@@ -139,6 +139,18 @@
                 log_warning("worker_silent", reason=detail)
                 await asyncio.sleep(RETRY_S)
 
+    def _wait_ms(self, lease: int) -> int:
+        """Return how long to wait for an end.
+
+        Less while latencies have to be watched, and while runs wait for their lease, which an
+        agent that has just started does not hold yet.
+        """
+        board = self._board
+        is_pacing = any(board.filling_runs()) and any(board.serving_runs())
+        is_short = is_pacing or (board.running and not lease)
+        longest = board.times.run_lease_ms // CALLS_PER_LEASE
+        return min(SHORT_WAIT_MS if is_short else WAIT_MS, longest)
+
     async def _note_refusal(self) -> None:
         self._refusals += 1
         if self._refusals == GONE_AFTER_REFUSALS:
@@ -182,6 +194,7 @@
         board.running = listed
         board.ended = ended
         board.has_lists = True
+        board.lists_taken.set()
         if is_changed or is_due:
             self._reported_at_ms = steady_ms()
             board.to_report.set()
--- a/packages/lycheeslip_agent/lycheeslip_agent/dispatch/orders.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/dispatch/orders.py
@@ -71,6 +71,7 @@
                     board.lease_on_worker_clock(),
                     max(order.epoch, board.epoch),
                     order.checkpoint,
+                    order.ticket,
                 )
                 match outcome:
                     case Taken():
--- a/packages/lycheeslip_agent/lycheeslip_agent/dispatch/worker_port.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/dispatch/worker_port.py
@@ -94,11 +94,17 @@
         until_ms: int,
         epoch: int,
         checkpoint: str,
+        ticket: str,
     ) -> OrderOutcome:
         """Start a run; Taken also if it is there already."""
 
     async def stop(self, lifetime: Lifetime, task: str, run: int, epoch: int) -> OrderOutcome:
         """Stop a run, also one that is not there yet."""
 
+    async def pace(
+        self, lifetime: Lifetime, task: str, run: int, percent: int, epoch: int
+    ) -> OrderOutcome:
+        """Let a run work at `percent` of its speed, from soon after the answer."""
+
     async def close(self) -> None:
         """Close all connections."""
--- /dev/null
+++ b/packages/lycheeslip_agent/tests/dispatch/pacing_tests.py
@@ -0,0 +1,102 @@
+"""How hard tasks that fill may work beside tasks that serve."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+from lycheeslip_agent.dispatch.board import Board
+from lycheeslip_agent.dispatch.pacing import (
+    ABOVE_LIMIT_MS,
+    NEAR_TARGET,
+    SETTLE_MS,
+    Pacer,
+    Pacing,
+    next_percent,
+)
+from lycheeslip_agent.dispatch.worker_port import Announced, NoAnswer, Taken
+from lycheeslip_common.workload.fleet import Lifetime, RunningRun, RunTraits
+from lycheeslip_common.workload.times import DispatchTimes
+
+LIFE = Lifetime("i-1", 5)
+SERVING, FILLING = "a" * 16 + ".0.0.0", "b" * 16 + ".0.0.0"
+
+
+def after(pressures: list[float], every_ms: int = SETTLE_MS) -> int:
+    """Return the share after latencies of these sizes, one each `every_ms`."""
+    pacing = Pacing()
+    for number, pressure in enumerate(pressures, 1):
+        percent = next_percent(pacing, pressure, number * every_ms)
+        if percent != pacing.percent:
+            pacing.percent, pacing.changed_at_ms = percent, number * every_ms
+    return pacing.percent
+
+
+def test_tasks_that_fill_work_fully_while_latencies_are_low():
+    assert after([0.1] * 20) == 100
+
+
+def test_the_share_is_halved_near_the_target():
+    assert after([NEAR_TARGET, NEAR_TARGET]) == 25
+
+
+def test_the_share_is_halved_only_once_before_the_change_shows():
+    assert after([NEAR_TARGET] * 4, every_ms=SETTLE_MS // 4) == 50
+
+
+def test_a_latency_above_its_target_pauses_them_soon():
+    assert after([1.2] * (1 + ABOVE_LIMIT_MS // 100), every_ms=100) == 0
+
+
+def test_the_share_comes_back_slowly():
+    assert after([NEAR_TARGET, 0.3, 0.3]) == 70
+
+
+@given(st.lists(st.floats(0.0, 3.0), min_size=1, max_size=40))
+def test_the_share_is_a_percentage_and_never_rises_under_pressure(pressures: list[float]):
+    before = after(pressures)
+    assert 0 <= before <= 100
+    assert after([*pressures, 1.0]) <= before
+
+
+class PacedWorker:
+    """Notes the shares that runs are given; answers from a list, the last one repeats."""
+
+    def __init__(self, *answers):
+        self._answers = list(answers) or [Taken(1)]
+        self.calls: list[tuple[str, int]] = []
+
+    async def pace(self, lifetime, task, run, percent, epoch):
+        self.calls.append((task, percent))
+        return self._answers.pop(0) if len(self._answers) > 1 else self._answers[0]
+
+
+def board_with(latency_ms: int, traits: bool = True) -> Board:
+    board = Board("side-1", DispatchTimes())
+    board.announced = Announced(LIFE, 1, "s", "z", ("a", "r"), 1, 1, 1, True, 0)
+    board.running = {
+        SERVING: RunningRun(SERVING, 1, "", 100, latency_ms),
+        FILLING: RunningRun(FILLING, 2, "", 10, 8_000),
+    }
+    if traits:
+        board.traits[SERVING] = RunTraits(LIFE, SERVING, 1, 200, False)
+        board.traits[FILLING] = RunTraits(LIFE, FILLING, 2, 0, True)
+    return board
+
+
+async def test_only_tasks_that_fill_are_paced():
+    worker = PacedWorker()
+    await Pacer(board_with(latency_ms=190), worker)._step()
+    assert worker.calls == [(FILLING, 50)]
+
+
+async def test_an_unconfirmed_share_is_sent_again():
+    worker = PacedWorker(NoAnswer("late"), Taken(1))
+    pacer = Pacer(board_with(latency_ms=190), worker)
+    await pacer._step()
+    await pacer._step()
+    await pacer._step()
+    assert worker.calls == [(FILLING, 50), (FILLING, 50)]
+
+
+async def test_runs_of_unknown_traits_are_left_alone():
+    worker = PacedWorker()
+    await Pacer(board_with(latency_ms=900, traits=False), worker)._step()
+    assert worker.calls == []
--- a/packages/lycheeslip_common/lycheeslip_common/workload/fleet.py
+++ b/packages/lycheeslip_common/lycheeslip_common/workload/fleet.py
@@ -27,6 +27,7 @@
     "QueueReply",
     "RecordedEnds",
     "Redirect",
+    "RunTraits",
     "RunningRun",
     "StartOrder",
     "StopOrder",
@@ -60,12 +61,17 @@
 
 
 class RunningRun(NamedTuple):
-    """A run that the backend server lists as running."""
+    """A run that the backend server lists as running.
+
+    `load` is the tail latency in milliseconds of a run that serves, else the processor time that
+    it uses, in thousandths of a core; both over the last half second.
+    """
 
     task: str
     run: int
     checkpoint: str
     progress: int
+    load: int = 0
 
 
 class EndedRun(NamedTuple):
@@ -128,7 +134,7 @@
 
 
 class StartOrder(NamedTuple):
-    """Orders one run, which is already recorded."""
+    """Orders one run, which is already recorded; `ticket` is empty where no advice is needed."""
 
     epoch: int
     lifetime: Lifetime
@@ -136,6 +142,17 @@
     run: int
     payload: str
     checkpoint: str
+    ticket: str = ""
+
+
+class RunTraits(NamedTuple):
+    """Tells an agent how a run shares its worker: its latency target, or that it fills."""
+
+    lifetime: Lifetime
+    task: str
+    run: int
+    target_ms: int
+    is_filling: bool
 
 
 class StopOrder(NamedTuple):
@@ -209,6 +226,7 @@
     | Heartbeat
     | HeartbeatReply
     | StartOrder
+    | RunTraits
     | StopOrder
     | OrderResult
     | RecordedEnds
--- a/packages/lycheeslip_common/lycheeslip_common/workload/jobs.py
+++ b/packages/lycheeslip_common/lycheeslip_common/workload/jobs.py
@@ -16,7 +16,11 @@
 
 
 class StepSpec(NamedTuple):
-    """One step of a job: `count` tasks that are alike."""
+    """One step of a job: `task_count` tasks that are alike.
+
+    `target_ms` bounds the tail latency of tasks that serve users of their own (0: they don't);
+    tasks that fill (`fills_idle`) use what these leave unused.
+    """
 
     task_count: int
     cpu_milli: int = 0
@@ -33,6 +37,7 @@
     long_running: bool = False
     fills_idle: bool = False
     max_unavailable: int = 0
+    target_ms: int = 0
 
 
 class JobSpec(NamedTuple):
--- a/packages/lycheeslip_common/lycheeslip_common/workload/operator.py
+++ b/packages/lycheeslip_common/lycheeslip_common/workload/operator.py
@@ -2,11 +2,33 @@
 
 from typing import NamedTuple
 
-__all__ = ["Account", "ConfigChange", "OperatorChange", "OperatorConfig", "Queue", "ZoneChange"]
+__all__ = [
+    "Account",
+    "AdviceTerms",
+    "ConfigChange",
+    "OperatorChange",
+    "OperatorConfig",
+    "Queue",
+    "ZoneChange",
+]
+
+
+class AdviceTerms(NamedTuple):
+    """How long the advice service takes to decide; its answers state how long they hold."""
+
+    decision_ms: int
+    per_worker_ms: int
+
+    def duration_ms(self, workers: int) -> int:
+        """Return how long a decision on so many workers takes."""
+        return self.decision_ms + self.per_worker_ms * workers
 
 
 class Queue(NamedTuple):
-    """One queue: where callers reach it, which service runs it, and its rules."""
+    """One queue: where callers reach it, which service runs it, and its rules.
+
+    Where there is `advice`, only workers that the advice service approves may run a step.
+    """
 
     name: str
     host: str
@@ -17,7 +39,7 @@
     stretch: float
     objective_ms: int
     is_public: bool
-    needs_advice: bool
+    advice: AdviceTerms | None = None
 
 
 class Account(NamedTuple):
--- a/packages/lycheeslip_standins/lycheeslip_standins/platform/store.py
+++ b/packages/lycheeslip_standins/lycheeslip_standins/platform/store.py
@@ -10,13 +10,14 @@
 import msgspec
 from aiohttp import web
 
+from lycheeslip_standins.platform.listener import Listener
+
 __all__ = ["PlatformStoreServer", "StoreFaults"]
 
 PAGE_ITEMS = 500
 MAX_ENTRIES = 32
 MAX_WAIT_MS = 30_000
 SWEEP_S = 0.02
-SHUTDOWN_S = 0.05
 
 
 @dataclass(slots=True)
@@ -65,28 +66,24 @@
         self._lost_before = 0
         self._leases: dict[int, tuple[float, int]] = {}
         self._changed = asyncio.Event()
-        self._runner: web.ServerRunner | None = None
+        self._listener = Listener(self._handle)
         self._sweeper: asyncio.Task[None] | None = None
-        self.address = ""
+
+    @property
+    def address(self) -> str:
+        """Where the stand-in listens."""
+        return self._listener.address
 
     async def start(self) -> None:
         """Listen on a free port of the loopback address."""
-        self._runner = web.ServerRunner(
-            web.Server(self._handle, access_log=None), shutdown_timeout=SHUTDOWN_S
-        )
-        await self._runner.setup()
-        site = web.TCPSite(self._runner, "127.0.0.1", 0)
-        await site.start()
-        host, port = self._runner.addresses[0][:2]
-        self.address = f"{host}:{port}"
+        await self._listener.start()
         self._sweeper = asyncio.create_task(self._sweep())
 
     async def stop(self) -> None:
         """Stop listening."""
         if self._sweeper is not None:
             self._sweeper.cancel()
-        if self._runner is not None:
-            await self._runner.cleanup()
+        await self._listener.stop()
 
     def put(self, key: str, value: bytes, lease: int = 0) -> int:
         """Write as an operator does; returns the revision."""
--- a/packages/lycheeslip_standins/lycheeslip_standins/platform/worker.py
+++ b/packages/lycheeslip_standins/lycheeslip_standins/platform/worker.py
@@ -10,12 +10,13 @@
 import msgspec
 from aiohttp import web
 
+from lycheeslip_standins.platform.listener import Listener
+
 __all__ = ["PlatformWorkerServer", "WorkerFaults"]
 
 TICK_S = 0.01
 MAX_HOLD_MS = 10_000
 STOP_S = 0.02
-SHUTDOWN_S = 0.05
 
 
 @dataclass(slots=True)
@@ -26,6 +27,7 @@
     late_by_s: float = 0.5
     failing: bool = False
     status: int = 0
+    needs_ticket: bool = False
 
 
 @dataclass(slots=True)
@@ -38,6 +40,8 @@
     began_at: float
     ends_at: float
     checkpoint: str = ""
+    percent: int = 100
+    load: int = 0
 
 
 @dataclass(slots=True)
@@ -60,7 +64,6 @@
         self.started = Started()
         self.acknowledged_ends: list[tuple[str, int, str]] = []
         self.runs: dict[str, Run] = {}
-        self.address = ""
         self._ended: list[list[Any]] = []
         self._number = 0
         self._highest_over: dict[str, int] = {}
@@ -69,18 +72,16 @@
         self._sequence = 0
         self._changed = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
-        self._runner: web.ServerRunner | None = None
+        self._listener = Listener(self._handle)
+
+    @property
+    def address(self) -> str:
+        """Where the stand-in listens."""
+        return self._listener.address
 
     async def start(self) -> None:
         """Listen on a free port of the loopback address."""
-        self._runner = web.ServerRunner(
-            web.Server(self._handle, access_log=None), shutdown_timeout=SHUTDOWN_S
-        )
-        await self._runner.setup()
-        site = web.TCPSite(self._runner, "127.0.0.1", 0)
-        await site.start()
-        host, port = self._runner.addresses[0][:2]
-        self.address = f"{host}:{port}"
+        await self._listener.start()
         self._tasks = [asyncio.create_task(self._run())]
 
     def announce(self, agent_address: str, every_s: float = 0.1) -> None:
@@ -91,8 +92,7 @@
         """Crash: stop listening and drop everything."""
         for task in self._tasks:
             task.cancel()
-        if self._runner is not None:
-            await self._runner.cleanup()
+        await self._listener.stop()
 
     def rebirth(self) -> None:
         """Begin a new life under the same id; everything of before is gone."""
@@ -149,6 +149,8 @@
                 return await self._hold(body)
             case "/run-start":
                 return await self._start(request, body)
+            case "/pace":
+                return self._pace(body)
             case "/run-stop":
                 self._stop(body["task"], body["run"])
                 return self._reply({})
@@ -174,7 +176,7 @@
                     await self._changed.wait()
             except TimeoutError:
                 pass
-        running = [[run.task, run.run, run.checkpoint, 0] for run in self.runs.values()]
+        running = [[run.task, run.run, run.checkpoint, 0, run.load] for run in self.runs.values()]
         return self._reply({"born": self.born_ms, "running": running, "ended": self._ended[:500]})
 
     async def _start(self, request: web.BaseRequest, body: dict[str, Any]) -> web.Response:
@@ -193,6 +195,8 @@
             return self._reply({"reason": "old"}, 409)
         if body["until_ms"] <= self._clock_ms():
             return self._reply({"reason": "late"}, 409)
+        if self.faults.needs_ticket and not self._has_ticket(body):
+            return self._reply({"reason": "ticket"}, 409)
         self._extend(body)
         now = time.monotonic()
         work_s = int(body["spec"] or 0) / 1_000
@@ -200,6 +204,17 @@
         self.started.by_task.setdefault(task, []).append(run)
         return self._reply({})
 
+    def _has_ticket(self, body: dict[str, Any]) -> bool:
+        step = body["task"].rpartition(".")[0]
+        return body.get("ticket", "").startswith(f"{step}@{self.worker_id}@")
+
+    def _pace(self, body: dict[str, Any]) -> web.Response:
+        run = self.runs.get(body["task"])
+        if run is None or run.run != body["run"]:
+            return self._reply({"reason": "old"}, 409)
+        run.percent = body["percent"]
+        return self._reply({})
+
     def _stop(self, task: str, run: int) -> None:
         self._highest_over[task] = max(self._highest_over.get(task, 0), run)
         known = self.runs.get(task)
--- a/tests/dispatch/lifecycle_tests.py
+++ b/tests/dispatch/lifecycle_tests.py
@@ -236,3 +236,10 @@
     for agent in cell.agents:
         agent.worker.faults.status = 0
     await cell.until_state(path, "completed")
+
+
+async def test_a_run_outlives_its_first_lease_by_far(cell: Cell):
+    """Each quiet call to a worker ends early enough to extend a short lease in time."""
+    await cell.submit(1, ONE, work_ms=60_000)
+    await cell.until(lambda: cell.running() == 1)
+    await stays(lambda: cell.running() == 1, 2.5 * TIMES.run_lease_ms / 1_000)
--- a/tests/harness/platform_cell.py
+++ b/tests/harness/platform_cell.py
@@ -15,12 +15,14 @@
 from lycheeslip_agent.dispatch.board import Board as AgentBoard
 from lycheeslip_common.store.outcomes import Unreachable
 from lycheeslip_common.workload.times import DispatchTimes
+from lycheeslip_platform.advice import PlatformAdvice
 from lycheeslip_platform.caller_api import CallerApi
 from lycheeslip_platform.heartbeat_api import HeartbeatApi
 from lycheeslip_platform.operator_keys import OPERATOR_KEYS
 from lycheeslip_platform.store import PlatformStore
 from lycheeslip_platform.web import Listeners
 from lycheeslip_platform.worker import PlatformWorker
+from lycheeslip_standins.platform.advice import PlatformAdviceServer
 from lycheeslip_standins.platform.store import PlatformStoreServer
 from lycheeslip_standins.platform.worker import PlatformWorkerServer
 
@@ -44,8 +46,9 @@
 class EntryProcess:
     """One entry with its callers' interface."""
 
-    def __init__(self, number: int, store_address: str) -> None:
+    def __init__(self, number: int, store_address: str, advice_address: str) -> None:
         """Make entry `number`; nothing runs before `start`."""
+        self._advice_address = advice_address
         self.board = EntryBoard(f"entry-{number}", "zone-a", "", TIMES)
         self.store = PlatformStore(store_address)
         self.entry: DispatchEntry
@@ -56,7 +59,9 @@
         """Listen for links and for calls."""
         self.board.address = f"127.0.0.1:{link_port}"
         self.address = f"127.0.0.1:{call_port}"
-        self.entry = DispatchEntry(self.board, self.store, OPERATOR_KEYS)
+        self.entry = DispatchEntry(
+            self.board, self.store, OPERATOR_KEYS, PlatformAdvice(self._advice_address)
+        )
         api = CallerApi(self.entry.intake, self.board.counters)
         await self.listeners.add(self.address, api.handle)
         await self.entry.start()
@@ -126,6 +131,8 @@
         self._free_port = free_port
         self._counts = (entries, agents)
         self.store = PlatformStoreServer()
+        self.advice = PlatformAdviceServer()
+        self.advised_priorities: set[int] = set()
         self.entries: list[EntryProcess] = []
         self.agents: list[AgentProcess] = []
         self.version = 0
@@ -135,6 +142,7 @@
     async def __aenter__(self) -> "Cell":
         """Start everything and wait until the leader knows all workers."""
         await self.store.start()
+        await self.advice.start()
         self.configure()
         for number in range(self._counts[0]):
             await self.add_entry(number)
@@ -151,11 +159,12 @@
         await self._session.close()
         for process in (*self.agents, *self.entries):
             await process.stop()
+        await self.advice.stop()
         await self.store.stop()
 
     async def add_entry(self, number: int) -> None:
         """Start one more entry."""
-        entry = EntryProcess(number, self.store.address)
+        entry = EntryProcess(number, self.store.address, self.advice.address)
         await entry.start(self._free_port(), self._free_port())
         self.entries.append(entry)
 
@@ -175,6 +184,8 @@
             }
             for priority, prefix in PREFIXES.items()
         ]
+        for priority in self.advised_priorities:
+            routes[priority]["advice"] = {"decision_ms": 20, "per_worker_ms": 1}
         tenant = {"name": "t-a", "api_keys": self.keys, "guaranteed": {"gpu": self.guaranteed}}
         document = {
             "version": self.version,
--- a/tests/platform_adapter/operator_keys_tests.py
+++ b/tests/platform_adapter/operator_keys_tests.py
@@ -41,7 +41,7 @@
     assert account.guaranteed == 16
     queue = config.queue_for("a.example", "/p/0123456789abcdef")
     assert queue is not None
-    assert (queue.attempts, queue.priority, queue.needs_advice) == (4, 0, False)
+    assert (queue.attempts, queue.priority, queue.advice) == (4, 0, None)
 
 
 @pytest.mark.parametrize(
