Stop nothing and start only urgent units while agents link up with a new leader

Ruled out: the choice of victims (the ones named were the only ones known).

Change: the view counts as whole 0.6 s after the election once no worker has come up for 0.25 s, and 1.5 s after it in any case. Before that only urgent units start, and nothing is stopped for one that still has patience. A stop's log line names the unit it is for, its work, guarantee and patience.

Tests: three in placement_tests.py, which fail before.

--- a/packages/lycheeslip/lycheeslip/dispatch/dispatcher.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/dispatcher.py
@@ -23,6 +23,9 @@
 TICK_S = 0.25  # schedules may start 0.25 s early or late, and lost workers show by time alone
 COALESCE_S = 0.005  # one round for jobs and reports that arrive together
 GATHER_S = 0.4  # after an election agents link up within this; a fuller view places better
+SETTLE_MS = 600  # after an election no view of the fleet is held to be whole before this
+QUIET_LINKS_MS = 250  # and none while workers came up this lately: they link up in a burst
+GATHER_LIMIT_MS = 1_500  # past this the view counts as whole whatever comes; objectives are short
 CHECKPOINT_RECORD_MS = 2_000  # one write in this time; tasks save their progress once a second
 REJECTED_PAUSE_MS = 500  # a worker that rejected an order gets no other before this
 REJECTIONS = frozenset({"fence", "late", "no_lease", "room", "unhealthy"})
@@ -40,9 +43,12 @@
         self._stops = Stops(board)
         self._ends = Ends(board, recorder, self._stops)
         self._checkpoints_recorded_ms = 0
+        self._led_since_ms = 0
+        self._worker_met_ms = 0
 
     def begin_term(self) -> None:
         """Forget what an earlier term had in progress."""
+        self._led_since_ms = self._worker_met_ms = steady_ms()
         self._starts.begin_term()
         self._advisor.begin_term()
         self._stops.begin_term()
@@ -80,14 +86,20 @@
         if self._can_start():
             rooms = build_rooms(self._board)
             units = build_units(self._board, rooms)
-            plan = plan_round(units, rooms, reserve_of(self._board))
+            plan = plan_round(units, rooms, reserve_of(self._board), self._is_view_whole(began))
             for unit, chosen in plan.starts:
                 self._starts.begin(unit, chosen)
-            for room, occupant in plan.stops:
-                self._stops.preempt(room, occupant)
+            for preemption in plan.stops:
+                self._stops.preempt(preemption)
             self._advisor.want(plan.advice_requests)
         self._board.counters.observe_ms("planning_round", steady_ms() - began)
 
+    def _is_view_whole(self, now_ms: int) -> bool:
+        """Return whether all workers have probably linked up with this new leader."""
+        led_ms = now_ms - self._led_since_ms
+        is_quiet = now_ms - self._worker_met_ms >= QUIET_LINKS_MS
+        return led_ms >= GATHER_LIMIT_MS or (led_ms >= SETTLE_MS and is_quiet)
+
     def _can_start(self) -> bool:
         """Return whether the store has confirmed the configuration lately."""
         board = self._board
@@ -100,6 +112,7 @@
         if view is None:
             view = WorkerView(node, report, steady_ms(), link)
             self._board.workers[node] = view
+            self._worker_met_ms = steady_ms()
         if view.lifetime != report.lifetime or is_new_link:
             log_event(
                 "worker_known", node=node, lifetime=report.lifetime, running=len(report.running)
--- a/packages/lycheeslip/lycheeslip/dispatch/placement.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/placement.py
@@ -21,16 +21,24 @@
 __all__ = ["plan_round"]
 
 
-def plan_round(units: Sequence[Unit], rooms: Sequence[Room], reserve: int = 0) -> Plan:
+def plan_round(
+    units: Sequence[Unit],
+    rooms: Sequence[Room],
+    reserve: int = 0,
+    is_view_whole: bool = True,
+) -> Plan:
     """Return what to start and stop; `rooms` are changed to what is then free.
 
     `reserve` accelerators of each service are kept for urgent units and for what can be stopped
-    at little loss, as long as other units can wait.
+    at little loss, as long as other units can wait. While workers are still linking up
+    (not `is_view_whole`) only urgent units start, and nothing is stopped for one with patience.
     """
     plan = Plan()
     _mark_reserved(rooms, reserve)
     stopped: set[VictimKey] = set()
     for unit in sorted(units, key=_order):
+        if not is_view_whole and unit.priority != URGENT_PRIORITY:
+            break
         usable = _usable(unit, rooms)
         chosen = choose_rooms(unit, with_ticket(unit, usable))
         if chosen is not None:
@@ -41,7 +49,7 @@
         plan.blocked.append(unit)
         plan.advice_requests += advice_request(unit, usable)
         usable = approved(unit, usable)
-        if unit.priority == URGENT_PRIORITY:
+        if unit.priority == URGENT_PRIORITY and (is_view_whole or not unit.patience_ms):
             reclaim(unit, usable, plan, stopped)
         elif unit.is_gang:
             _hold_back(unit, usable)
--- a/packages/lycheeslip/lycheeslip/dispatch/reclaim.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/reclaim.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from lycheeslip.dispatch.packing import groups_for, pack
-from lycheeslip.dispatch.rooms import Occupant, Plan, Room, Unit, VictimKey
+from lycheeslip.dispatch.rooms import Occupant, Plan, Preemption, Room, Unit, VictimKey
 
 __all__ = ["reclaim"]
 
@@ -43,7 +43,7 @@
         stopped.add(victim.key)
         for room, occupant in victim.runs:
             if not _frees_itself(unit, occupant):
-                plan.stops.append((room, occupant))
+                plan.stops.append(Preemption(room, occupant, unit))
 
 
 def _victims(unit: Unit, group: Sequence[Room], stopped: set[VictimKey]) -> list[Victim]:
--- a/packages/lycheeslip/lycheeslip/dispatch/rooms.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/rooms.py
@@ -14,6 +14,7 @@
     "URGENT_PRIORITY",
     "Occupant",
     "Plan",
+    "Preemption",
     "Room",
     "StepKey",
     "Unit",
@@ -183,11 +184,19 @@
         return (self.job_id, self.occurrence, self.step)
 
 
+class Preemption(NamedTuple):
+    """A run to stop so that `unit` fits."""
+
+    room: Room
+    occupant: Occupant
+    unit: Unit
+
+
 @dataclass(slots=True)
 class Plan:
     """What a round decided: starts as (unit, room of each member), runs to stop, advice to ask."""
 
     starts: list[tuple[Unit, list[Room]]] = field(default_factory=list)
-    stops: list[tuple[Room, Occupant]] = field(default_factory=list)
+    stops: list[Preemption] = field(default_factory=list)
     blocked: list[Unit] = field(default_factory=list)
     advice_requests: list[AdviceRequest] = field(default_factory=list)
--- a/packages/lycheeslip/lycheeslip/dispatch/stops.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/stops.py
@@ -7,7 +7,7 @@
 from lycheeslip_common.workload.progress import TaskKey, unit_members
 
 from lycheeslip.dispatch.board import Board, StoredJob, WorkerView
-from lycheeslip.dispatch.rooms import Occupant, Room
+from lycheeslip.dispatch.rooms import Preemption
 from lycheeslip.dispatch.view import task_text
 
 __all__ = ["Stops"]
@@ -31,8 +31,9 @@
         """Forget a run that has ended."""
         self._sent_at_ms.pop((task, run), None)
 
-    def preempt(self, room: Room, occupant: Occupant) -> None:
+    def preempt(self, preemption: Preemption) -> None:
         """Stop a run; the rest of its gang is stopped with it."""
+        room, occupant, unit = preemption
         job = self._board.jobs[occupant.job_id]
         _, occurrence, step = occupant.unit
         log_event(
@@ -41,6 +42,10 @@
             run=occupant.run,
             node=room.node,
             loss_core_s=round(occupant.loss),
+            for_job=unit.job_id,
+            work_core_s=round(unit.work),
+            is_guaranteed=unit.is_guaranteed,
+            patience_ms=round(unit.patience_ms),
         )
         self._board.counters.count("preemptions")
         if job.progress.spec.steps[step].gang:
--- a/packages/lycheeslip/tests/dispatch/placement_tests.py
+++ b/packages/lycheeslip/tests/dispatch/placement_tests.py
@@ -92,7 +92,7 @@
     cheap, dear = occupant("cheap", 8, 2, 1.0), occupant("dear", 8, 1, 9.0)
     rooms = [room("n1", free=0, occupants=[dear]), room("n2", free=0, occupants=[cheap])]
     plan = plan_round([unit(accelerators=8, priority=0)], rooms)
-    assert [victim.task for _, victim in plan.stops] == ["cheap"]
+    assert [stop.occupant.task for stop in plan.stops] == ["cheap"]
 
 
 def test_an_urgent_unit_stops_nothing_that_loses_more_than_its_own_work():
@@ -103,7 +103,7 @@
 def test_a_guarantee_is_reclaimed_whatever_that_loses():
     rooms = [room("n1", free=0, occupants=[occupant("dear", 8, 0, 1e6)])]
     plan = plan_round([unit(accelerators=8, priority=0, is_guaranteed=True)], rooms)
-    assert [victim.task for _, victim in plan.stops] == ["dear"]
+    assert [stop.occupant.task for stop in plan.stops] == ["dear"]
 
 
 def test_a_guarantee_is_not_reclaimed_from_another():
@@ -116,7 +116,7 @@
     gang = [occupant(f"gang-{i}", 4, 1, 4.0, unit=("gang", 0, 0), is_gang=True) for i in (0, 1)]
     rooms = [room("n1", free=0, occupants=gang)]
     plan = plan_round([unit(accelerators=8, priority=0)], rooms)
-    assert [victim.task for _, victim in plan.stops] == ["gang-0", "gang-1"]
+    assert [stop.occupant.task for stop in plan.stops] == ["gang-0", "gang-1"]
 
 
 def test_an_urgent_unit_stops_nobody_as_urgent():
@@ -157,7 +157,7 @@
     rooms = [room("n1", free=0, occupants=[occupant("victim", 8, 2)])]
     urgent = unit("urgent", accelerators=2, priority=0)
     plan = plan_round([urgent, unit("small", accelerators=1, priority=2)], rooms)
-    assert [victim.task for _, victim in plan.stops] == ["victim"]
+    assert [stop.occupant.task for stop in plan.stops] == ["victim"]
     assert plan.starts == []
 
 
@@ -204,3 +204,23 @@
 def test_a_run_under_a_disruption_budget_is_not_stopped_for_another():
     rooms = [room("n1", free=0, occupants=[occupant("serving", 8, 2, is_protected=True)])]
     assert plan_round([unit(accelerators=8, priority=0)], rooms).stops == []
+
+
+def test_nothing_is_stopped_while_workers_are_still_linking_up():
+    """A new leader that knows few workers can't tell whether another has room."""
+    rooms = [room("n1", free=0, occupants=[occupant("dear", 8, 1, 1e4)])]
+    urgent = unit(accelerators=8, priority=0, is_guaranteed=True, patience_ms=900)
+    assert plan_round([urgent], rooms, is_view_whole=False).stops == []
+    assert len(plan_round([urgent], rooms).stops) == 1
+
+
+def test_a_guarantee_out_of_patience_is_reclaimed_on_a_partial_view():
+    rooms = [room("n1", free=0, occupants=[occupant("dear", 8, 1, 1e4)])]
+    urgent = unit(accelerators=8, priority=0, is_guaranteed=True, patience_ms=0)
+    assert len(plan_round([urgent], rooms, is_view_whole=False).stops) == 1
+
+
+def test_only_urgent_units_start_while_workers_are_still_linking_up():
+    units = [unit("urgent", priority=0), unit("normal", priority=1)]
+    plan = plan_round(units, [room("n1")], is_view_whole=False)
+    assert [started.job_id for started, _ in plan.starts] == ["urgent"]
