--- a/packages/lycheeslip/lycheeslip/dispatch/dispatcher.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/dispatcher.py
@@ -11,6 +11,7 @@
 
 from lycheeslip.dispatch.advice import Advisor
 from lycheeslip.dispatch.board import Board, WorkerView
+from lycheeslip.dispatch.claims import Claims
 from lycheeslip.dispatch.ends import Ends
 from lycheeslip.dispatch.placement import plan_round
 from lycheeslip.dispatch.recorder import Recorder
@@ -39,6 +40,7 @@
         self._board = board
         self._recorder = recorder
         self._advisor = advisor
+        self._claims = Claims()
         self._starts = Starts(board, recorder)
         self._stops = Stops(board)
         self._ends = Ends(board, recorder, self._stops)
@@ -51,6 +53,7 @@
         self._led_since_ms = self._worker_met_ms = steady_ms()
         self._starts.begin_term()
         self._advisor.begin_term()
+        self._claims.clear()
         self._stops.begin_term()
         self._ends.begin_term()
 
@@ -85,12 +88,13 @@
         self._record_checkpoints(began)
         if self._can_start():
             rooms = build_rooms(self._board)
-            units = build_units(self._board, rooms)
+            units = build_units(self._board, rooms, self._claims.current())
             plan = plan_round(units, rooms, reserve_of(self._board), self._is_view_whole(began))
             for unit, chosen in plan.starts:
                 self._starts.begin(unit, chosen)
             for preemption in plan.stops:
                 self._stops.preempt(preemption)
+            self._claims.replace(plan.claims)
             self._advisor.want(plan.advice_requests)
         self._board.counters.observe_ms("planning_round", steady_ms() - began)
 
--- a/packages/lycheeslip/lycheeslip/dispatch/reclaim.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/reclaim.py
@@ -28,24 +28,35 @@
 def reclaim(unit: Unit, usable: Sequence[Room], plan: Plan, stopped: set[VictimKey]) -> None:
     """Stop the units whose stop loses least, so that `unit` fits; hold that room back for it.
 
-    What the victims occupy stays occupied until their ends are listed.
+    What the victims occupy stays occupied until their ends are listed. Room that an earlier round
+    has begun to make is held even if the rest has become too dear: what was stopped for it is
+    lost already, and runs that were to end by themselves may only be late.
     """
-    options = [_eviction(unit, group, stopped) for group in groups_for(unit, usable)]
-    found = [option for option in options if option is not None]
-    if not found:
+    claimed = _eviction(unit, [room for room in usable if room.node in unit.claimed], stopped)
+    best = claimed or _cheapest_eviction(unit, usable, stopped)
+    if best is None:
         return
-    best = min(found, key=lambda option: option.loss)
-    if not unit.is_guaranteed and best.loss > unit.work * unit.loss_share:
+    is_affordable = unit.is_guaranteed or best.loss <= unit.work * unit.loss_share
+    if not is_affordable and claimed is None:
         return
     for room in best.rooms:
         room.take(unit.demand)
+    plan.claims[unit.key] = frozenset(room.node for room in best.rooms)
     for victim in best.victims:
         stopped.add(victim.key)
         for room, occupant in victim.runs:
-            if not _frees_itself(unit, occupant):
+            if is_affordable and not _frees_itself(unit, occupant):
                 plan.stops.append(Preemption(room, occupant, unit))
 
 
+def _cheapest_eviction(
+    unit: Unit, usable: Sequence[Room], stopped: set[VictimKey]
+) -> Eviction | None:
+    options = [_eviction(unit, group, stopped) for group in groups_for(unit, usable)]
+    found = [option for option in options if option is not None]
+    return min(found, key=lambda option: option.loss, default=None)
+
+
 def _victims(unit: Unit, group: Sequence[Room], stopped: set[VictimKey]) -> list[Victim]:
     """Return the units that would give way to `unit`, those that lose least first.
 
--- a/packages/lycheeslip/lycheeslip/dispatch/rooms.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/rooms.py
@@ -18,12 +18,16 @@
     "Room",
     "StepKey",
     "Unit",
+    "UnitKey",
     "VictimKey",
 ]
 
 StepKey = tuple[str, int, int]
 """Job, occurrence and step."""
 
+UnitKey = tuple[str, int, int, tuple[int, ...]]
+"""Job, occurrence and step, and the indexes of the unit's tasks."""
+
 VictimKey = tuple[str, int, int, str]
 """Job, occurrence and step, and the task unless the whole step works as a gang."""
 
@@ -152,7 +156,8 @@
     `may_wait` says that it would still meet its latency objective if it started later;
     `patience_ms` is how long an urgent unit still waits for runs to end by themselves, and
     `loss_share` how much it may cost others without a guarantee, as a share of its own work.
-    `advice` is None if any worker of the service may run it.
+    `advice` is None if any worker of the service may run it. `claimed` are the nodes on which an
+    earlier round has begun to make room for it.
     """
 
     job_id: str
@@ -177,6 +182,12 @@
     patience_ms: float = 0.0
     loss_share: float = 1.0
     advice: Advice | None = None
+    claimed: frozenset[str] = frozenset()
+
+    @property
+    def key(self) -> UnitKey:
+        """Identifies the unit from round to round."""
+        return (self.job_id, self.occurrence, self.step, self.indexes)
 
     @property
     def step_key(self) -> StepKey:
@@ -194,9 +205,13 @@
 
 @dataclass(slots=True)
 class Plan:
-    """What a round decided: starts as (unit, room of each member), runs to stop, advice to ask."""
+    """What a round decided: starts as (unit, room of each member), runs to stop, advice to ask.
+
+    `claims` names the nodes on which room is being made, for each unit that waits for it.
+    """
 
     starts: list[tuple[Unit, list[Room]]] = field(default_factory=list)
     stops: list[Preemption] = field(default_factory=list)
     blocked: list[Unit] = field(default_factory=list)
+    claims: dict[UnitKey, frozenset[str]] = field(default_factory=dict)
     advice_requests: list[AdviceRequest] = field(default_factory=list)
--- a/packages/lycheeslip/lycheeslip/dispatch/view.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/view.py
@@ -1,6 +1,7 @@
 """Builds what the placement decides on from the jobs and workers that the leader knows."""
 
 from collections import Counter
+from collections.abc import Mapping
 
 from lycheeslip_common.utils.clock import steady_ms, wall_ms
 from lycheeslip_common.workload.fleet import Lifetime
@@ -16,6 +17,7 @@
     Room,
     StepKey,
     Unit,
+    UnitKey,
 )
 
 __all__ = ["build_rooms", "build_units", "reserve_of", "service_of", "task_text"]
@@ -196,15 +198,17 @@
             room.take(room.total)
 
 
-def build_units(board: Board, rooms: list[Room]) -> list[Unit]:
-    """Return all gangs and tasks that may start now."""
+def build_units(
+    board: Board, rooms: list[Room], claims: Mapping[UnitKey, frozenset[str]]
+) -> list[Unit]:
+    """Return all gangs and tasks that may start now; `claims` are those of earlier rounds."""
     guaranteed = _guaranteed_accounts(board)
     crowded = _crowded_services(rooms)
     units = []
     for job_id, job in board.jobs.items():
         for step, members in waiting_units(job.progress):
             units.append(_unit(board, job_id, job, step, members, guaranteed, crowded))
-    return units
+    return [unit._replace(claimed=claims.get(unit.key, frozenset())) for unit in units]
 
 
 def _guaranteed_accounts(board: Board) -> frozenset[str]:
--- a/packages/lycheeslip/tests/dispatch/placement_tests.py
+++ b/packages/lycheeslip/tests/dispatch/placement_tests.py
@@ -224,3 +224,34 @@
     units = [unit("urgent", priority=0), unit("normal", priority=1)]
     plan = plan_round(units, [room("n1")], is_view_whole=False)
     assert [started.job_id for started, _ in plan.starts] == ["urgent"]
+
+
+def test_room_that_was_begun_to_be_made_is_held_when_the_rest_gets_too_dear():
+    """A run that was to end by itself is late; what was stopped beside it must not be wasted."""
+    late = occupant("late", 4, 1, 900.0, remaining_ms=300)
+    rooms = [room("n1", free=0, occupants=[late, occupant("cheap", 4, 2, 1.0)])]
+    urgent = unit("urgent", accelerators=8, priority=0, patience_ms=500, loss_share=0.3)
+    first = plan_round([urgent], rooms)
+    assert [stop.occupant.task for stop in first.stops] == ["cheap"]
+    claimed = urgent._replace(claimed=first.claims[urgent.key], patience_ms=200)
+    second = plan_round([claimed, unit("small", accelerators=4, priority=2)], [free_half(late)])
+    assert (second.starts, second.stops) == ([], [])
+    assert second.claims == first.claims
+
+
+def test_without_a_claim_room_that_is_too_dear_is_given_to_others():
+    late = occupant("late", 4, 1, 900.0)
+    urgent = unit("urgent", accelerators=8, priority=0, loss_share=0.3)
+    plan = plan_round([urgent, unit("small", accelerators=4, priority=2)], [free_half(late)])
+    assert [started.job_id for started, _ in plan.starts] == ["small"]
+
+
+def free_half(held: Occupant) -> Room:
+    return room("n1", free=4, occupants=[held])
+
+
+def test_a_claim_on_a_lost_worker_moves_on():
+    rooms = [room("n2", free=0, occupants=[occupant("cheap", 8, 2, 1.0)])]
+    urgent = unit("urgent", accelerators=8, priority=0, claimed=frozenset({"n1"}))
+    plan = plan_round([urgent], rooms)
+    assert plan.claims == {urgent.key: frozenset({"n2"})}
