Wait at most 2 s for a better place while most of a service is idle

Cause: a unit that is costly to stop may wait up to 8 s outside the reserve; where less than half of the service is in use, a job may have nothing running for at most 3 s while there is room. Use is now a share by service.

--- a/packages/lycheeslip/lycheeslip/dispatch/view.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/view.py
@@ -27,10 +27,12 @@
 QUARANTINE_MS = 6_000  # a failing worker is tried again after this; such troubles last 5 to 7 s
 MAX_OVERRUN = 1.5  # times its estimate that a run may take before the estimate is not believed
 SLACK_SHARE = 0.5  # of the time that the latency objective leaves; estimates are off by half
-MAX_IDLE_WAIT_MS = 8_000  # where room is plenty, no unit waits longer for a better place
+MAX_WAIT_MS = 8_000  # where room is not scarce, no unit waits longer for a better place
+MAX_IDLE_WAIT_MS = 2_000  # nor this long where most is idle; deployments allow 3 s there
 EARLY_LOSS_SHARE = 0.3  # of its own work that an urgent unit may cost while it has time
 LATE_LOSS_SHARE = 1.0  # and later: an urgent job that is late loses four fifths of its worth
 CROWDED = 0.6  # share of a service's accelerators in use from which room is scarce
+IDLE = 0.5  # share in use below which most is idle
 
 
 def task_text(job_id: str, key: TaskKey) -> str:
@@ -158,24 +160,24 @@
     return (queue.stretch - 1) * step.estimate_ms + queue.objective_ms
 
 
-def _may_wait(board: Board, spec: JobSpec, step: StepSpec, since_ms: int, is_crowded: bool) -> bool:
+def _may_wait(board: Board, spec: JobSpec, step: StepSpec, since_ms: int, use: float) -> bool:
     """Return whether a unit that waits since `since_ms` may wait on for a better place."""
     limit_ms = _slack_ms(board, spec, step) * SLACK_SHARE
-    if not is_crowded:
+    if use < IDLE:
         limit_ms = min(limit_ms, MAX_IDLE_WAIT_MS)
+    elif use < CROWDED:
+        limit_ms = min(limit_ms, MAX_WAIT_MS)
     return wall_ms() - since_ms < limit_ms
 
 
-def _crowded_services(rooms: list[Room]) -> frozenset[str]:
-    """Return the services of which most accelerators are in use."""
+def _use_by_service(rooms: list[Room]) -> dict[str, float]:
+    """Return the share of each service's accelerators that is in use."""
     total: Counter[str] = Counter()
     free: Counter[str] = Counter()
     for room in rooms:
         total[room.service] += room.total.accelerators
         free[room.service] += max(0, room.free_accelerators)
-    return frozenset(
-        service for service in total if total[service] - free[service] >= CROWDED * total[service]
-    )
+    return {service: 1 - free[service] / max(1, total[service]) for service in total}
 
 
 def reserve_of(board: Board) -> int:
@@ -203,11 +205,11 @@
 ) -> list[Unit]:
     """Return all gangs and tasks that may start now; `claims` are those of earlier rounds."""
     guaranteed = _guaranteed_accounts(board)
-    crowded = _crowded_services(rooms)
+    use_by_service = _use_by_service(rooms)
     units = []
     for job_id, job in board.jobs.items():
         for step, members in waiting_units(job.progress):
-            units.append(_unit(board, job_id, job, step, members, guaranteed, crowded))
+            units.append(_unit(board, job_id, job, step, members, guaranteed, use_by_service))
     return [unit._replace(claimed=claims.get(unit.key, frozenset())) for unit in units]
 
 
@@ -254,7 +256,7 @@
     step: StepSpec,
     members: list[TaskKey],
     guaranteed: frozenset[str],
-    crowded: frozenset[str],
+    use_by_service: Mapping[str, float],
 ) -> Unit:
     spec = job.progress.spec
     occurrence, step_number, _ = members[0]
@@ -284,6 +286,6 @@
         is_costly_to_stop=_is_costly_to_stop(spec, step),
         patience_ms=patience_ms,
         loss_share=EARLY_LOSS_SHARE if patience_ms else LATE_LOSS_SHARE,
-        may_wait=_may_wait(board, spec, step, since_ms, service in crowded),
+        may_wait=_may_wait(board, spec, step, since_ms, use_by_service.get(service, 0.0)),
         advice=_advice(board, spec, (job_id, occurrence, step_number)),
     )
