Look tasks up in one place; split the leader's view; make the wave of cancellations show its case

The loop that parses a task's name, finds its job and its task stood in five places; the board has it now. view.py (281 lines) becomes occupancy, waiting and work. No behaviour changes.

--- a/packages/lycheeslip/lycheeslip/dispatch/board.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/board.py
@@ -8,14 +8,23 @@
 from lycheeslip_common.utils.clock import steady_ms
 from lycheeslip_common.utils.counters import Counters
 from lycheeslip_common.workload.fleet import Lifetime, WorkerReport
+from lycheeslip_common.workload.jobs import parse_task_name
 from lycheeslip_common.workload.link import Link
 from lycheeslip_common.workload.operator import OperatorConfig
-from lycheeslip_common.workload.progress import JobProgress, JobState
+from lycheeslip_common.workload.progress import JobProgress, JobState, TaskKey, TaskProgress
 from lycheeslip_common.workload.times import DispatchTimes
 
 from lycheeslip.dispatch.rooms import StepKey
 
-__all__ = ["Board", "Leadership", "StepAdvice", "StoredJob", "Ticket", "WorkerView"]
+__all__ = [
+    "Board",
+    "FoundTask",
+    "Leadership",
+    "StepAdvice",
+    "StoredJob",
+    "Ticket",
+    "WorkerView",
+]
 
 
 @dataclass(slots=True)
@@ -78,6 +87,19 @@
     denied: set[Lifetime] = field(default_factory=set)
 
 
+class FoundTask(NamedTuple):
+    """A task by its name: the job, and the task's key and state if the job has it."""
+
+    job_id: str
+    job: StoredJob
+    key: TaskKey
+
+    @property
+    def task(self) -> TaskProgress | None:
+        """The task's progress; None for a task that the job does not have (yet)."""
+        return self.job.progress.tasks.get(self.key)
+
+
 class Board:
     """State shared by the controllers of one entry."""
 
@@ -103,6 +125,14 @@
         self.is_leaving = False
         self.work_to_plan = asyncio.Event()
 
+    def find_task(self, text: str) -> FoundTask | None:
+        """Return the task that `text` names, or None if its job is not known."""
+        name = parse_task_name(text)
+        job = self.jobs.get(name.job_id) if name else None
+        if name is None or job is None or name.step >= len(job.progress.spec.steps):
+            return None
+        return FoundTask(name.job_id, job, name.key)
+
     @property
     def is_leader(self) -> bool:
         """Whether this entry leads, as far as it knows without asking the store."""
--- a/packages/lycheeslip/lycheeslip/dispatch/dispatcher.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/dispatcher.py
@@ -5,7 +5,6 @@
 from lycheeslip_common.utils.clock import steady_ms, wall_ms
 from lycheeslip_common.utils.logs import log_event
 from lycheeslip_common.workload.fleet import EndCause, OrderResult, WorkerReport
-from lycheeslip_common.workload.jobs import parse_task_name
 from lycheeslip_common.workload.link import Link
 from lycheeslip_common.workload.progress import open_occurrences
 
@@ -13,11 +12,12 @@
 from lycheeslip.dispatch.board import Board, WorkerView
 from lycheeslip.dispatch.claims import Claims
 from lycheeslip.dispatch.ends import Ends
+from lycheeslip.dispatch.occupancy import build_rooms
 from lycheeslip.dispatch.placement import plan_round
 from lycheeslip.dispatch.recorder import Recorder
 from lycheeslip.dispatch.starts import Starts
 from lycheeslip.dispatch.stops import Stops
-from lycheeslip.dispatch.view import build_rooms, build_units, reserve_of
+from lycheeslip.dispatch.waiting import build_units, reserve_of
 
 __all__ = ["Dispatcher"]
 
@@ -133,13 +133,12 @@
         self._board.work_to_plan.set()
 
     def _take_checkpoint(self, text: str, run: int, checkpoint: str) -> None:
-        name = parse_task_name(text)
-        job = self._board.jobs.get(name.job_id) if name else None
-        if job is None or name is None or not checkpoint:
+        found = self._board.find_task(text)
+        if found is None or not checkpoint:
             return
-        task = job.progress.tasks.get((name.occurrence, name.step, name.position))
+        task = found.task
         if task is not None and task.run == run and task.is_placed:
-            job.has_newer_checkpoint |= task.checkpoint != checkpoint
+            found.job.has_newer_checkpoint |= task.checkpoint != checkpoint
             task.checkpoint = checkpoint
 
     def _record_checkpoints(self, now_ms: int) -> None:
@@ -153,13 +152,8 @@
 
     def take_order_result(self, node: str, result: OrderResult) -> None:
         """Take in that an order ended without a run."""
-        name = parse_task_name(result.task)
-        job = self._board.jobs.get(name.job_id) if name else None
-        if name is None or job is None:
-            return
-        key = (name.occurrence, name.step, name.position)
-        task = job.progress.tasks.get(key)
-        if task is None or task.lifetime != result.lifetime:
+        found = self._board.find_task(result.task)
+        if found is None or found.task is None or found.task.lifetime != result.lifetime:
             return
         log_event(
             "order_without_run", task=result.task, run=result.run, node=node, reason=result.reason
@@ -168,7 +162,7 @@
         view = self._board.workers.get(node)
         if view is not None and result.reason in REJECTIONS:
             view.avoided_until_ms = steady_ms() + REJECTED_PAUSE_MS
-        advice = self._board.advice.get((name.job_id, name.occurrence, name.step))
+        advice = self._board.advice.get((found.job_id, *found.key[:2]))
         if advice is not None and result.reason == "ticket":
             advice.tickets.pop(result.lifetime, None)
-        self._ends.end(name.job_id, job, key, result.run, EndCause.STOPPED, "")
+        self._ends.end(*found, result.run, EndCause.STOPPED, "")
--- a/packages/lycheeslip/lycheeslip/dispatch/ends.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/ends.py
@@ -3,14 +3,13 @@
 from lycheeslip_common.utils.clock import steady_ms, wall_ms
 from lycheeslip_common.utils.logs import log_event, log_warning
 from lycheeslip_common.workload.fleet import EndCause, Lifetime, RecordedEnds, WorkerReport
-from lycheeslip_common.workload.jobs import parse_task_name
+from lycheeslip_common.workload.jobs import task_text
 from lycheeslip_common.workload.progress import TaskKey, apply_end
 from lycheeslip_common.workload.times import CLOCK_DRIFT
 
 from lycheeslip.dispatch.board import Board, StoredJob, WorkerView
 from lycheeslip.dispatch.recorder import Recorder
 from lycheeslip.dispatch.stops import Stops
-from lycheeslip.dispatch.view import task_text
 
 __all__ = ["Ends"]
 
@@ -74,16 +73,14 @@
         for ended in report.ended:
             if ended.number in waiting:
                 continue
-            name = parse_task_name(ended.task)
-            waiting[ended.number] = name.job_id if name else ""
-            job = self._board.jobs.get(name.job_id) if name else None
-            if name is None or job is None:
+            found = self._board.find_task(ended.task)
+            waiting[ended.number] = found.job_id if found else ""
+            if found is None:
                 log_warning("end_of_unknown_job", task=ended.task, node=view.node)
                 continue
-            key = (name.occurrence, name.step, name.position)
-            if not self._is_tasks_fault(job, key, view):
+            if not self._is_tasks_fault(found.job, found.key, view):
                 self._blame(view, ended.cause)
-            self.end(name.job_id, job, key, ended.run, ended.cause, ended.checkpoint)
+            self.end(*found, ended.run, ended.cause, ended.checkpoint)
         self._acknowledge(view)
 
     def _is_tasks_fault(self, job: StoredJob, key: TaskKey, view: WorkerView) -> bool:
--- a/packages/lycheeslip/lycheeslip/dispatch/starts.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/starts.py
@@ -3,13 +3,12 @@
 from lycheeslip_common.utils.clock import wall_ms
 from lycheeslip_common.utils.logs import log_event
 from lycheeslip_common.workload.fleet import Lifetime, RunTraits, StartOrder, WorkerReport
-from lycheeslip_common.workload.jobs import parse_task_name
+from lycheeslip_common.workload.jobs import task_text
 from lycheeslip_common.workload.progress import TaskKey, begin_runs
 
 from lycheeslip.dispatch.board import Board, StoredJob, WorkerView
 from lycheeslip.dispatch.recorder import Recorder
 from lycheeslip.dispatch.rooms import Room, Unit
-from lycheeslip.dispatch.view import task_text
 
 __all__ = ["Starts"]
 
@@ -79,11 +78,10 @@
 
     def _tell_traits(self, view: WorkerView, order: StartOrder) -> None:
         """Tell the agent how the run shares its worker, if that needs care."""
-        name = parse_task_name(order.task)
-        job = self._board.jobs.get(name.job_id) if name else None
-        if job is None or name is None or view.link is None:
+        found = self._board.find_task(order.task)
+        if found is None or view.link is None:
             return
-        step = job.progress.spec.steps[name.step]
+        step = found.job.progress.spec.steps[found.key[1]]
         if step.target_ms or step.fills_idle:
             traits = RunTraits(
                 order.lifetime, order.task, order.run, step.target_ms, step.fills_idle
@@ -91,12 +89,10 @@
             view.link.post(traits)
 
     def _is_current(self, order: StartOrder) -> bool:
-        name = parse_task_name(order.task)
-        job = self._board.jobs.get(name.job_id) if name else None
-        if job is None or name is None or job.progress.has_ended:
+        found = self._board.find_task(order.task)
+        if found is None or found.task is None or found.job.progress.has_ended:
             return False
-        task = job.progress.tasks[(name.occurrence, name.step, name.position)]
-        return task.is_placed and task.run == order.run
+        return found.task.is_placed and found.task.run == order.run
 
     def resend(self, view: WorkerView, report: WorkerReport) -> None:
         """Order recorded runs again that a new link's agent doesn't list, and tell their traits."""
--- a/packages/lycheeslip/lycheeslip/dispatch/stops.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/stops.py
@@ -3,12 +3,11 @@
 from lycheeslip_common.utils.clock import steady_ms
 from lycheeslip_common.utils.logs import log_event
 from lycheeslip_common.workload.fleet import Lifetime, StopOrder, WorkerReport
-from lycheeslip_common.workload.jobs import parse_task_name
+from lycheeslip_common.workload.jobs import task_text
 from lycheeslip_common.workload.progress import TaskKey, unit_members
 
 from lycheeslip.dispatch.board import Board, StoredJob, WorkerView
 from lycheeslip.dispatch.rooms import Preemption
-from lycheeslip.dispatch.view import task_text
 
 __all__ = ["Stops"]
 
@@ -52,9 +51,9 @@
             for member in unit_members(job.progress, occurrence, step):
                 self._stop(occupant.job_id, job, member)
             return
-        name = parse_task_name(occupant.task)
-        if name is not None:
-            self._stop(occupant.job_id, job, (name.occurrence, name.step, name.position))
+        found = self._board.find_task(occupant.task)
+        if found is not None:
+            self._stop(occupant.job_id, job, found.key)
 
     def _stop(self, job_id: str, job: StoredJob, key: TaskKey) -> None:
         task = job.progress.tasks[key]
@@ -98,10 +97,8 @@
         if report.lifetime is None:
             return
         for run in report.running:
-            name = parse_task_name(run.task)
-            job = self._board.jobs.get(name.job_id) if name else None
-            if job is not None and name is not None:
-                task = job.progress.tasks.get((name.occurrence, name.step, name.position))
-                if task is not None and task.is_placed and task.run == run.run:
-                    continue
+            found = self._board.find_task(run.task)
+            task = found.task if found else None
+            if task is not None and task.is_placed and task.run == run.run:
+                continue
             self._send_stop(view.node, report.lifetime, run.task, run.run)
--- /dev/null
+++ b/packages/lycheeslip/lycheeslip/dispatch/work.py
@@ -0,0 +1,47 @@
+"""What jobs and their tasks count for: their size, their guarantee, what a stop would lose."""
+
+from collections import Counter
+
+from lycheeslip_common.workload.jobs import Demand, JobSpec, StepSpec
+from lycheeslip_common.workload.progress import JobProgress
+
+from lycheeslip.dispatch.board import Board
+from lycheeslip.dispatch.rooms import ACCELERATOR_CORES, URGENT_PRIORITY
+
+__all__ = ["cores_of", "guaranteed_accounts", "is_costly_to_stop", "is_guaranteed"]
+
+
+def cores_of(demand: Demand) -> float:
+    """Return what `demand` counts in cores, accelerators included."""
+    return demand.cpu_milli / 1_000 + demand.accelerators * ACCELERATOR_CORES
+
+
+def is_costly_to_stop(spec: JobSpec, step: StepSpec) -> bool:
+    """Return whether a stop would lose the run's work; urgent runs are short and not stopped."""
+    return spec.priority != URGENT_PRIORITY and not step.checkpointing
+
+
+def guaranteed_accounts(board: Board) -> frozenset[str]:
+    """Return the accounts whose most urgent jobs need no more than they are guaranteed."""
+    demands = _urgent_accelerators_by_account(board)
+    accounts = board.config.accounts if board.config else ()
+    return frozenset(
+        account.name
+        for account in accounts
+        if account.guaranteed and demands.get(account.name, 0) <= account.guaranteed
+    )
+
+
+def is_guaranteed(job: JobProgress, guaranteed: frozenset[str]) -> bool:
+    """Return whether a job is urgent and its account within its guarantee."""
+    return job.spec.priority == URGENT_PRIORITY and job.spec.account in guaranteed
+
+
+def _urgent_accelerators_by_account(board: Board) -> dict[str, int]:
+    """Return what each account's most urgent jobs need, counting jobs that haven't ended."""
+    result: Counter[str] = Counter()
+    for job in board.jobs.values():
+        spec = job.progress.spec
+        if spec.priority == URGENT_PRIORITY and not job.progress.has_ended:
+            result[spec.account] += sum(step.task_count * step.accelerators for step in spec.steps)
+    return result
--- a/packages/lycheeslip/tests/dispatch/view_tests.py
+++ b/packages/lycheeslip/tests/dispatch/occupancy_tests.py
@@ -4,13 +4,8 @@
 
 import pytest
 from lycheeslip.dispatch.board import Board, StepAdvice, StoredJob, Ticket, WorkerView
-from lycheeslip.dispatch.view import (
-    MAX_IDLE_WAIT_MS,
-    MAX_WAIT_MS,
-    QUARANTINE_FAILURES,
-    build_rooms,
-    build_units,
-)
+from lycheeslip.dispatch.occupancy import QUARANTINE_FAILURES, build_rooms
+from lycheeslip.dispatch.waiting import MAX_IDLE_WAIT_MS, MAX_WAIT_MS, build_units
 from lycheeslip_common.utils.clock import steady_ms, wall_ms
 from lycheeslip_common.workload.fleet import Lifetime, RunningRun, WorkerReport
 from lycheeslip_common.workload.jobs import JobSpec, StepSpec
--- a/packages/lycheeslip_common/lycheeslip_common/workload/jobs.py
+++ b/packages/lycheeslip_common/lycheeslip_common/workload/jobs.py
@@ -2,7 +2,15 @@
 
 from typing import NamedTuple
 
-__all__ = ["Demand", "JobSpec", "StepSpec", "TaskName", "demand_of", "parse_task_name"]
+__all__ = [
+    "Demand",
+    "JobSpec",
+    "StepSpec",
+    "TaskName",
+    "demand_of",
+    "parse_task_name",
+    "task_text",
+]
 
 TASK_NAME_PARTS = 4
 
@@ -75,11 +83,21 @@
     step: int
     position: int
 
+    @property
+    def key(self) -> tuple[int, int, int]:
+        """What identifies the task within its job."""
+        return (self.occurrence, self.step, self.position)
+
     def text(self) -> str:
         """Return the form that backend servers know."""
         return f"{self.job_id}.{self.occurrence}.{self.step}.{self.position}"
 
 
+def task_text(job_id: str, key: tuple[int, int, int]) -> str:
+    """Return the name of a task, by its key within the job, as backend servers know it."""
+    return TaskName(job_id, *key).text()
+
+
 def parse_task_name(text: str) -> TaskName | None:
     """Return the task that `text` names, or None if it names none."""
     parts = text.split(".")
--- a/tests/prove/once.py
+++ b/tests/prove/once.py
@@ -11,6 +11,7 @@
 NOT_RUN = "not run is true"
 JOBS = 60
 LOAD_S = 4.0
+WHOLE_WORKER = 8  # accelerators of each worker in the fleet's layout
 
 
 def _load(trial: Trial) -> None:
@@ -210,10 +211,13 @@
 
 @scenario(NOT_RUN, "a wave of cancellations under lost answers")
 async def cancellations(trial: Trial) -> None:
-    """Cancel requests at random moments of their lives."""
+    """Cancel requests at random moments of their lives.
+
+    Each takes whole workers, so that some always wait when they are cancelled.
+    """
     await trial.fleet.set_store(lose_next_answers=20, lose_answers_of_prefix="lycheeslip/state/")
     for _ in range(60):
-        request = trial.request(run_ms=300)
+        request = trial.request(run_ms=300, accelerators=WHOLE_WORKER)
         trial.background(trial.callers.run(request, 40))
         trial.background(_cancel_later(trial, request))
         await trial.pause(0.0, 0.05)
