Name planning modules for what they do; break two import circles

hush, whatif, fits and round become quiet_limits, eviction_trial, feasibility and planning_round; the agent's blackboard knows runs by a protocol, and so do the stand-in store's admin calls the store. No behaviour changes.

--- a/benchmarks/baselines/backfill.py
+++ b/benchmarks/baselines/backfill.py
@@ -2,8 +2,8 @@
 
 from lycheeslip.policy.demand import Demand, demand_of
 from lycheeslip.policy.model import Action, Explain, FleetView, Place
+from lycheeslip.policy.planning_round import PlanningRound
 from lycheeslip.policy.reservation import hold_for
-from lycheeslip.policy.round import Round
 
 from benchmarks.baselines.first_fit import place_first
 
@@ -16,7 +16,7 @@
         job_id: job._replace(spec=job.spec._replace(repeatable=False))
         for job_id, job in view.running_by_job.items()
     }
-    round_ = Round(view._replace(running_by_job=declared))
+    round_ = PlanningRound(view._replace(running_by_job=declared))
     actions: list[Action] = []
     has_reservation = False
     for job in sorted(view.waiting, key=lambda job: (job.waiting_since_ms, job.job_id)):
@@ -31,7 +31,7 @@
     return actions
 
 
-def _without_late_holds(round_: Round, demand: Demand) -> Demand:
+def _without_late_holds(round_: PlanningRound, demand: Demand) -> Demand:
     """Keep the demand from workers that it wouldn't leave in time."""
     late = {
         worker.worker_id
--- a/packages/lycheeslip/lycheeslip/http/submission.py
+++ b/packages/lycheeslip/lycheeslip/http/submission.py
@@ -19,7 +19,7 @@
 
 from lycheeslip.entry.blackboard import Blackboard
 from lycheeslip.http.problems import ProblemItem, problem
-from lycheeslip.policy.fits import can_ever_fit
+from lycheeslip.policy.feasibility import can_ever_fit
 
 __all__ = ["MAX_BODY_BYTES", "Submission", "admission_problem", "parse_submission"]
 
--- a/packages/lycheeslip/lycheeslip/policy/__init__.py
+++ b/packages/lycheeslip/lycheeslip/policy/__init__.py
@@ -1,6 +1,6 @@
 """Scheduling decisions as pure functions; nothing here does I/O or reads a clock."""
 
-from lycheeslip.policy.fits import can_ever_fit
+from lycheeslip.policy.feasibility import can_ever_fit
 from lycheeslip.policy.homes import assign_homes
 from lycheeslip.policy.plan import plan
 
--- a/packages/lycheeslip/lycheeslip/policy/evacuate.py
+++ b/packages/lycheeslip/lycheeslip/policy/evacuate.py
@@ -4,12 +4,12 @@
 
 from lycheeslip.policy.capacity import zone_in_service
 from lycheeslip.policy.model import RunningJob
-from lycheeslip.policy.round import Round
+from lycheeslip.policy.planning_round import PlanningRound
 
 __all__ = ["evacuate"]
 
 
-def evacuate(round_: Round) -> None:
+def evacuate(round_: PlanningRound) -> None:
     """Checkpoint interruptible work that has to go on elsewhere; the rest runs to its end."""
     reason_by_worker = {
         worker_id: reason
@@ -31,7 +31,7 @@
     return ""
 
 
-def _reason(round_: Round, worker_id: str) -> str:
+def _reason(round_: PlanningRound, worker_id: str) -> str:
     state = round_.view.workers_by_id[worker_id]
     if not zone_in_service(round_.view.config, state.info.zone):
         return "zone_out_of_service"
--- a/packages/lycheeslip/lycheeslip/policy/whatif.py
+++ b/packages/lycheeslip/lycheeslip/policy/eviction_trial.py
@@ -6,10 +6,10 @@
 from lycheeslip.policy.occupants import Occupants
 from lycheeslip.policy.placement import Share, choose_shares, pick_member
 
-__all__ = ["WhatIf"]
+__all__ = ["EvictionTrial"]
 
 
-class WhatIf:
+class EvictionTrial:
     """A group of workers on which jobs are supposed to have ended; nothing real changes."""
 
     def __init__(self, group: list[FreeWorker], demand: Demand, occupants: Occupants) -> None:
--- a/packages/lycheeslip/lycheeslip/policy/explain.py
+++ b/packages/lycheeslip/lycheeslip/policy/explain.py
@@ -3,7 +3,7 @@
 from lycheeslip.policy.demand import Demand
 from lycheeslip.policy.model import WaitingJob
 from lycheeslip.policy.placement import fits_now
-from lycheeslip.policy.round import Round
+from lycheeslip.policy.planning_round import PlanningRound
 
 __all__ = ["explain_wait"]
 
@@ -18,7 +18,7 @@
 }
 
 
-def explain_wait(round_: Round, job: WaitingJob, demand: Demand) -> None:
+def explain_wait(round_: PlanningRound, job: WaitingJob, demand: Demand) -> None:
     """Add the reason, found by leaving out one rule after the other."""
     reason = _reason(round_, demand)
     detail = DETAIL_BY_REASON[reason]
@@ -27,12 +27,12 @@
     round_.explain(job.job_id, reason, detail)
 
 
-def _misses_deadline(round_: Round, job: WaitingJob) -> bool:
+def _misses_deadline(round_: PlanningRound, job: WaitingJob) -> bool:
     deadline_ms = job.spec.deadline_at_ms
     return bool(deadline_ms) and round_.view.now_ms + job.expected_run_ms > deadline_ms
 
 
-def _reason(round_: Round, demand: Demand) -> str:
+def _reason(round_: PlanningRound, demand: Demand) -> str:
     key = demand.signature()
     if key not in round_.reason_by_signature:
         if len(round_.reason_by_signature) >= MAX_REASONS_PER_ROUND:
@@ -41,7 +41,7 @@
     return round_.reason_by_signature[key]
 
 
-def _find_reason(round_: Round, demand: Demand) -> str:
+def _find_reason(round_: PlanningRound, demand: Demand) -> str:
     for reason, relaxed in _relaxations(demand):
         if fits_now(round_.capacity, relaxed):
             return reason
--- a/packages/lycheeslip/lycheeslip/policy/plan.py
+++ b/packages/lycheeslip/lycheeslip/policy/plan.py
@@ -6,15 +6,15 @@
 from lycheeslip.policy.demand import Demand, demand_of, is_large
 from lycheeslip.policy.evacuate import evacuate
 from lycheeslip.policy.explain import explain_wait
-from lycheeslip.policy.fits import can_ever_fit
-from lycheeslip.policy.hush import enforce_quiet_hours
+from lycheeslip.policy.feasibility import can_ever_fit
 from lycheeslip.policy.model import Action, FleetView, Hold, WaitingJob
 from lycheeslip.policy.order import Queued, Tier, queue_of
 from lycheeslip.policy.placement import find_placement
+from lycheeslip.policy.planning_round import PlanningRound
 from lycheeslip.policy.quiet import strictest_rule
+from lycheeslip.policy.quiet_limits import enforce_quiet_hours
 from lycheeslip.policy.reclaim import reclaim
 from lycheeslip.policy.reservation import hold_for
-from lycheeslip.policy.round import Round
 
 __all__ = ["plan"]
 
@@ -31,8 +31,8 @@
     return [*round_.actions, *map(Hold, round_.reservations)]
 
 
-def _decide(view: FleetView) -> Round:
-    round_ = Round(view)
+def _decide(view: FleetView) -> PlanningRound:
+    round_ = PlanningRound(view)
     evacuate(round_)
     enforce_quiet_hours(round_)
     queue = queue_of(view, round_.used)
@@ -57,7 +57,7 @@
     return round_
 
 
-def _serve(round_: Round, queued: Queued, barred: frozenset[str]) -> bool:
+def _serve(round_: PlanningRound, queued: Queued, barred: frozenset[str]) -> bool:
     """Place the job, or make room for it, or explain; return whether it will get its place."""
     job = queued.job
     demand = _demand(round_, queued, barred)
@@ -70,7 +70,7 @@
     return False
 
 
-def _place(round_: Round, job: WaitingJob, demand: Demand) -> bool:
+def _place(round_: PlanningRound, job: WaitingJob, demand: Demand) -> bool:
     signature = demand.signature()
     if signature in round_.failed_signatures or round_.placed >= MAX_PLACEMENTS_PER_ROUND:
         return False
@@ -82,7 +82,7 @@
     return True
 
 
-def _serve_oldest_gangs(round_: Round, queue: list[Queued], blocked: set[str]) -> set[str]:
+def _serve_oldest_gangs(round_: PlanningRound, queue: list[Queued], blocked: set[str]) -> set[str]:
     """Place the oldest gangs before their turn, or hold workers for them; return those done."""
     gangs = [queued for queued in queue if is_large(queued.job.spec.shape)]
     gangs.sort(key=lambda queued: (queued.job.waiting_since_ms, queued.job.job_id))
@@ -111,7 +111,7 @@
     return done
 
 
-def _demand(round_: Round, queued: Queued, barred: frozenset[str]) -> Demand:
+def _demand(round_: PlanningRound, queued: Queued, barred: frozenset[str]) -> Demand:
     job = queued.job
     view = round_.view
     demand = demand_of(job, view.now_ms, queued.entitled)._replace(barred_homes=barred)
@@ -122,7 +122,7 @@
     return demand
 
 
-def _nowhere_else(round_: Round, job: WaitingJob) -> bool:
+def _nowhere_else(round_: PlanningRound, job: WaitingJob) -> bool:
     """Return whether only workers where the job failed could hold it."""
     key = job.spec.shape, job.avoid
     if key not in round_.nowhere_else:
@@ -136,7 +136,7 @@
     return round_.nowhere_else[key]
 
 
-def _quiet_zones(round_: Round, demand: Demand) -> tuple[tuple[str, int], ...]:
+def _quiet_zones(round_: PlanningRound, demand: Demand) -> tuple[tuple[str, int], ...]:
     """Return the limits of quiet hours that begin before the job is expected to end."""
     now_ms = round_.view.now_ms
     ends_at_ms = demand.ends_at_ms or now_ms + UNDECLARED_RUN_MS
--- a/packages/lycheeslip/lycheeslip/policy/round.py
+++ b/packages/lycheeslip/lycheeslip/policy/planning_round.py
@@ -19,10 +19,10 @@
 from lycheeslip.policy.occupants import Occupants
 from lycheeslip.policy.order import used_accelerators
 
-__all__ = ["Round"]
+__all__ = ["PlanningRound"]
 
 
-class Round:
+class PlanningRound:
     """What one round of planning knows and has decided so far."""
 
     def __init__(self, view: FleetView) -> None:
--- a/packages/lycheeslip/lycheeslip/policy/hush.py
+++ b/packages/lycheeslip/lycheeslip/policy/quiet_limits.py
@@ -8,13 +8,13 @@
 from lycheeslip.policy.free_worker import Rack, RackKey
 from lycheeslip.policy.model import Act, RunningJob
 from lycheeslip.policy.occupants import lost_work
+from lycheeslip.policy.planning_round import PlanningRound
 from lycheeslip.policy.quiet import QuietRule
-from lycheeslip.policy.round import Round
 
 __all__ = ["enforce_quiet_hours"]
 
 
-def enforce_quiet_hours(round_: Round) -> None:
+def enforce_quiet_hours(round_: PlanningRound) -> None:
     """Checkpoint or throttle what runs over a rack's limit; undo throttling afterwards.
 
     Work that can't be interrupted is only ever throttled.
@@ -26,7 +26,7 @@
     over.act()
 
 
-def _enforce(round_: Round, rack: Rack, rule: QuietRule, throttled: "_Throttled") -> None:
+def _enforce(round_: PlanningRound, rack: Rack, rule: QuietRule, throttled: "_Throttled") -> None:
     jobs = [job for job in _jobs_of(round_, rack.key) if not round_.is_stopping(job)]
     jobs.sort(key=lambda job: lost_work(job, round_.view.now_ms))
     busy = sum(_in_rack(round_, job, rack.key) for job in jobs)
@@ -44,12 +44,12 @@
     return rule.urgent_exempt and job.spec.kind is JobKind.URGENT
 
 
-def _jobs_of(round_: Round, key: RackKey) -> list[RunningJob]:
+def _jobs_of(round_: PlanningRound, key: RackKey) -> list[RunningJob]:
     workers = round_.workers_by_rack.get(key, ())
     return round_.occupants.of_workers(workers)
 
 
-def _in_rack(round_: Round, job: RunningJob, key: RackKey) -> int:
+def _in_rack(round_: PlanningRound, job: RunningJob, key: RackKey) -> int:
     workers = round_.workers_by_rack[key]
     return sum(len(place.accelerators) for place in job.placement if place.worker_id in workers)
 
@@ -57,7 +57,7 @@
 class _Throttled:
     """Which jobs should run slowly, and which do."""
 
-    def __init__(self, round_: Round) -> None:
+    def __init__(self, round_: PlanningRound) -> None:
         self._round = round_
         self._wanted: dict[str, RunningJob] = {}
 
--- a/packages/lycheeslip/lycheeslip/policy/reclaim.py
+++ b/packages/lycheeslip/lycheeslip/policy/reclaim.py
@@ -7,12 +7,12 @@
 from lycheeslip_common.wire.messages import ControlAction
 
 from lycheeslip.policy.demand import Demand
+from lycheeslip.policy.eviction_trial import EvictionTrial
 from lycheeslip.policy.free_worker import FreeWorker, mask_of
 from lycheeslip.policy.model import RunningJob
 from lycheeslip.policy.occupants import KIND_RANK, lost_work
 from lycheeslip.policy.placement import groups
-from lycheeslip.policy.round import Round
-from lycheeslip.policy.whatif import WhatIf
+from lycheeslip.policy.planning_round import PlanningRound
 
 __all__ = ["reclaim"]
 
@@ -28,7 +28,7 @@
     jobs: list[RunningJob]
 
 
-def reclaim(round_: Round, demand: Demand) -> bool:
+def reclaim(round_: PlanningRound, demand: Demand) -> bool:
     """Stop as few borrowers as let the gang fit and keep their place for it.
 
     Return False if no set of borrowers can make room.
@@ -41,7 +41,7 @@
     if victims is None:
         round_.failed_claims.add(signature)
         return False
-    trial = WhatIf(victims.group, demand, round_.occupants)
+    trial = EvictionTrial(victims.group, demand, round_.occupants)
     for job in victims.jobs:
         trial.release(job)
         round_.stop(job, ControlAction.CHECKPOINT, _reason(demand))
@@ -53,7 +53,7 @@
     return "reclaimed_for_guarantee" if demand.entitled else "reclaimed_for_urgent"
 
 
-def _cheapest(round_: Round, demand: Demand) -> _Victims | None:
+def _cheapest(round_: PlanningRound, demand: Demand) -> _Victims | None:
     """Return the cheapest way to make room; only the best few are worked out exactly."""
     found = []
     for group in groups(round_.capacity, demand.shape):
@@ -65,16 +65,18 @@
     return min(exact, key=lambda victims: _cost(round_, victims.jobs), default=None)
 
 
-def _cost(round_: Round, jobs: list[RunningJob]) -> tuple[int, int, int]:
+def _cost(round_: PlanningRound, jobs: list[RunningJob]) -> tuple[int, int, int]:
     stopped = [job for job in jobs if not round_.is_stopping(job)]
     keys = [lost_work(job, round_.view.now_ms) for job in stopped]
     worst_kind = max((kind for kind, _, _ in keys), default=-1)
     return worst_kind, sum(lost for _, lost, _ in keys), len(stopped)
 
 
-def _victims_in(round_: Round, demand: Demand, group: list[FreeWorker]) -> list[RunningJob] | None:
+def _victims_in(
+    round_: PlanningRound, demand: Demand, group: list[FreeWorker]
+) -> list[RunningJob] | None:
     """Return borrowers of the group to stop, those that stop already included."""
-    trial = WhatIf(group, demand, round_.occupants)
+    trial = EvictionTrial(group, demand, round_.occupants)
     chosen: list[RunningJob] = []
     taken: dict[str, int] = {}
     for job in _candidates(round_, demand, group):
@@ -90,7 +92,7 @@
     return chosen if trial.fits() else None
 
 
-def _candidates(round_: Round, demand: Demand, group: list[FreeWorker]) -> list[RunningJob]:
+def _candidates(round_: PlanningRound, demand: Demand, group: list[FreeWorker]) -> list[RunningJob]:
     """Return who might stop, those that hold what the demand needs most before others."""
     now_ms = round_.view.now_ms
     needs_accelerators = demand.shape.accelerators > 0
@@ -111,7 +113,7 @@
 
 
 def _may_stop(
-    round_: Round,
+    round_: PlanningRound,
     demand: Demand,
     group: list[FreeWorker],
     job: RunningJob,
@@ -139,7 +141,7 @@
     )
 
 
-def _pruned(round_: Round, demand: Demand, victims: _Victims) -> _Victims:
+def _pruned(round_: PlanningRound, demand: Demand, victims: _Victims) -> _Victims:
     """Leave out the jobs that needn't be stopped after all, the costliest first."""
     if len(victims.jobs) > MAX_PRUNED:
         return victims
@@ -148,7 +150,7 @@
         if round_.is_stopping(job):
             continue
         fewer = [other for other in kept if other is not job]
-        trial = WhatIf(victims.group, demand, round_.occupants)
+        trial = EvictionTrial(victims.group, demand, round_.occupants)
         for other in fewer:
             trial.release(other)
         if trial.fits():
--- a/packages/lycheeslip/lycheeslip/policy/reservation.py
+++ b/packages/lycheeslip/lycheeslip/policy/reservation.py
@@ -6,11 +6,11 @@
 from lycheeslip_common.wire.messages import ControlAction
 
 from lycheeslip.policy.demand import Demand, may_displace
+from lycheeslip.policy.eviction_trial import EvictionTrial
 from lycheeslip.policy.free_worker import FreeWorker
 from lycheeslip.policy.model import RackReservation, RunningJob, WaitingJob
 from lycheeslip.policy.placement import groups
-from lycheeslip.policy.round import Round
-from lycheeslip.policy.whatif import WhatIf
+from lycheeslip.policy.planning_round import PlanningRound
 
 __all__ = ["hold_for"]
 
@@ -27,7 +27,7 @@
     jobs: list[RunningJob]
 
 
-def hold_for(round_: Round, job: WaitingJob, demand: Demand) -> bool:
+def hold_for(round_: PlanningRound, job: WaitingJob, demand: Demand) -> bool:
     """Hold the workers that drain first for a blocked gang.
 
     Once only work remains there that may be displaced, that work is stopped. Return False
@@ -36,7 +36,7 @@
     drain = _earliest(round_, job, demand)
     if drain is None:
         return False
-    trial = WhatIf(drain.group, demand, round_.occupants)
+    trial = EvictionTrial(drain.group, demand, round_.occupants)
     for occupant in drain.jobs:
         trial.release(occupant)
     shares = trial.shares()
@@ -57,7 +57,7 @@
     return True
 
 
-def _reservation_of(round_: Round, job_id: str) -> RackReservation | None:
+def _reservation_of(round_: PlanningRound, job_id: str) -> RackReservation | None:
     """Return the reservation with which the round began if it is for `job_id`."""
     reservation = round_.view.reservation
     if reservation is not None and reservation.job_id == job_id:
@@ -65,7 +65,7 @@
     return None
 
 
-def _earliest(round_: Round, job: WaitingJob, demand: Demand) -> _Drain | None:
+def _earliest(round_: PlanningRound, job: WaitingJob, demand: Demand) -> _Drain | None:
     best: _Drain | None = None
     best_at_ms = 0
     held = _reservation_of(round_, job.job_id)
@@ -83,9 +83,9 @@
 
 
 def _drain(
-    round_: Round, job: WaitingJob, demand: Demand, group: list[FreeWorker]
+    round_: PlanningRound, job: WaitingJob, demand: Demand, group: list[FreeWorker]
 ) -> _Drain | None:
-    trial = WhatIf(group, demand, round_.occupants)
+    trial = EvictionTrial(group, demand, round_.occupants)
     ends = sorted(
         (_ends_at_ms(round_, job, occupant), occupant.ref.job_id, occupant)
         for occupant in round_.occupants.of(group)
@@ -101,7 +101,7 @@
     return _Drain(at_ms, group, released) if trial.fits() else None
 
 
-def _ends_at_ms(round_: Round, job: WaitingJob, occupant: RunningJob) -> int:
+def _ends_at_ms(round_: PlanningRound, job: WaitingJob, occupant: RunningJob) -> int:
     """Return when the occupant is expected to end; what overstays gets as long again."""
     now_ms = round_.view.now_ms
     if _gives_way(round_, job, occupant):
@@ -112,7 +112,7 @@
     return now_ms + max(1, now_ms - known_until_ms)
 
 
-def _gives_way(round_: Round, job: WaitingJob, occupant: RunningJob) -> bool:
+def _gives_way(round_: PlanningRound, job: WaitingJob, occupant: RunningJob) -> bool:
     """Return whether the occupant may be stopped for a gang that has waited for its worker."""
     if round_.is_stopping(occupant):
         return True
--- a/packages/lycheeslip/tests/policy/fits_tests.py
+++ b/packages/lycheeslip/tests/policy/feasibility_tests.py
@@ -1,5 +1,5 @@
 import pytest
-from lycheeslip.policy.fits import can_ever_fit
+from lycheeslip.policy.feasibility import can_ever_fit
 
 from .builders import Zone, config, fleet, spec
 
--- a/packages/lycheeslip_agent/lycheeslip_agent/blackboard.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/blackboard.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import secrets
-from typing import TYPE_CHECKING
 
 from lycheeslip_common.config import AgentSettings
 from lycheeslip_common.structure.fleet import EntryInfo, WorkerInfo, WorkerState
@@ -10,14 +9,12 @@
 from lycheeslip_common.utils.metrics import Metrics
 from lycheeslip_common.wire.messages import GangPhase
 
+from lycheeslip_agent.active_run import ActiveRun
 from lycheeslip_agent.gang import Anchor
 from lycheeslip_agent.grants import GrantTable, MemberKey
 from lycheeslip_agent.outbox import Outbox
 from lycheeslip_agent.permit import ZonePermit
 
-if TYPE_CHECKING:
-    from lycheeslip_agent.runner import MemberRun
-
 __all__ = ["Blackboard"]
 
 INCARNATION_BYTES = 8
@@ -34,7 +31,7 @@
         self.grants = GrantTable(self.incarnation)
         self.permit = ZonePermit()
         self.outbox = Outbox()
-        self.runs_by_key: dict[MemberKey, MemberRun] = {}
+        self.runs_by_key: dict[MemberKey, ActiveRun] = {}
         self.anchors_by_key: dict[MemberKey, Anchor] = {}
         self.entries_by_id: dict[str, EntryInfo] = {}
         self.address = settings.address
--- a/packages/lycheeslip_standins/lycheeslip_standins/store_admin.py
+++ b/packages/lycheeslip_standins/lycheeslip_standins/store_admin.py
@@ -1,22 +1,35 @@
 """Admin calls of the stand-in store: faults, counters and direct reads for checkers."""
 
 import base64
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from aiohttp import web
 from pydantic import TypeAdapter, ValidationError
 
 from lycheeslip_standins.store_faults import CallCounts, StoreFaults
-
-if TYPE_CHECKING:
-    from lycheeslip_standins.platform_store import PlatformStore
+from lycheeslip_standins.store_state import StoreState
 
 __all__ = ["add_admin_routes"]
 
 _faults_adapter = TypeAdapter(StoreFaults)
 
 
-def add_admin_routes(application: web.Application, store: "PlatformStore") -> None:
+class AdministeredStore(Protocol):
+    """What the admin calls read and change."""
+
+    state: StoreState
+    faults: StoreFaults
+    counts: CallCounts
+    open_watches: int
+
+    def set_faults(self, faults: StoreFaults) -> None:
+        """Put `faults` in force."""
+
+    def notify_watches(self) -> None:
+        """Let waiting watches look for changes."""
+
+
+def add_admin_routes(application: web.Application, store: AdministeredStore) -> None:
     """Serve the admin calls of `store`; no fault reaches them."""
 
     async def set_faults(request: web.Request) -> web.Response:
