Let a claim give way to a cheaper way

Change: the claimed way competes with the cheapest; only if neither is affordable is it held. Test: test_a_claim_gives_way_to_a_cheaper_way, which fails before.

--- a/packages/lycheeslip/lycheeslip/dispatch/reclaim.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/reclaim.py
@@ -33,12 +33,15 @@
     lost already, and runs that were to end by themselves may only be late.
     """
     claimed = _eviction(unit, [room for room in usable if room.node in unit.claimed], stopped)
-    best = claimed or _cheapest_eviction(unit, usable, stopped)
+    options = [claimed, _cheapest_eviction(unit, usable, stopped)]
+    best = min(filter(None, options), key=lambda option: option.loss, default=None)
     if best is None:
         return
     is_affordable = unit.is_guaranteed or best.loss <= unit.work * unit.loss_share
-    if not is_affordable and claimed is None:
-        return
+    if not is_affordable:
+        if claimed is None:
+            return
+        best = claimed
     for room in best.rooms:
         room.take(unit.demand)
     plan.claims[unit.key] = frozenset(room.node for room in best.rooms)
--- a/packages/lycheeslip/tests/dispatch/placement_tests.py
+++ b/packages/lycheeslip/tests/dispatch/placement_tests.py
@@ -255,3 +255,16 @@
     urgent = unit("urgent", accelerators=8, priority=0, claimed=frozenset({"n1"}))
     plan = plan_round([urgent], rooms)
     assert plan.claims == {urgent.key: frozenset({"n2"})}
+
+
+def test_a_claim_gives_way_to_a_cheaper_way():
+    """A run on the claimed worker that was to end by itself is late; another is cheaper now."""
+    late = occupant("late", 8, 1, 900.0, remaining_ms=300)
+    rooms = [
+        room("n1", free=0, occupants=[late]),
+        room("n2", free=0, occupants=[occupant("cheap", 8, 2, 5.0)]),
+    ]
+    urgent = unit(accelerators=8, priority=0, is_guaranteed=True, claimed=frozenset({"n1"}))
+    plan = plan_round([urgent], rooms)
+    assert [stop.occupant.task for stop in plan.stops] == ["cheap"]
+    assert plan.claims[urgent.key] == {"n2"}
