Let agents move on to a newer leader at once; start urgent work 0.1 s after an election

Ruled out: the election (2.26 s after the store was lost, as designed), the store's answers, room.

Change: answers to heartbeats say that the leader's lease is in doubt; agents then look for a newer leader in the store every 0.3 s. The pause after an election is 0.1 s.

The new test fails without the agents' part.

--- a/packages/lycheeslip/lycheeslip/dispatch/dispatcher.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/dispatcher.py
@@ -23,7 +23,7 @@
 
 TICK_S = 0.25  # schedules may start 0.25 s early or late, and lost workers show by time alone
 COALESCE_S = 0.005  # one round for jobs and reports that arrive together
-GATHER_S = 0.4  # after an election agents link up within this; a fuller view places better
+GATHER_S = 0.1  # after an election: a first burst of agents; urgent units place well enough on it
 SETTLE_MS = 600  # after an election no view of the fleet is held to be whole before this
 QUIET_LINKS_MS = 250  # and none while workers came up this lately: they link up in a burst
 GATHER_LIMIT_MS = 1_500  # past this the view counts as whole whatever comes; objectives are short
--- a/packages/lycheeslip/lycheeslip/dispatch/links.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/links.py
@@ -29,6 +29,9 @@
 __all__ = ["LeaderLink", "LinkServer", "pending_jobs"]
 
 
+DOUBTED_RENEWALS = 1.8  # since the last one that succeeded: one has failed or is late
+
+
 def pending_jobs(board: Board, queue: str) -> int:
     """Return how many accepted jobs of `queue` have not started a task."""
     return sum(
@@ -114,7 +117,11 @@
         if view is not None and view.link is link:
             view.heard_at_ms = steady_ms()
         version = board.config.version if board.config else 0
-        link.post(HeartbeatReply(sent_ms, term.epoch, True, version, board.config_age_ms))
+        unrenewed_ms = board.times.leader_lease_ms - (term.valid_until_ms - steady_ms())
+        is_confirmed = unrenewed_ms < DOUBTED_RENEWALS * board.times.leader_renew_ms
+        link.post(
+            HeartbeatReply(sent_ms, term.epoch, True, version, board.config_age_ms, is_confirmed)
+        )
 
     def _relay_config(self, link: Link, known_version: int) -> None:
         """Send the configuration to an entry that the store may have turned away."""
--- a/packages/lycheeslip_agent/lycheeslip_agent/dispatch/leader_link.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/dispatch/leader_link.py
@@ -25,6 +25,7 @@
 
 RETRY_FIRST_S = 0.1
 RETRY_LIMIT_S = 0.6
+SUCCESSOR_LOOKUP_S = 0.3  # while the leader's lease is in doubt; such reads are not rate-limited
 REPORT_PAUSE_S = 0.01  # changes that come together share a report
 
 
@@ -44,6 +45,7 @@
         self._seeds = list(seeds)
         self._find_leader = find_leader
         self._hint = ""
+        self._is_in_doubt = False
 
     async def run(self) -> None:
         """Link up again whenever the link ends."""
@@ -102,6 +104,7 @@
         speaking = [
             asyncio.create_task(self._beat(link)),
             asyncio.create_task(self._report(link)),
+            asyncio.create_task(self._watch_for_successor(link)),
         ]
         try:
             while self._take(await link.receive(board.times.silence_ms / 1_000)):
@@ -114,9 +117,10 @@
         """Handle a message; returns whether the peer still leads."""
         board = self._board
         match message:
-            case HeartbeatReply(sent_ms, epoch, is_leader):
+            case HeartbeatReply(sent_ms, epoch, is_leader, is_confirmed=is_confirmed):
                 if not is_leader or epoch < board.epoch:
                     return False
+                self._is_in_doubt = not is_confirmed
                 lease_until_ms = sent_ms + board.times.run_lease_ms
                 board.lease_until_ms = max(board.lease_until_ms, lease_until_ms)
             case StartOrder() | StopOrder():
@@ -139,6 +143,18 @@
             link.post(Heartbeat(steady_ms(), self._board.epoch))
             await asyncio.sleep(self._board.times.heartbeat_ms / 1_000)
 
+    async def _watch_for_successor(self, link: Link) -> None:
+        """Move on to a newer leader while the present one can't tell whether it still leads."""
+        self._is_in_doubt = False
+        while True:
+            await asyncio.sleep(SUCCESSOR_LOOKUP_S)
+            found = await self._find_leader() if self._is_in_doubt else None
+            if found is not None and found[1] > self._board.epoch:
+                log_event("leader_succeeded", address=found[0], epoch=found[1])
+                self._hint = found[0]
+                link.abort()
+                return
+
     async def _report(self, link: Link) -> None:
         """Send a first report once the worker's lists are known, then one for each change."""
         board = self._board
--- a/packages/lycheeslip_common/lycheeslip_common/utils/events.py
+++ b/packages/lycheeslip_common/lycheeslip_common/utils/events.py
@@ -86,6 +86,7 @@
     Event("leader_lost", "both", "address dependency reason", "The link to the leader ended."),
     Event("leader_renewal_failed", "leader", "epoch reason", "The store did not renew the lease."),
     Event("leader_stepped_down", "leader", "epoch reason", "This entry no longer leads."),
+    Event("leader_succeeded", "agent", "address epoch", "Another leads; the agent moves on to it."),
     Event("leader_unreachable", "entry", "address reason", "The leader could not be dialled."),
     Event("operator_history_lost", "entry", "revision", "The store forgot operators' changes."),
     Event(
--- a/packages/lycheeslip_common/lycheeslip_common/workload/fleet.py
+++ b/packages/lycheeslip_common/lycheeslip_common/workload/fleet.py
@@ -115,7 +115,8 @@
 class HeartbeatReply(NamedTuple):
     """Extends the lease that the heartbeat of `sent_ms` asked for, if `is_leader`.
 
-    Says how long ago the store confirmed to the leader that `config_version` is the newest.
+    Says how long ago the store confirmed to the leader that `config_version` is the newest. While
+    the leader's own lease is in doubt (not `is_confirmed`), another may have been elected.
     """
 
     sent_ms: int
@@ -123,6 +124,7 @@
     is_leader: bool
     config_version: int = 0
     config_age_ms: int = 0
+    is_confirmed: bool = True
 
 
 class ConfigRelay(NamedTuple):
--- a/tests/dispatch/lifecycle_tests.py
+++ b/tests/dispatch/lifecycle_tests.py
@@ -243,3 +243,17 @@
     await cell.submit(1, ONE, work_ms=60_000)
     await cell.until(lambda: cell.running() == 1)
     await stays(lambda: cell.running() == 1, 2.5 * TIMES.run_lease_ms / 1_000)
+
+
+async def test_agents_move_on_to_the_successor_of_a_leader_without_the_store(cell: Cell):
+    """The old leader would hold them for as long as it extends leases that it can't renew."""
+    old = cell.leader()
+    assert old is not None
+    epoch = old.board.leader_epoch
+    old.board.times = TIMES._replace(leader_overhang_ms=60_000)
+    old.store.client.base = "http://127.0.0.1:9"
+    other = next(entry for entry in cell.entries if entry is not old)
+    await cell.until(lambda: other.board.is_loaded)
+    await cell.until(lambda: all(agent.agent.board.epoch > epoch for agent in cell.agents))
+    path = await cell.submit(1, ONE, entry=cell.entries.index(other))
+    await cell.until_state(path, "completed", cell.entries.index(other))
