Prefer workers that have not lost a life lately

Change: a worker whose last life ended within 10 s counts one failure more when rooms are ranked; it is not left out for that. Test: in occupancy_tests.py.

--- a/packages/lycheeslip/lycheeslip/dispatch/board.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/board.py
@@ -38,7 +38,10 @@
 
 @dataclass(slots=True)
 class WorkerView:
-    """What the leader believes about one node's worker."""
+    """What the leader believes about one node's worker.
+
+    `lost_life_at_ms` is when a life of the worker was last seen to be over, 0 if none was.
+    """
 
     node: str
     report: WorkerReport
@@ -47,6 +50,7 @@
     failures: int = 0
     blamed_at_ms: int = 0
     avoided_until_ms: int = 0
+    lost_life_at_ms: int = 0
 
     @property
     def lifetime(self) -> Lifetime | None:
--- a/packages/lycheeslip/lycheeslip/dispatch/dispatcher.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/dispatcher.py
@@ -121,6 +121,8 @@
             log_event(
                 "worker_known", node=node, lifetime=report.lifetime, running=len(report.running)
             )
+        if view.lifetime is not None and view.lifetime != report.lifetime:
+            view.lost_life_at_ms = steady_ms()
         view.report, view.link, view.heard_at_ms = report, link, steady_ms()
         self._ends.end_older_lifetimes(node, report)
         for run in report.running:
--- a/packages/lycheeslip/lycheeslip/dispatch/occupancy.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/occupancy.py
@@ -19,6 +19,7 @@
 MAX_COUNTED_FAILURES = 3
 QUARANTINE_FAILURES = 2  # in a row; sound runs fail one time in fifty, a failing worker's most
 QUARANTINE_MS = 6_000  # a failing worker is tried again after this; such troubles last 5 to 7 s
+UNSTEADY_MS = 10_000  # a worker that crashed this lately counts as failing; some go down by turns
 MAX_OVERRUN = 1.5  # times its estimate that a run may take before the estimate is not believed
 
 
@@ -44,17 +45,19 @@
 def _without_failing(board: Board, rooms: list[Room]) -> list[Room]:
     """Leave out workers that lately failed what they started, unless most workers did."""
     now = steady_ms()
+    views = {room.node: board.workers[room.node] for room in rooms}
     sound = [
         room
         for room in rooms
-        if room.failures < QUARANTINE_FAILURES
-        or now - board.workers[room.node].blamed_at_ms > QUARANTINE_MS
+        if views[room.node].failures < QUARANTINE_FAILURES
+        or now - views[room.node].blamed_at_ms > QUARANTINE_MS
     ]
     return sound if 2 * len(sound) >= len(rooms) else rooms
 
 
 def _room_of(view: WorkerView, lifetime: Lifetime) -> Room:
     report = view.report
+    is_unsteady = view.lost_life_at_ms and steady_ms() - view.lost_life_at_ms < UNSTEADY_MS
     total = Demand(report.cpu_milli, report.memory_mb, report.accelerators)
     return Room(
         view.node,
@@ -65,7 +68,7 @@
         frozenset(report.labels),
         total,
         *total,
-        failures=min(view.failures, MAX_COUNTED_FAILURES),
+        failures=min(view.failures + bool(is_unsteady), MAX_COUNTED_FAILURES),
     )
 
 
--- a/packages/lycheeslip/tests/dispatch/occupancy_tests.py
+++ b/packages/lycheeslip/tests/dispatch/occupancy_tests.py
@@ -4,7 +4,7 @@
 
 import pytest
 from lycheeslip.dispatch.board import Board, StepAdvice, StoredJob, Ticket, WorkerView
-from lycheeslip.dispatch.occupancy import QUARANTINE_FAILURES, build_rooms
+from lycheeslip.dispatch.occupancy import QUARANTINE_FAILURES, UNSTEADY_MS, build_rooms
 from lycheeslip.dispatch.waiting import MAX_IDLE_WAIT_MS, MAX_WAIT_MS, build_units
 from lycheeslip_common.utils.clock import steady_ms, wall_ms
 from lycheeslip_common.workload.fleet import Lifetime, RunningRun, WorkerReport
@@ -107,3 +107,11 @@
     assert advice.ticketed == {lifetime("n1")}
     assert advice.approved == {lifetime("n0"), lifetime("n1")}
     assert advice.denied == {lifetime("n9")}
+
+
+def test_a_worker_that_lost_a_life_lately_is_the_last_choice():
+    board = board_with(2)
+    board.workers["n0"].lost_life_at_ms = steady_ms()
+    assert [room.failures for room in build_rooms(board)] == [1, 0]
+    board.workers["n0"].lost_life_at_ms -= UNSTEADY_MS
+    assert [room.failures for room in build_rooms(board)] == [0, 0]
