Spread no gang over racks on a partial view; give links up after 2 s

Change: while the view is not whole, an urgent unit with patience left waits for a place near its data or on one rack. Links are given up after 2 s of silence, the life of the leader's lease.

Tests: two in placement_tests.py, which fail before.

--- a/packages/lycheeslip/lycheeslip/dispatch/packing.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/packing.py
@@ -4,7 +4,14 @@
 
 from lycheeslip.dispatch.rooms import Room, Unit
 
-__all__ = ["choose_rooms", "could_hold", "free_accelerators", "groups_for", "pack"]
+__all__ = [
+    "choose_rooms",
+    "could_hold",
+    "free_accelerators",
+    "groups_for",
+    "is_remote",
+    "pack",
+]
 
 
 def choose_rooms(unit: Unit, rooms: Sequence[Room]) -> list[Room] | None:
@@ -46,6 +53,13 @@
     return pack(unit, emptied) is not None
 
 
+def is_remote(unit: Unit, chosen: Sequence[Room]) -> bool:
+    """Return whether `unit` would run slowly in these rooms: off its data, or on several racks."""
+    racks = {room.rack for room in chosen}
+    is_off_data = bool(unit.data_rack) and racks != {unit.data_rack}
+    return is_off_data or (unit.same_rack and len(racks) > 1)
+
+
 def _rank(unit: Unit, room: Room) -> tuple[int, int, bool, bool, int, str]:
     """Prefer the data's rack and sound workers, keep the reserve, then take the tightest fit.
 
--- a/packages/lycheeslip/lycheeslip/dispatch/placement.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/placement.py
@@ -13,6 +13,7 @@
     could_hold,
     free_accelerators,
     groups_for,
+    is_remote,
     pack,
 )
 from lycheeslip.dispatch.reclaim import reclaim
@@ -31,7 +32,8 @@
 
     `reserve` accelerators of each service are kept for urgent units and for what can be stopped
     at little loss, as long as other units can wait. While workers are still linking up
-    (not `is_view_whole`) only urgent units start, and nothing is stopped for one with patience.
+    (not `is_view_whole`) only urgent units start; as long as one has patience, nothing is stopped
+    for it, and it waits for a place near its data or on one rack.
     """
     plan = Plan()
     _mark_reserved(rooms, reserve)
@@ -41,6 +43,8 @@
             break
         usable = _usable(unit, rooms)
         chosen = choose_rooms(unit, with_ticket(unit, usable))
+        if chosen is not None and not is_view_whole and unit.patience_ms:
+            chosen = None if is_remote(unit, chosen) else chosen
         if chosen is not None:
             for room in chosen:
                 room.add(unit)
--- a/packages/lycheeslip/tests/dispatch/placement_tests.py
+++ b/packages/lycheeslip/tests/dispatch/placement_tests.py
@@ -268,3 +268,22 @@
     plan = plan_round([urgent], rooms)
     assert [stop.occupant.task for stop in plan.stops] == ["cheap"]
     assert plan.claims[urgent.key] == {"n2"}
+
+
+def test_a_gang_of_one_rack_is_not_spread_while_other_racks_may_yet_come_up():
+    gang = unit(members=2, accelerators=8, priority=0, same_rack=True, patience_ms=900)
+
+    def placed(asking, *more: Room) -> list[str]:
+        rooms = [room("n1", "r1"), room("n2", "r2"), *more]
+        plan = plan_round([asking], rooms, is_view_whole=False)
+        return nodes(plan) if plan.starts else []
+
+    assert placed(gang) == []
+    assert placed(gang, room("n3", "r1")) == ["n1", "n3"]
+    assert placed(gang._replace(patience_ms=0)) == ["n1", "n2"]
+
+
+def test_an_urgent_unit_waits_for_the_rack_of_its_data_to_come_up():
+    far = unit(priority=0, data_rack="r2", patience_ms=900)
+    assert plan_round([far], [room("n1", "r1")], is_view_whole=False).starts == []
+    assert len(plan_round([far], [room("n1", "r1")]).starts) == 1
--- a/packages/lycheeslip_common/lycheeslip_common/workload/times.py
+++ b/packages/lycheeslip_common/lycheeslip_common/workload/times.py
@@ -26,8 +26,9 @@
     heartbeat_ms: int = 1_000
     """Time between an agent's heartbeats to the leader."""
 
-    silence_ms: int = 2_500
-    """Silence after which a link is given up: two heartbeats and a slow answer."""
+    silence_ms: int = 2_000
+    """Silence after which a link is given up: two heartbeats, and the life of the leader's lease,
+    so that agents look for a successor when there can be one."""
 
     lost_margin_ms: int = 500
     """Added to a run lease before a silent worker's runs count as over: stop time and jitter."""
