Tell the leader of stored jobs and cancellations ahead of its watch

Ruled out: the acceptances (answered within 25 ms), the leader (it led throughout), room.

Change: the entry that has stored a record passes it to the leader over its link; the watch stays as what makes good for lost messages. Test: a store with deaf watches; it fails before.

--- a/packages/lycheeslip/lycheeslip/dispatch/entry.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/entry.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+from lycheeslip_common.store.outcomes import KeyValue
 from lycheeslip_common.store.port import KeyValueStore
 from lycheeslip_common.utils.logs import log_event
 from lycheeslip_common.utils.supervise import supervise
@@ -39,13 +40,13 @@
         self._advisor = Advisor(board, advice)
         self._dispatcher = Dispatcher(board, self._recorder, self._advisor)
         self._loader = Loader(board, store, self._recorder)
-        self._links = LinkServer(board, self._dispatcher)
+        self._links = LinkServer(board, self._dispatcher, self._loader.take)
         self._operator = OperatorSync(board, store, operator_keys)
         self._leader_link = LeaderLink(board, self._operator.note)
         self._election = Election(
             board, store, self._begin_term, self._end_term, self._leader_link.follow
         )
-        self.intake = Intake(board, store, self._operator, self._leader_link)
+        self.intake = Intake(board, store, self._operator, self._leader_link, self._note_stored)
         self._term_tasks: list[asyncio.Task[None]] = []
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -103,6 +104,13 @@
         self._term_tasks = []
         self._links.drop_all()
 
+    def _note_stored(self, item: KeyValue) -> None:
+        """Bring a record that this entry has stored to the leader ahead of the leader's watch."""
+        if self.board.is_loaded:
+            self._loader.take(item)
+        else:
+            self._leader_link.tell_stored(item)
+
     def _note_recorded(self, job_ids: list[str]) -> None:
         self._dispatcher.note_recorded(job_ids)
 
--- a/packages/lycheeslip/lycheeslip/dispatch/intake.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/intake.py
@@ -1,7 +1,7 @@
 """Accepts, cancels and looks up jobs for callers; every outcome says what may have happened."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 from typing import Any, TypeVar
 
@@ -44,6 +44,8 @@
 RETRY_AFTER_S = 1  # told to callers; a leader's or a store connection's recovery takes about this
 ANSWER_MARGIN_MS = 300  # kept of the caller's deadline for the way back
 
+CANCELLED = b"1"  # the value of a cancellation, whose key says all
+
 Result = TypeVar("Result")
 
 
@@ -132,9 +134,15 @@
     """Serves callers at one entry, whichever entry leads."""
 
     def __init__(
-        self, board: Board, store: KeyValueStore, operator: OperatorSync, leader: LeaderLink
+        self,
+        board: Board,
+        store: KeyValueStore,
+        operator: OperatorSync,
+        leader: LeaderLink,
+        note_stored: Callable[[KeyValue], None],
     ) -> None:
-        """Store jobs in `store`; ask `leader` before the store for states."""
+        """Store jobs in `store`, then pass them to `note_stored`; ask `leader` first for states."""
+        self._note_stored = note_stored
         self._board = board
         self._store = store
         self._operator = operator
@@ -167,6 +175,7 @@
             )
             match outcome:
                 case Written():
+                    self._note_stored(KeyValue(spec_key(draft.job_id), value, 0))
                     return Accepted()
                 case ConditionFailed(items):
                     if self._is_stored(draft.job_id, items):
@@ -220,10 +229,11 @@
             outcome = await self._within(
                 call,
                 self._store.transact(
-                    [Compare(cancel_key(job_id), 0)], [Put(cancel_key(job_id), b"1")]
+                    [Compare(cancel_key(job_id), 0)], [Put(cancel_key(job_id), CANCELLED)]
                 ),
             )
             if isinstance(outcome, Written | ConditionFailed):
+                self._note_stored(KeyValue(cancel_key(job_id), CANCELLED, 0))
                 return Accepted()
             if isinstance(outcome, Unreachable) and not outcome.may_have_run:
                 return NotRun("store_unavailable")
--- a/packages/lycheeslip/lycheeslip/dispatch/links.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/links.py
@@ -17,6 +17,7 @@
     OrderResult,
     QueueQuery,
     QueueReply,
+    RecordStored,
     Redirect,
     WorkerReport,
 )
@@ -43,8 +44,11 @@
 class LinkServer:
     """Serves agents and entries while this entry leads; names the leader to them otherwise."""
 
-    def __init__(self, board: Board, dispatcher: Dispatcher) -> None:
-        """Pass reports to `dispatcher`."""
+    def __init__(
+        self, board: Board, dispatcher: Dispatcher, take_stored: Callable[[KeyValue], None]
+    ) -> None:
+        """Pass reports to `dispatcher`, and what other entries have stored to `take_stored`."""
+        self._take_stored = take_stored
         self._board = board
         self._dispatcher = dispatcher
         self._links: set[Link] = set()
@@ -90,6 +94,8 @@
                 self._dispatcher.take_report(link.node, link, message)
             case OrderResult():
                 self._dispatcher.take_order_result(link.node, message)
+            case RecordStored(key, value):
+                self._take_stored(KeyValue(key, value, 0))
             case JobQuery(number, job_id):
                 job = self._board.jobs.get(job_id)
                 link.post(JobReply(number, job.recorded_state.value if job else ""))
@@ -192,6 +198,11 @@
             link.post(Heartbeat(steady_ms(), self._board.leader_epoch, version))
             await asyncio.sleep(self._board.times.heartbeat_ms / 1_000)
 
+    def tell_stored(self, item: KeyValue) -> None:
+        """Tell the leader of a record ahead of its watch; a lost message costs only time."""
+        if self._link is not None:
+            self._link.post(RecordStored(item.key, item.value))
+
     async def job_state(self, job_id: str, timeout_s: float) -> str:
         """Return the job's state as the leader has recorded it, or "" if it doesn't say."""
         self._number += 1
--- a/packages/lycheeslip/lycheeslip/dispatch/loader.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/loader.py
@@ -74,7 +74,7 @@
                 case ChangedKeys(events, revision):
                     for event in events:
                         if not event.deleted:
-                            self._take(KeyValue(event.key, event.value, event.mod_revision))
+                            self.take(KeyValue(event.key, event.value, event.mod_revision))
                     self._revision = max(self._revision, revision)
                     backoff.reset()
                 case HistoryLost():
@@ -91,10 +91,11 @@
             await asyncio.sleep(RETRY_FIRST_S)
             return
         for item in sorted(jobs.items, key=lambda item: item.key, reverse=True):
-            self._take(item)  # specifications sort behind cancellations, so they come first
+            self.take(item)  # specifications sort behind cancellations, so they come first
         self._revision = max(self._revision, jobs.revision)
 
-    def _take(self, item: KeyValue) -> None:
+    def take(self, item: KeyValue) -> None:
+        """Take in a specification or a cancellation, from the store or from who has stored it."""
         if item.key.startswith(SPEC_PREFIX):
             self._take_spec(item, {})
         elif item.key.startswith(CANCEL_PREFIX):
--- a/packages/lycheeslip_common/lycheeslip_common/workload/fleet.py
+++ b/packages/lycheeslip_common/lycheeslip_common/workload/fleet.py
@@ -25,6 +25,7 @@
     "OrderResult",
     "QueueQuery",
     "QueueReply",
+    "RecordStored",
     "RecordedEnds",
     "Redirect",
     "RunTraits",
@@ -135,6 +136,13 @@
     revision: int
 
 
+class RecordStored(NamedTuple):
+    """Tells the leader of a job or a cancellation that the sender has stored just now."""
+
+    key: str
+    value: bytes
+
+
 class StartOrder(NamedTuple):
     """Orders one run, which is already recorded; `ticket` is empty where no advice is needed."""
 
@@ -232,6 +240,7 @@
     | StopOrder
     | OrderResult
     | RecordedEnds
+    | RecordStored
     | ConfigRelay
     | Redirect
     | Farewell
--- a/packages/lycheeslip_standins/lycheeslip_standins/platform/store.py
+++ b/packages/lycheeslip_standins/lycheeslip_standins/platform/store.py
@@ -28,6 +28,7 @@
     status: int = 0
     lost_answers: int = 0
     delay_s: float = 0.0
+    deaf_watches: bool = False
     refused_sources: set[str] = field(default_factory=set)
 
 
@@ -181,6 +182,9 @@
                 if event["revision"] > after and event["key"].startswith(prefix)
             ]
             left_s = until - time.monotonic()
+            if self.faults.deaf_watches:
+                await asyncio.sleep(max(0.0, left_s))
+                return _json({"events": [], "as_of": after})
             if events or left_s <= 0:
                 return _json({"events": events, "as_of": self.revision})
             changed = self._changed
--- a/tests/dispatch/lifecycle_tests.py
+++ b/tests/dispatch/lifecycle_tests.py
@@ -257,3 +257,13 @@
     await cell.until(lambda: all(agent.agent.board.epoch > epoch for agent in cell.agents))
     path = await cell.submit(1, ONE, entry=cell.entries.index(other))
     await cell.until_state(path, "completed", cell.entries.index(other))
+
+
+async def test_jobs_and_cancellations_reach_the_leader_without_its_watch(cell: Cell):
+    """A watch may hear nothing for seconds; what an entry has stored it tells the leader itself."""
+    cell.store.faults.deaf_watches = True
+    for entry in range(2):
+        path = await cell.submit(entry, ONE, work_ms=60_000, entry=entry)
+        await cell.until(lambda: cell.running() == 1)
+        assert (await cell.call("DELETE", path, entry=entry))[0] == 200
+        await cell.until(lambda: cell.running() == 0)
