--- a/packages/lycheeslip/lycheeslip/dispatch/intake.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/intake.py
@@ -2,15 +2,14 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
-from dataclasses import dataclass
 from typing import Any, TypeVar
 
 from lycheeslip_common.store import Compare, Put
 from lycheeslip_common.store.outcomes import KeyValue, Unreachable, Written
 from lycheeslip_common.store.port import ConditionFailed, KeyValueStore, LeaseEnded
-from lycheeslip_common.utils.clock import steady_ms, wall_ms
+from lycheeslip_common.utils.clock import wall_ms
 from lycheeslip_common.utils.logs import log_event
-from lycheeslip_common.workload.jobs import JobSpec, StepSpec
+from lycheeslip_common.workload.jobs import JobSpec
 from lycheeslip_common.workload.operator import OperatorConfig, Queue
 from lycheeslip_common.workload.progress import (
     JobState,
@@ -20,116 +19,33 @@
 )
 
 from lycheeslip.dispatch.board import Board
+from lycheeslip.dispatch.calls import (
+    Accepted,
+    Call,
+    Draft,
+    Forbidden,
+    Missing,
+    NotRun,
+    Outcome,
+    Shown,
+    Undecided,
+    Waiting,
+)
 from lycheeslip.dispatch.keys import cancel_key, runs_key, spec_key
 from lycheeslip.dispatch.links import LeaderLink, pending_jobs
 from lycheeslip.dispatch.operator_sync import OperatorSync
 
-__all__ = [
-    "Accepted",
-    "Call",
-    "Draft",
-    "Forbidden",
-    "Intake",
-    "Missing",
-    "NotRun",
-    "Outcome",
-    "Shown",
-    "Undecided",
-    "Waiting",
-]
+__all__ = ["Intake"]
 
 LEADER_ANSWER_S = 0.3  # the leader is at most a few ms away; past that the store is asked
 CONFIRM_S = 0.6  # the store answers in 4 ms; a slow one takes up to 60 times as long
 RETRY_PAUSE_S = 0.1
-RETRY_AFTER_S = 1  # told to callers; a leader's or a store connection's recovery takes about this
-ANSWER_MARGIN_MS = 300  # kept of the caller's deadline for the way back
 
 CANCELLED = b"1"  # the value of a cancellation, whose key says all
 
 Result = TypeVar("Result")
 
 
-@dataclass(frozen=True, slots=True)
-class Accepted:
-    """The job, or its cancellation, is in the store."""
-
-
-@dataclass(frozen=True, slots=True)
-class NotRun:
-    """Nothing was stored and nothing will be; the caller may come back after `retry_after_s`."""
-
-    reason: str
-    retry_after_s: int = RETRY_AFTER_S
-
-
-@dataclass(frozen=True, slots=True)
-class Undecided:
-    """The call may have been stored; repeating it with the same id settles that."""
-
-    reason: str
-
-
-@dataclass(frozen=True, slots=True)
-class Forbidden:
-    """The key is not one of any client account."""
-
-    reason: str = "unknown_key"
-
-
-@dataclass(frozen=True, slots=True)
-class Missing:
-    """There is no such queue, or (`is_job`) no such job."""
-
-    is_job: bool
-
-
-@dataclass(frozen=True, slots=True)
-class Shown:
-    """The state of a job."""
-
-    state: str
-
-
-@dataclass(frozen=True, slots=True)
-class Waiting:
-    """How many jobs of a queue have not started."""
-
-    pending: int
-
-
-Outcome = Accepted | NotRun | Undecided | Forbidden | Missing | Shown | Waiting
-
-
-class Call:
-    """Where a call goes and with which key; `deadline_ms` is on the steady clock."""
-
-    __slots__ = ("deadline_ms", "host", "key", "path")
-
-    def __init__(self, host: str, path: str, key: str, deadline_ms: int) -> None:
-        """Take the call's target as it was received."""
-        self.host = host
-        self.path = path
-        self.key = key
-        self.deadline_ms = deadline_ms
-
-    @property
-    def remaining_s(self) -> float:
-        """Time left in seconds, less what the way back takes."""
-        return (self.deadline_ms - ANSWER_MARGIN_MS - steady_ms()) / 1_000
-
-
-@dataclass(frozen=True, slots=True)
-class Draft:
-    """A job as submitted, before it has a queue and an account."""
-
-    job_id: str
-    payload: str
-    steps: tuple[StepSpec, ...]
-    first_due_ms: int
-    interval_ms: int
-    occurrences: int
-
-
 class Intake:
     """Serves callers at one entry, whichever entry leads."""
 
