--- a/packages/lycheeslip/lycheeslip/dispatch/placement.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/placement.py
@@ -42,24 +42,30 @@
         if not is_view_whole and unit.priority != URGENT_PRIORITY:
             break
         usable = _usable(unit, rooms)
+        may_wait_for_view = not is_view_whole and unit.patience_ms > 0
         chosen = choose_rooms(unit, with_ticket(unit, usable))
-        if chosen is not None and not is_view_whole and unit.patience_ms:
-            chosen = None if is_remote(unit, chosen) else chosen
-        if chosen is not None:
-            for room in chosen:
-                room.add(unit)
-            plan.starts.append((unit, chosen))
+        if chosen is None or (may_wait_for_view and is_remote(unit, chosen)):
+            _make_room(unit, usable, plan, stopped, may_wait_for_view)
             continue
-        plan.blocked.append(unit)
-        plan.advice_requests += advice_request(unit, usable)
-        usable = approved(unit, usable)
-        if unit.priority == URGENT_PRIORITY and (is_view_whole or not unit.patience_ms):
-            reclaim(unit, usable, plan, stopped)
-        elif unit.is_gang:
-            _hold_back(unit, usable)
+        for room in chosen:
+            room.add(unit)
+        plan.starts.append((unit, chosen))
     return plan
 
 
+def _make_room(
+    unit: Unit, usable: list[Room], plan: Plan, stopped: set[VictimKey], may_wait_for_view: bool
+) -> None:
+    """Do what lets a blocked unit start later: ask for advice, stop others, or hold room back."""
+    plan.blocked.append(unit)
+    plan.advice_requests += advice_request(unit, usable)
+    worthwhile = approved(unit, usable)
+    if unit.priority == URGENT_PRIORITY and not may_wait_for_view:
+        reclaim(unit, worthwhile, plan, stopped)
+    elif unit.is_gang:
+        _hold_back(unit, worthwhile)
+
+
 def _order(unit: Unit) -> tuple[int, int, int, str]:
     return (unit.priority, not unit.is_guaranteed, unit.waiting_since_ms, unit.job_id)
 
--- a/packages/lycheeslip_agent/lycheeslip_agent/dispatch/orders.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/dispatch/orders.py
@@ -64,14 +64,7 @@
                     await self._give_up(order, refusal, was_unanswered)
                     return
                 outcome = await self._worker.start(
-                    order.lifetime,
-                    order.task,
-                    order.run,
-                    order.payload,
-                    board.lease_on_worker_clock(),
-                    max(order.epoch, board.epoch),
-                    order.checkpoint,
-                    order.ticket,
+                    order, board.lease_on_worker_clock(), max(order.epoch, board.epoch)
                 )
                 match outcome:
                     case Taken():
--- a/packages/lycheeslip_agent/lycheeslip_agent/dispatch/worker_port.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/dispatch/worker_port.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from typing import NamedTuple, Protocol
 
-from lycheeslip_common.workload.fleet import EndedRun, Lifetime, RunningRun
+from lycheeslip_common.workload.fleet import EndedRun, Lifetime, RunningRun, StartOrder
 
 __all__ = [
     "Announced",
@@ -85,18 +85,8 @@
     ) -> Held | Rejected | OtherLifetime | NoWorker | NoAnswer:
         """Extend the lease to `until_ms` (0: leave it) and return both lists."""
 
-    async def start(
-        self,
-        lifetime: Lifetime,
-        task: str,
-        run: int,
-        payload: str,
-        until_ms: int,
-        epoch: int,
-        checkpoint: str,
-        ticket: str,
-    ) -> OrderOutcome:
-        """Start a run; Taken also if it is there already."""
+    async def start(self, order: StartOrder, until_ms: int, epoch: int) -> OrderOutcome:
+        """Start the run of `order` under a lease to `until_ms`; Taken also if it is there."""
 
     async def stop(self, lifetime: Lifetime, task: str, run: int, epoch: int) -> OrderOutcome:
         """Stop a run, also one that is not there yet."""
--- a/tests/platform_adapter/heartbeat_worker_tests.py
+++ b/tests/platform_adapter/heartbeat_worker_tests.py
@@ -7,7 +7,7 @@
 import msgspec
 import pytest
 from lycheeslip_agent.dispatch.worker_port import NoAnswer, NoWorker, OtherLifetime, Rejected, Taken
-from lycheeslip_common.workload.fleet import EndCause
+from lycheeslip_common.workload.fleet import EndCause, StartOrder
 from lycheeslip_platform import heartbeat_worker
 from lycheeslip_platform.heartbeat_worker import HOPELESS_DELIVERIES, HeartbeatWorker
 from lycheeslip_platform.worker import announced_in
@@ -56,9 +56,8 @@
         return asyncio.create_task(call)
 
     def start(self, run: int = 1, ticket: str = "") -> asyncio.Task[Any]:
-        return self.order(
-            self.port.start(self.lifetime(), TASK, run, "x", 60_000, 7, "saved", ticket)
-        )
+        order = StartOrder(7, self.lifetime(), TASK, run, "x", "saved", ticket)
+        return self.order(self.port.start(order, 60_000, 7))
 
 
 @pytest.fixture
