Succeed a leader that the store turns away before its lease ends

All needed was known after two failed renewals: the leader can write nothing, and other entries are served.

Change: after two failed renewals (0.25 s apart) the leader tells all links that its lease is in doubt. An entry that reads the leader's key within 0.4 s takes it over on condition of the old term, which fences the old leader's writes. A successor counts silent workers from the latest possible end of the old lease, 2 s later than after an election. With the store away for all nobody can take over.

Tests: three in lifecycle_tests.py; the first waits for a lease of 60 s without the change.

--- a/packages/lycheeslip/lycheeslip/dispatch/board.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/board.py
@@ -29,11 +29,15 @@
 
 @dataclass(slots=True)
 class Leadership:
-    """The entry's term as leader; `revision` of the leader's key is also the epoch."""
+    """The entry's term as leader; the revision of the leader's key is its epoch.
+
+    `predecessor_until_ms` is when the lease of the leader before is certainly over.
+    """
 
     epoch: int
     lease_id: int
     valid_until_ms: int
+    predecessor_until_ms: int
 
 
 @dataclass(slots=True)
--- a/packages/lycheeslip/lycheeslip/dispatch/ends.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/ends.py
@@ -26,13 +26,11 @@
         self._stops = stops
         self._ends: dict[Lifetime, dict[int, str]] = {}
         self._acknowledged: dict[Lifetime, int] = {}
-        self._led_since_ms = 0
 
     def begin_term(self) -> None:
-        """Forget ends of an earlier term; silence counts from now on."""
+        """Forget ends of an earlier term."""
         self._ends.clear()
         self._acknowledged.clear()
-        self._led_since_ms = steady_ms()
 
     def acknowledge_again(self, lifetime: Lifetime | None) -> None:
         """Repeat acknowledgements to a newly linked agent, which may have missed them."""
@@ -48,7 +46,10 @@
         """End the runs of workers whose leases have certainly lapsed."""
         times = self._board.times
         lease_ms = times.run_lease_ms * (1 + CLOCK_DRIFT) + times.lost_margin_ms
-        unheard_ms = self._led_since_ms + times.leader_overhang_ms
+        term = self._board.leadership
+        if term is None:
+            return
+        unheard_ms = term.predecessor_until_ms + times.leader_overhang_ms
         for job_id, job in self._board.jobs.items():
             for key, task in list(job.progress.placed()):
                 view = self._board.workers.get(task.node)
--- a/packages/lycheeslip/lycheeslip/dispatch/entry.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/entry.py
@@ -42,9 +42,14 @@
         self._loader = Loader(board, store, self._recorder)
         self._links = LinkServer(board, self._dispatcher, self._loader.take)
         self._operator = OperatorSync(board, store, operator_keys)
-        self._leader_link = LeaderLink(board, self._operator.note)
+        self._leader_link = LeaderLink(board, self._operator.note, self._note_doubt)
         self._election = Election(
-            board, store, self._begin_term, self._end_term, self._leader_link.follow
+            board,
+            store,
+            self._begin_term,
+            self._end_term,
+            self._leader_link.follow,
+            self._links.tell_doubt,
         )
         self.intake = Intake(board, store, self._operator, self._leader_link, self._note_stored)
         self._term_tasks: list[asyncio.Task[None]] = []
@@ -114,6 +119,9 @@
     def _note_recorded(self, job_ids: list[str]) -> None:
         self._dispatcher.note_recorded(job_ids)
 
+    def _note_doubt(self) -> None:
+        self._election.note_doubt()
+
     def _note_deposed(self) -> None:
         self._election.deposed()
 
--- a/packages/lycheeslip/lycheeslip/dispatch/leadership.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/leadership.py
@@ -5,7 +5,8 @@
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
 
 import cbor2
 from lycheeslip_common.store import Compare, Put
@@ -21,6 +22,10 @@
 
 RETRY_S = 0.25  # a killed leader's lease ends within 2 s; eight tries in that time
 RELEASE_TIMEOUT_S = 0.5
+DOUBT_FAILURES = 2  # renewals in a row that fail before others are told; one may fail by chance
+DOUBT_READ_S = (
+    0.4  # the store of a successor answers in 4 ms; one that is away must not be waited for
+)
 
 
 def leader_in(value: bytes) -> tuple[str, str] | None:
@@ -41,9 +46,15 @@
         store: KeyValueStore,
         lead: Callable[[], Awaitable[bool]],
         step_down: Callable[[], None],
-        follow: Callable[[str], Awaitable[None]],
+        follow: Callable[[str], Coroutine[Any, Any, None]],
+        tell_doubt: Callable[[], None],
     ) -> None:
-        """`lead` loads what a leader needs; `follow` returns when the link to a leader ends."""
+        """`lead` loads what a leader needs; `follow` returns when the link to a leader ends.
+
+        `tell_doubt` tells the others that this leader can't renew its lease.
+        """
+        self._tell_doubt = tell_doubt
+        self._doubted = asyncio.Event()
         self._board = board
         self._store = store
         self._lead = lead
@@ -80,24 +91,70 @@
         if named is None or named[1] == self._board.address:
             return  # a term of an earlier process at this address, which will lapse
         self._board.leader_address, self._board.leader_epoch = named[1], item.mod_revision
-        await self._follow(named[1])
+        if await self._follow_or_succeed(named[1], item.mod_revision):
+            await self._serve_term()
+
+    async def _follow_or_succeed(self, address: str, epoch: int) -> bool:
+        """Follow a leader until its link ends or it is succeeded; returns whether by this entry."""
+        self._doubted.clear()
+        tasks = {
+            asyncio.create_task(self._follow(address)),
+            asyncio.create_task(self._succeed_when_doubted(epoch)),
+        }
+        try:
+            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+        return self._board.leadership is not None
+
+    def note_doubt(self) -> None:
+        """Take in that the leader which this entry follows can't renew its lease."""
+        self._doubted.set()
+
+    async def _succeed_when_doubted(self, epoch: int) -> None:
+        """Return once the leader of term `epoch` has been succeeded, by this entry or another.
+
+        An entry that the store serves while it turns the leader away need not wait for the
+        lease to end: the leader's writes are conditional on its term.
+        """
+        while True:
+            await self._doubted.wait()
+            self._doubted.clear()
+            result = await self._store.read(LEADER_KEY, DOUBT_READ_S)
+            if isinstance(result, Unreachable) or self._board.is_leaving:
+                continue
+            is_same = any(item.mod_revision == epoch for item in result.items)
+            if not is_same or await self._acquire(epoch, self._board.times.leader_lease_ms):
+                return
 
     async def _run_for_leader(self) -> None:
+        if await self._acquire(0, 0):
+            await self._serve_term()
+
+    async def _acquire(self, expected_revision: int, predecessor_left_ms: int) -> bool:
+        """Write the leader's key if it still is of `expected_revision` (0: there is none)."""
         asked_at = steady_ms()
         lease = await self._store.grant(self._board.times.leader_lease_ms)
         if not isinstance(lease, LeaseGranted):
-            return
+            return False
         value = cbor2.dumps([self._board.node, self._board.address])
         outcome = await self._store.transact(
-            [Compare(LEADER_KEY, 0)], [Put(LEADER_KEY, value, lease.lease_id)]
+            [Compare(LEADER_KEY, expected_revision)], [Put(LEADER_KEY, value, lease.lease_id)]
         )
         if not isinstance(outcome, Written):
             await self._store.revoke(lease.lease_id)
-            return
-        epoch = outcome.revision
-        self._board.leadership = Leadership(epoch, lease.lease_id, asked_at + lease.ttl_ms)
+            return False
+        epoch, now = outcome.revision, steady_ms()
+        self._board.leadership = Leadership(
+            epoch, lease.lease_id, asked_at + lease.ttl_ms, now + predecessor_left_ms
+        )
         self._board.leader_address, self._board.leader_epoch = self._board.address, epoch
-        log_event("leader_elected", epoch=epoch, node=self._board.node)
+        log_event("leader_elected", epoch=epoch, node=self._board.node, succeeded=expected_revision)
+        return True
+
+    async def _serve_term(self) -> None:
         renewing = asyncio.create_task(self._keep())
         try:
             await self._begin()
@@ -112,8 +169,10 @@
             await asyncio.sleep(RETRY_S)
 
     async def _keep(self) -> None:
+        failures = 0
         while (term := self._board.leadership) is not None:
-            await asyncio.sleep(self._board.times.leader_renew_ms / 1_000)
+            renew_s = self._board.times.leader_renew_ms / 1_000
+            await asyncio.sleep(min(RETRY_S, renew_s) if failures else renew_s)
             asked_at = steady_ms()
             outcome = await self._store.renew(term.lease_id)
             if self._board.leadership is not term:
@@ -121,12 +180,19 @@
             match outcome:
                 case LeaseGranted(_, ttl_ms):
                     term.valid_until_ms = asked_at + ttl_ms
+                    failures = 0
                 case LeaseEnded():
                     self._end_term("lease_ended")
                 case Unreachable(_, detail):
-                    log_warning("leader_renewal_failed", epoch=term.epoch, reason=detail)
-                    if steady_ms() > term.valid_until_ms + self._board.times.leader_overhang_ms:
-                        self._end_term("unconfirmed")
+                    failures += 1
+                    self._note_failure(term, failures, detail)
+
+    def _note_failure(self, term: Leadership, failures: int, detail: str) -> None:
+        log_warning("leader_renewal_failed", epoch=term.epoch, reason=detail, failures=failures)
+        if failures >= DOUBT_FAILURES:
+            self._tell_doubt()
+        if steady_ms() > term.valid_until_ms + self._board.times.leader_overhang_ms:
+            self._end_term("unconfirmed")
 
     def _end_term(self, reason: str) -> None:
         term = self._board.leadership
--- a/packages/lycheeslip/lycheeslip/dispatch/links.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/links.py
@@ -72,6 +72,13 @@
             self._links.discard(link)
             self._forget(link)
 
+    def tell_doubt(self) -> None:
+        """Tell everybody that this leader's lease is in doubt, ahead of their heartbeats."""
+        term = self._board.leadership
+        if term is not None:
+            for link in self._links:
+                link.post(HeartbeatReply(0, term.epoch, True, is_confirmed=False))
+
     def drop_all(self) -> None:
         """End all links: this entry no longer leads."""
         for link in list(self._links):
@@ -139,8 +146,17 @@
 class LeaderLink:
     """The entry's link to the leader, by which it asks about jobs and queues."""
 
-    def __init__(self, board: Board, note_config: Callable[[KeyValue], None]) -> None:
-        """Start without a link; configurations that the leader relays go to `note_config`."""
+    def __init__(
+        self,
+        board: Board,
+        note_config: Callable[[KeyValue], None],
+        note_doubt: Callable[[], None],
+    ) -> None:
+        """Start without a link; configurations that the leader relays go to `note_config`.
+
+        `note_doubt` is called when the leader says that its lease is in doubt.
+        """
+        self._note_doubt = note_doubt
         self._board = board
         self._note_config = note_config
         self._link: Link | None = None
@@ -173,8 +189,10 @@
 
     def _take(self, message: object) -> bool:
         match message:
-            case HeartbeatReply(sent_ms, _, is_leader, version, age_ms):
+            case HeartbeatReply(sent_ms, _, is_leader, version, age_ms, is_confirmed):
                 self._confirm_config(version, sent_ms - age_ms)
+                if not is_confirmed:
+                    self._note_doubt()
                 return is_leader
             case ConfigRelay(key, value, revision):
                 self._note_config(KeyValue(key, value, revision))
--- a/tests/dispatch/lifecycle_tests.py
+++ b/tests/dispatch/lifecycle_tests.py
@@ -267,3 +267,59 @@
         await cell.until(lambda: cell.running() == 1)
         assert (await cell.call("DELETE", path, entry=entry))[0] == 200
         await cell.until(lambda: cell.running() == 0)
+
+
+async def elected_with_a_long_lease(cell: Cell):
+    """Have a leader elected whose lease would outlast the test."""
+    for entry in cell.entries:
+        entry.board.times = TIMES._replace(leader_lease_ms=60_000, leader_overhang_ms=60_000)
+    first = cell.leader()
+    assert first is not None
+    first.entry._note_deposed()
+    cell.store.delete("lycheeslip/leader")
+    await cell.until(lambda: cell.leader() is not None and cell.known_workers())
+    leader = cell.leader()
+    assert leader is not None
+    epoch = leader.board.leader_epoch
+    await cell.until(lambda: all(entry.board.leader_epoch == epoch for entry in cell.entries))
+    return leader
+
+
+async def test_a_leader_that_the_store_turns_away_is_succeeded_before_its_lease_ends(cell: Cell):
+    old = await elected_with_a_long_lease(cell)
+    other = next(entry for entry in cell.entries if entry is not old)
+    number = cell.entries.index(other)
+    before = await cell.submit(1, ONE, work_ms=1_500, entry=number)
+    await cell.until(lambda: cell.running() == 1)
+    old.store.client.base = "http://127.0.0.1:9"
+    await cell.until(lambda: other.board.is_loaded)
+    await cell.until(
+        lambda: all(agent.agent.board.epoch == other.board.leader_epoch for agent in cell.agents)
+    )
+    after = await cell.submit(2, ONE, entry=number)
+    await cell.until_state(after, "completed", number)
+    await cell.until_state(before, "completed", number)
+    assert list(cell.starts().values()) == [[1], [1]]
+
+
+async def test_a_leader_is_not_succeeded_while_the_store_is_away_for_all(cell: Cell):
+    await elected_with_a_long_lease(cell)
+    cell.store.faults.status = 503
+    await asyncio.sleep(2.0)
+    cell.store.faults.status = 0
+    await cell.until(lambda: all(entry.board.is_ready for entry in cell.entries))
+    assert len([entry for entry in cell.entries if entry.board.leadership]) == 1
+    path = await cell.submit(1, ONE)
+    await cell.until_state(path, "completed")
+    assert cell.starts() == {f"{1:016x}.0.0.0": [1]}
+
+
+async def test_one_renewal_that_fails_costs_no_leader_its_term(cell: Cell):
+    old = await elected_with_a_long_lease(cell)
+    epoch = old.board.leader_epoch
+    base, old.store.client.base = old.store.client.base, "http://127.0.0.1:9"
+    await asyncio.sleep(1.2 * TIMES.leader_renew_ms / 1_000)
+    old.store.client.base = base
+    await asyncio.sleep(1.0)
+    assert old.board.leadership is not None
+    assert old.board.leader_epoch == epoch
