Let a fault while following a leader reach the log

The wait for the end of a link or a succession dropped what either had raised; the supervisor logs it again. Found by reading.

--- a/packages/lycheeslip/lycheeslip/dispatch/leadership.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/leadership.py
@@ -101,11 +101,13 @@
             asyncio.create_task(self._succeed_when_doubted(epoch)),
         }
         try:
-            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+            done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
         finally:
             for task in tasks:
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
+        for task in done:
+            task.result()  # a fault of either goes to the supervisor, which logs it
         return self._board.leadership is not None
 
     def note_doubt(self) -> None:
