Hold room back for an urgent gang that can stop nobody

Only gangs of lower priorities held room back. Ruled out: the rack (two of its workers sufficed), failures, the agents.

Change: an urgent gang for which no room is being made holds the emptiest place back like others. Test: in placement_tests.py, fails before.

--- a/packages/lycheeslip/lycheeslip/dispatch/placement.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/placement.py
@@ -60,9 +60,9 @@
     plan.blocked.append(unit)
     plan.advice_requests += advice_request(unit, usable)
     worthwhile = approved(unit, usable)
-    if unit.priority == URGENT_PRIORITY and not may_wait_for_view:
-        reclaim(unit, worthwhile, plan, stopped)
-    elif unit.is_gang:
+    may_reclaim = unit.priority == URGENT_PRIORITY and not may_wait_for_view
+    is_making_room = may_reclaim and reclaim(unit, worthwhile, plan, stopped)
+    if unit.is_gang and not is_making_room:
         _hold_back(unit, worthwhile)
 
 
--- a/packages/lycheeslip/lycheeslip/dispatch/reclaim.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/reclaim.py
@@ -25,22 +25,23 @@
     victims: list[Victim]
 
 
-def reclaim(unit: Unit, usable: Sequence[Room], plan: Plan, stopped: set[VictimKey]) -> None:
+def reclaim(unit: Unit, usable: Sequence[Room], plan: Plan, stopped: set[VictimKey]) -> bool:
     """Stop the units whose stop loses least, so that `unit` fits; hold that room back for it.
 
     What the victims occupy stays occupied until their ends are listed. Room that an earlier round
     has begun to make is held even if the rest has become too dear: what was stopped for it is
-    lost already, and runs that were to end by themselves may only be late.
+    lost already, and runs that were to end by themselves may only be late. Returns whether room
+    is being made.
     """
     claimed = _eviction(unit, [room for room in usable if room.node in unit.claimed], stopped)
     options = [claimed, _cheapest_eviction(unit, usable, stopped)]
     best = min(filter(None, options), key=lambda option: option.loss, default=None)
     if best is None:
-        return
+        return False
     is_affordable = unit.is_guaranteed or best.loss <= unit.work * unit.loss_share
     if not is_affordable:
         if claimed is None:
-            return
+            return False
         best = claimed
     for room in best.rooms:
         room.take(unit.demand)
@@ -50,6 +51,7 @@
         for room, occupant in victim.runs:
             if is_affordable and not _frees_itself(unit, occupant):
                 plan.stops.append(Preemption(room, occupant, unit))
+    return True
 
 
 def _cheapest_eviction(
--- a/packages/lycheeslip/tests/dispatch/placement_tests.py
+++ b/packages/lycheeslip/tests/dispatch/placement_tests.py
@@ -287,3 +287,11 @@
     far = unit(priority=0, data_rack="r2", patience_ms=900)
     assert plan_round([far], [room("n1", "r1")], is_view_whole=False).starts == []
     assert len(plan_round([far], [room("n1", "r1")]).starts) == 1
+
+
+def test_an_urgent_gang_that_can_stop_nobody_is_not_starved_by_later_urgent_tasks():
+    """Tasks of the same priority take each worker as it becomes free, a gang needs two at once."""
+    rooms = [room("n1", free=8), room("n2", free=0, occupants=[occupant("peer", 8, 0)])]
+    gang = unit("gang", members=2, accelerators=8, priority=0, waiting_since_ms=1)
+    later = unit("later", accelerators=8, priority=0, waiting_since_ms=2)
+    assert plan_round([gang, later], rooms).starts == []
