--- a/tests/agent_processes_tests.py
+++ b/tests/agent_processes_tests.py
@@ -38,6 +38,8 @@
 KEY = "a fleet key for tests only"
 LEASE_MS = 3_000
 GANG_LEASE_MS = 800
+ADOPTED_RUN_MS = 5_000  # an agent takes 1 s to start, over 1.5 s on a busy machine
+ADOPTION_LEASE_MS = 20_000
 PERMIT_MS = 3_000
 WAIT_S = 8
 TOLERANCE_MS = 400
@@ -48,6 +50,7 @@
 
     def __init__(self):
         self.in_service = True
+        self.lease_ms = LEASE_MS
         self.permit_ms = PERMIT_MS
         self.records = True
         self.states: dict[str, WorkerState] = {}
@@ -91,7 +94,7 @@
     def directive(self):
         self._version += 1
         homes = ("",) * 8
-        return Directive(1, self._version, self.in_service, homes, LEASE_MS, GANG_LEASE_MS)
+        return Directive(1, self._version, self.in_service, homes, self.lease_ms, GANG_LEASE_MS)
 
     async def until(self, condition, timeout_s=WAIT_S):
         async with asyncio.timeout(timeout_s):
@@ -294,9 +297,10 @@
 
 
 async def test_a_restarted_agent_adopts_what_runs(cell):
+    cell.entry.lease_ms = ADOPTION_LEASE_MS
     await cell.add_workers("w1")
     ref = AttemptRef("j1", 1, 1)
-    await cell.entry.run(["w1"], ref, payload(1_500))
+    await cell.entry.run(["w1"], ref, payload(ADOPTED_RUN_MS))
     await cell.entry.ran(ref)
     first = cell.entry.states["w1"].incarnation
     await cell.kill("w1")
@@ -304,7 +308,10 @@
     await cell.entry.until(lambda: cell.entry.states["w1"].incarnation != first)
     assert [grant.job_id for grant in cell.entry.states["w1"].grants] == ["j1"]
     report = await cell.entry.outcome(ref)
-    assert (report.state, report.answer) == (ReportState.ANSWERED, expected_answer(payload(1_500)))
+    assert (report.state, report.answer) == (
+        ReportState.ANSWERED,
+        expected_answer(payload(ADOPTED_RUN_MS)),
+    )
     assert await cell.kinds("w1") == ["prepared", "started", "finished"]
 
 
