--- a/packages/lycheeslip/lycheeslip/dispatch/waiting.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/waiting.py
@@ -4,8 +4,9 @@
 from collections.abc import Mapping
 
 from lycheeslip_common.utils.clock import steady_ms, wall_ms
-from lycheeslip_common.workload.jobs import JobSpec, StepSpec, demand_of
-from lycheeslip_common.workload.progress import JobProgress, TaskKey, waiting_units
+from lycheeslip_common.workload.jobs import StepSpec, demand_of
+from lycheeslip_common.workload.operator import Queue
+from lycheeslip_common.workload.progress import TaskKey, waiting_units
 
 from lycheeslip.dispatch.board import Board, StepAdvice, StoredJob
 from lycheeslip.dispatch.rooms import Advice, Room, StepKey, Unit, UnitKey
@@ -37,7 +38,9 @@
     for job_id, job in board.jobs.items():
         for step, members in waiting_units(job.progress):
             units.append(_unit(board, job_id, job, step, members, guaranteed, use_by_service))
-    return [unit._replace(claimed=claims.get(unit.key, frozenset())) for unit in units]
+    return [
+        unit._replace(claimed=claims[unit.key]) if unit.key in claims else unit for unit in units
+    ]
 
 
 def reserve_of(board: Board) -> int:
@@ -46,17 +49,16 @@
     return max((account.guaranteed for account in accounts), default=0)
 
 
-def _slack_ms(board: Board, spec: JobSpec, step: StepSpec) -> float:
+def _slack_ms(queue: Queue | None, step: StepSpec) -> float:
     """Return how late a unit may start and still meet its latency objective."""
-    queue = board.config.queue_named(spec.queue) if board.config else None
     if queue is None or step.long_running:
         return 0.0
     return (queue.stretch - 1) * step.estimate_ms + queue.objective_ms
 
 
-def _may_wait(board: Board, spec: JobSpec, step: StepSpec, since_ms: int, use: float) -> bool:
+def _may_wait(queue: Queue | None, step: StepSpec, since_ms: int, use: float) -> bool:
     """Return whether a unit that waits since `since_ms` may wait on for a better place."""
-    limit_ms = _slack_ms(board, spec, step) * SLACK_SHARE
+    limit_ms = _slack_ms(queue, step) * SLACK_SHARE
     if use < IDLE:
         limit_ms = min(limit_ms, MAX_IDLE_WAIT_MS)
     elif use < CROWDED:
@@ -74,9 +76,8 @@
     return {service: 1 - free[service] / max(1, total[service]) for service in total}
 
 
-def _advice(board: Board, spec: JobSpec, step: StepKey) -> Advice | None:
+def _advice(board: Board, queue: Queue | None, step: StepKey) -> Advice | None:
     """Return what the advice service has said of a step, None if its queue needs none."""
-    queue = board.config.queue_named(spec.queue) if board.config else None
     if queue is None or queue.advice is None:
         return None
     known = board.advice.get(step, StepAdvice())
@@ -97,7 +98,8 @@
     spec = job.progress.spec
     occurrence, step_number, _ = members[0]
     counter = job.progress.tasks[members[0]]
-    service = _service_of(board, job.progress)
+    queue = board.config.queue_named(spec.queue) if board.config else None
+    service = queue.service if queue else spec.service  # a removed queue keeps its last one
     since_ms = max(spec.accepted_at_ms, spec.due_at_ms(occurrence))
     waited_ms = wall_ms() - since_ms if spec.occurrences else steady_ms() - job.known_at_ms
     patience_ms = max(0, board.times.reclaim_wait_ms - waited_ms)
@@ -122,12 +124,6 @@
         is_costly_to_stop=is_costly_to_stop(spec, step),
         patience_ms=patience_ms,
         loss_share=EARLY_LOSS_SHARE if patience_ms else LATE_LOSS_SHARE,
-        may_wait=_may_wait(board, spec, step, since_ms, use_by_service.get(service, 0.0)),
-        advice=_advice(board, spec, (job_id, occurrence, step_number)),
+        may_wait=_may_wait(queue, step, since_ms, use_by_service.get(service, 0.0)),
+        advice=_advice(board, queue, (job_id, occurrence, step_number)),
     )
-
-
-def _service_of(board: Board, job: JobProgress) -> str:
-    """Return the service that runs the job's queue now; a removed queue keeps its last one."""
-    queue = board.config.queue_named(job.spec.queue) if board.config else None
-    return queue.service if queue else job.spec.service
