Log the pause asked of callers and preemptions that were declined

The logs could not tell whether a blocked urgent unit had nothing to stop, or was not allowed to stop what there was, nor what a refused caller was told. call_answered now has retry_after_s, and preemption_declined gives the cost and the limit, once for each unit and limit. No decision changes.

--- a/packages/lycheeslip/lycheeslip/dispatch/dispatcher.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/dispatcher.py
@@ -14,6 +14,7 @@
 from lycheeslip.dispatch.ends import RunEndProcessor
 from lycheeslip.dispatch.occupancy import build_worker_capacities
 from lycheeslip.dispatch.placement import plan_round
+from lycheeslip.dispatch.placement_model import DeclinedPreemption, UnitKey
 from lycheeslip.dispatch.recorder import Recorder
 from lycheeslip.dispatch.starts import RunStarter
 from lycheeslip.dispatch.stops import RunStopper
@@ -49,6 +50,7 @@
         self._checkpoints_written_ms = 0
         self._term_started_ms = 0
         self._last_worker_added_ms = 0
+        self._logged_declined: set[tuple[UnitKey, int]] = set()
 
     def begin_term(self) -> None:
         """Reset the state of an earlier term."""
@@ -100,9 +102,28 @@
                 self._run_stopper.preempt(preemption)
             self._claims.replace(plan.claims)
             self._advisor.replace_requests(plan.advice_requests)
+            self._log_declined(plan.declined)
             self._log_if_slow(steady_ms() - began, len(workers), len(units), len(plan.blocked))
         self._board.counters.observe_ms("planning_round", steady_ms() - began)
 
+    def _log_declined(self, declined: list[DeclinedPreemption]) -> None:
+        """Log each declined preemption once for each limit."""
+        logged, self._logged_declined = self._logged_declined, set()
+        for unit, cost, max_cost in declined:
+            key = (unit.key, round(max_cost))
+            self._logged_declined.add(key)
+            if key in logged:
+                continue
+            log_event(
+                "preemption_declined",
+                job=unit.job_id,
+                unit=f"{unit.occurrence}.{unit.step}",
+                cost_core_s=round(cost),
+                max_cost_core_s=round(max_cost),
+                waited_ms=wall_ms() - unit.waiting_since_ms,
+                slack_ms=round(unit.slack_ms),
+            )
+
     def _log_if_slow(self, took_ms: int, workers: int, units: int, blocked: int) -> None:
         """Log a round that held up the event loop, and with it all links of this entry."""
         if took_ms >= SLOW_ROUND_MS:
--- a/packages/lycheeslip/lycheeslip/dispatch/placement_model.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/placement_model.py
@@ -12,6 +12,7 @@
     "NO_DEMAND",
     "Advice",
     "AdviceRequest",
+    "DeclinedPreemption",
     "PlacedRun",
     "Plan",
     "Preemption",
@@ -212,6 +213,14 @@
     unit: Unit
 
 
+class DeclinedPreemption(NamedTuple):
+    """A blocked unit whose least costly preemption exceeds its limit, both in core-seconds."""
+
+    unit: Unit
+    cost: float
+    max_cost: float
+
+
 @dataclass(slots=True)
 class Plan:
     """Decisions of a round: starts as (unit, worker of each member), stops and advice requests.
@@ -222,5 +231,6 @@
     starts: list[tuple[Unit, list[WorkerCapacity]]] = field(default_factory=list)
     stops: list[Preemption] = field(default_factory=list)
     blocked: list[Unit] = field(default_factory=list)
+    declined: list[DeclinedPreemption] = field(default_factory=list)
     claims: dict[UnitKey, frozenset[str]] = field(default_factory=dict)
     advice_requests: list[AdviceRequest] = field(default_factory=list)
--- a/packages/lycheeslip/lycheeslip/dispatch/reclaim.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/reclaim.py
@@ -8,6 +8,7 @@
 from lycheeslip.dispatch.packing import candidate_groups, pack
 from lycheeslip.dispatch.placement_model import (
     NO_DEMAND,
+    DeclinedPreemption,
     PlacedRun,
     Plan,
     Preemption,
@@ -55,8 +56,10 @@
     best = min(filter(None, options), key=lambda option: option.cost, default=None)
     if best is None:
         return False
-    is_affordable = unit.is_guaranteed or best.cost <= unit.work * unit.max_loss_ratio
+    max_cost = unit.work * unit.max_loss_ratio
+    is_affordable = unit.is_guaranteed or best.cost <= max_cost
     if not is_affordable:
+        plan.declined.append(DeclinedPreemption(unit, best.cost, max_cost))
         if claimed_eviction is None:
             return False
         best = claimed_eviction
--- a/packages/lycheeslip_common/lycheeslip_common/utils/events.py
+++ b/packages/lycheeslip_common/lycheeslip_common/utils/events.py
@@ -35,8 +35,9 @@
     Event(
         "call_answered",
         "entry",
-        "job method outcome path reason status took_ms",
-        "A request and its outcome; `NotRun` means that nothing ran or will run.",
+        "job method outcome path reason retry_after_s status took_ms",
+        "A request and its outcome; `NotRun` means that nothing ran or will run. `retry_after_s` is"
+        " the pause that the caller is asked for (0: none).",
     ),
     Event("call_unreadable", "entry", "path reason", "A request body is invalid; nothing ran."),
     Event(
@@ -174,6 +175,12 @@
         "blocked took_ms units workers",
         "A planning round took 50 ms or more. `blocked` of `units` waiting units fit nowhere.",
     ),
+    Event(
+        "preemption_declined",
+        "leader",
+        "cost_core_s job max_cost_core_s slack_ms unit waited_ms",
+        "Runs could be stopped for a blocked urgent unit, but their stop costs more than allowed.",
+    ),
     Event("process_starting", "both", "node python role", "The first line of a process."),
     Event("record_unreadable", "entry", "job reason", "A job's record could not be decoded."),
     Event(
