Place units in the order of their latest start

Cause: units of one priority were ordered by age, so slack, which the planner knows, didn't count. Change: units are ordered by the time by which they have to start. A unit that is past it gives way to those that can still be in time, until three times its objective; past that its age counts again, so nothing starves.

The first test failed before ('bbbb...', the older job, was started); the second is of the new field.

--- a/packages/lycheeslip/lycheeslip/dispatch/placement.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/placement.py
@@ -1,7 +1,8 @@
 """Decides which waiting units start where, and which runs are preempted: pure functions.
 
-A unit is a whole gang or a single task. Units are placed in order of priority and age. Capacity is
-claimed for an urgent unit while runs are being stopped for it, and reserved for a blocked gang.
+A unit is a whole gang or a single task. Units are placed in order of priority and latest
+start. Capacity is claimed for an urgent unit while runs are being stopped for it, and reserved for
+a blocked gang.
 """
 
 from collections import Counter
@@ -83,8 +84,14 @@
         _reserve_for_gang(unit, eligible)
 
 
-def _priority_key(unit: Unit) -> tuple[int, int, int, str]:
-    return (unit.priority, not unit.is_guaranteed, unit.waiting_since_ms, unit.job_id)
+def _priority_key(unit: Unit) -> tuple[int, bool, float, int, str]:
+    return (
+        unit.priority,
+        not unit.is_guaranteed,
+        unit.latest_start_ms,
+        unit.waiting_since_ms,
+        unit.job_id,
+    )
 
 
 def _usable_workers(unit: Unit, workers: Sequence[WorkerCapacity]) -> list[WorkerCapacity]:
--- a/packages/lycheeslip/lycheeslip/dispatch/placement_model.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/placement_model.py
@@ -160,7 +160,8 @@
 class Unit(NamedTuple):
     """A gang or a single task that is ready to start; `work` is its size in core-seconds.
 
-    `slack_ms` is the start delay within which it still meets its latency objective.
+    `slack_ms` is the start delay within which it still meets its latency objective, and
+    `latest_start_ms` the Unix time by which it has to start for the best result still possible.
     `may_wait` is set while a later start would still meet the latency objective; a unit that is
     costly to stop then stays out of the reserve;
     `wait_budget_ms` is how long an urgent unit still waits for runs to end by themselves, and
@@ -187,6 +188,7 @@
     is_gang: bool
     work: float = 0.0
     slack_ms: float = 0.0
+    latest_start_ms: float = 0.0
     is_costly_to_stop: bool = False
     may_wait: bool = False
     wait_budget_ms: float = 0.0
--- a/packages/lycheeslip/lycheeslip/dispatch/waiting.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/waiting.py
@@ -27,6 +27,7 @@
 LATE_MAX_LOSS_RATIO = 1.0  # a late urgent job loses four fifths of its value
 SCARCE_UTILIZATION = 0.6  # from this share of a service's accelerators in use, capacity is scarce
 IDLE_UTILIZATION = 0.5  # below this share most capacity is idle
+LATE_LIMIT_RATIO = 3  # multiple of a job's latency objective up to which a late result has value
 
 
 def build_units(
@@ -60,6 +61,19 @@
     return (queue.stretch - 1) * step.estimate_ms + queue.objective_ms
 
 
+def _latest_start_ms(slack_ms: float, step: StepSpec, since_ms: int) -> float:
+    """Return the Unix time in ms by which a unit waiting since `since_ms` should start.
+
+    A unit that can't meet its latency objective any more gives way to those that can, until its
+    result would be too late to be of value. Past that, the oldest unit comes first again.
+    """
+    now_ms = wall_ms()
+    objective_ms = slack_ms + step.estimate_ms
+    in_time_ms = since_ms + slack_ms
+    late_ms = since_ms + LATE_LIMIT_RATIO * objective_ms - step.estimate_ms
+    return next((limit for limit in (in_time_ms, late_ms) if now_ms <= limit), since_ms)
+
+
 def _may_wait(queue: Queue | None, step: StepSpec, since_ms: int, utilization: float) -> bool:
     """Return whether a unit waiting since `since_ms` may wait longer for an unreserved worker."""
     limit_ms = _slack_ms(queue, step) * SLACK_RATIO
@@ -129,6 +143,7 @@
         is_gang=step.gang,
         work=cores_of(demand_of(step)) * len(members) * step.estimate_ms / 1_000,
         slack_ms=slack_ms,
+        latest_start_ms=_latest_start_ms(slack_ms, step, since_ms),
         is_costly_to_stop=is_costly_to_stop(spec, step),
         wait_budget_ms=wait_budget_ms,
         max_loss_ratio=EARLY_MAX_LOSS_RATIO if wait_budget_ms else LATE_MAX_LOSS_RATIO,
--- a/packages/lycheeslip/tests/dispatch/builders.py
+++ b/packages/lycheeslip/tests/dispatch/builders.py
@@ -1,10 +1,18 @@
-"""Workers, units and placed runs for tests of planning rounds."""
+"""Boards, workers, units and placed runs for tests of planning rounds."""
 
+from types import SimpleNamespace
+
+from lycheeslip.dispatch.board import Board, StoredJob, WorkerView
 from lycheeslip.dispatch.placement_model import PlacedRun, Unit, WorkerCapacity
-from lycheeslip_common.workload.fleet import Lifetime
-from lycheeslip_common.workload.jobs import Demand
+from lycheeslip_common.utils.clock import steady_ms, wall_ms
+from lycheeslip_common.workload.fleet import Lifetime, WorkerReport
+from lycheeslip_common.workload.jobs import Demand, JobSpec, StepSpec
+from lycheeslip_common.workload.operator import Account, AdviceTiming, OperatorConfig, Queue
+from lycheeslip_common.workload.progress import JobProgress, JobState, open_occurrences
+from lycheeslip_common.workload.times import DispatchTimes
 
 FULL = Demand(64_000, 256_000, 8)
+JOB = "a" * 16
 
 
 def worker(node: str, rack: str = "r1", free: int = 8, **fields) -> WorkerCapacity:
@@ -56,3 +64,36 @@
     return PlacedRun(
         task, task, 1, "other", priority, Demand(1_000, 1_000, accelerators), loss, **values
     )
+
+
+def lifetime(node: str) -> Lifetime:
+    """Return the lifetime of the worker on `node`."""
+    return Lifetime(f"i-{node}", 1)
+
+
+def board_with(nodes: int = 4, advice: AdviceTiming | None = None) -> Board:
+    """Return a board with one queue and `nodes` workers of 8 accelerators, one a rack."""
+    board = Board("entry", "zone", "10.0.0.1:1", DispatchTimes())
+    queue = Queue("q", "h", "/p/", "s", 1, 4, 3.0, 1_000, False, advice)
+    board.config = OperatorConfig(1, 1, (queue,), (Account("a", frozenset("k"), 8),), 1)
+    for number in range(nodes):
+        node = f"n{number}"
+        report = WorkerReport(
+            lifetime(node), "s", "zone", ("a", f"r{number}"), 64_000, 256_000, 8, True, (), ()
+        )
+        board.workers[node] = WorkerView(node, report, steady_ms(), SimpleNamespace())
+    return board
+
+
+def add_job(
+    board: Board, job_id: str = JOB, waited_ms: int = 0, priority: int = 1, **step
+) -> StoredJob:
+    """Add a job of one step that was accepted `waited_ms` ago."""
+    fields = {"task_count": 1, "cpu_milli": 1_000, "accelerators": 8, "estimate_ms": 60_000}
+    steps = (StepSpec(**{**fields, **step}),)
+    accepted_ms = wall_ms() - waited_ms
+    spec = JobSpec(job_id, "q", "a", "s", priority, 4, "", steps, accepted_ms)
+    job = StoredJob(JobProgress(spec), 0, JobState.QUEUED, steady_ms())
+    open_occurrences(job.progress, wall_ms())
+    board.jobs[job_id] = job
+    return job
--- a/packages/lycheeslip/tests/dispatch/occupancy_tests.py
+++ b/packages/lycheeslip/tests/dispatch/occupancy_tests.py
@@ -1,52 +1,21 @@
 """Tests of the workers and the units that are built for a planning round."""
 
-from types import SimpleNamespace
-
 import pytest
-from lycheeslip.dispatch.board import Board, StepAdvice, StoredJob, Ticket, WorkerView
+from lycheeslip.dispatch.board import Board, StepAdvice, Ticket
 from lycheeslip.dispatch.occupancy import (
     QUARANTINE_FAILURES,
     RECENT_CRASH_MS,
     build_worker_capacities,
 )
+from lycheeslip.dispatch.placement import plan_round
 from lycheeslip.dispatch.waiting import MAX_IDLE_WAIT_MS, MAX_WAIT_MS, build_units
 from lycheeslip.dispatch.work import cores_of
 from lycheeslip_common.utils.clock import steady_ms, wall_ms
-from lycheeslip_common.workload.fleet import Lifetime, RunningRun, WorkerReport
-from lycheeslip_common.workload.jobs import JobSpec, StepSpec
-from lycheeslip_common.workload.operator import Account, AdviceTiming, OperatorConfig, Queue
-from lycheeslip_common.workload.progress import JobProgress, JobState, begin_runs, open_occurrences
-from lycheeslip_common.workload.times import DispatchTimes
-
-JOB = "a" * 16
-
-
-def lifetime(node: str) -> Lifetime:
-    return Lifetime(f"i-{node}", 1)
-
+from lycheeslip_common.workload.fleet import RunningRun
+from lycheeslip_common.workload.operator import AdviceTiming
+from lycheeslip_common.workload.progress import begin_runs
 
-def board_with(nodes: int = 4, advice: AdviceTiming | None = None) -> Board:
-    board = Board("entry", "zone", "10.0.0.1:1", DispatchTimes())
-    queue = Queue("q", "h", "/p/", "s", 1, 4, 3.0, 1_000, False, advice)
-    board.config = OperatorConfig(1, 1, (queue,), (Account("a", frozenset("k"), 8),), 1)
-    for number in range(nodes):
-        node = f"n{number}"
-        report = WorkerReport(
-            lifetime(node), "s", "zone", ("a", f"r{number}"), 64_000, 256_000, 8, True, (), ()
-        )
-        board.workers[node] = WorkerView(node, report, steady_ms(), SimpleNamespace())
-    return board
-
-
-def add_job(board: Board, job_id: str = JOB, waited_ms: int = 0, **step) -> StoredJob:
-    fields = {"task_count": 1, "cpu_milli": 1_000, "accelerators": 8, "estimate_ms": 60_000}
-    steps = (StepSpec(**{**fields, **step}),)
-    accepted_ms = wall_ms() - waited_ms
-    spec = JobSpec(job_id, "q", "a", "s", 1, 4, "", steps, accepted_ms)
-    job = StoredJob(JobProgress(spec), 0, JobState.QUEUED, steady_ms())
-    open_occurrences(job.progress, wall_ms())
-    board.jobs[job_id] = job
-    return job
+from .builders import JOB, add_job, board_with, lifetime
 
 
 def occupy(board: Board, nodes: list[str]) -> None:
@@ -86,6 +55,35 @@
     assert unit.wait_budget_ms <= board.times.reclaim_wait_ms
 
 
+def test_short_urgent_unit_does_not_wait_behind_an_older_one_that_could_wait_longer():
+    board = board_with(1)
+    board.config = board.config._replace(
+        queues=(board.config.queues[0]._replace(stretch=1.5, objective_ms=250),), accounts=()
+    )
+    add_job(board, "b" * 16, waited_ms=980, priority=0, estimate_ms=8_459)
+    short = add_job(board, "c" * 16, waited_ms=0, priority=0, estimate_ms=1_771)
+    workers = build_worker_capacities(board)
+    plan = plan_round(build_units(board, workers, {}), workers)
+    assert [unit.job_id for unit, _ in plan.starts] == [short.progress.spec.job_id]
+
+
+def test_unit_that_is_late_gives_way_only_until_its_result_has_no_value():
+    board = board_with()
+    board.config = board.config._replace(
+        queues=(board.config.queues[0]._replace(stretch=1.5, objective_ms=250),)
+    )
+    slack_ms, objective_ms = 750, 1_750  # of an estimate of 1,000 ms
+
+    def latest_start_after(waited_ms: int) -> float:
+        add_job(board, waited_ms=waited_ms, estimate_ms=1_000)
+        unit = only_unit(board)
+        return unit.latest_start_ms - unit.waiting_since_ms
+
+    assert latest_start_after(slack_ms - 100) == slack_ms
+    assert latest_start_after(slack_ms + 100) == 3 * objective_ms - 1_000
+    assert latest_start_after(3 * objective_ms) == 0
+
+
 @pytest.mark.parametrize(("priority", "counts"), [(0, True), (2, False)])
 def test_only_the_delay_of_urgent_runs_counts_when_they_are_stopped(priority: int, counts: bool):
     board = board_with()
