Let an urgent run that can start again in time give way to a unit that must start now

Change: the delay of a run counts only if it can't start again by its latest start once the unit that needs its place is done (estimate times 1.5). Such a run of the same priority may be stopped if its latest start is the later one. That order is strict, so two jobs never stop each other in turn. Runs within a guarantee aren't stopped.

The two tests failed before: no run was stopped, and without the strict order two units stopped each other.

--- a/packages/lycheeslip/lycheeslip/dispatch/occupancy.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/occupancy.py
@@ -8,10 +8,13 @@
 from lycheeslip.dispatch.board import Board, StoredJob, WorkerView
 from lycheeslip.dispatch.placement_model import URGENT_PRIORITY, PlacedRun, WorkerCapacity
 from lycheeslip.dispatch.work import (
+    MAX_OVERRUN_RATIO,
     cores_of,
     guaranteed_accounts,
     is_costly_to_stop,
     is_guaranteed,
+    start_slack_ms,
+    waiting_since_ms,
 )
 
 __all__ = ["build_worker_capacities"]
@@ -20,7 +23,6 @@
 QUARANTINE_FAILURES = 2  # in a row; 1 in 50 runs fails on a healthy worker, most on a failing one
 QUARANTINE_MS = 6_000  # a failing worker is retried after this; such faults last 5 to 7 s
 RECENT_CRASH_MS = 10_000  # a crash this recent counts as a failure; some workers keep crashing
-MAX_OVERRUN_RATIO = 1.5  # run time as a multiple of the estimate past which the estimate is ignored
 
 
 def build_worker_capacities(board: Board) -> list[WorkerCapacity]:
@@ -81,15 +83,21 @@
     for job_id, job in board.jobs.items():
         for key, task in job.progress.placed():
             if task.lifetime is not None:
-                placed_run = _placed_run(job_id, job, key, now, guaranteed)
+                placed_run = _placed_run(board, job_id, job, key, now, guaranteed)
                 result.setdefault(task.lifetime, []).append(placed_run)
     return result
 
 
 def _placed_run(
-    job_id: str, job: StoredJob, key: TaskKey, now_ms: int, guaranteed: frozenset[str]
+    board: Board,
+    job_id: str,
+    job: StoredJob,
+    key: TaskKey,
+    now_ms: int,
+    guaranteed: frozenset[str],
 ) -> PlacedRun:
     spec = job.progress.spec
+    queue = board.config.queue_named(spec.queue) if board.config else None
     step = spec.steps[key[1]]
     task = job.progress.tasks[key]
     name = format_task_name(job_id, key)
@@ -98,6 +106,7 @@
     elapsed_s = max(0, now_ms - task.started_at_ms) / 1_000
     # tasks with checkpoints save them once a second
     lost_work_s = min(elapsed_s, 1.0) if step.checkpointing else elapsed_s
+    latest_start_ms = waiting_since_ms(spec, key[0]) + start_slack_ms(queue, step)
     is_ending = job.progress.has_ended or (name, task.run) in job.stopping
     return PlacedRun(
         job_id,
@@ -114,8 +123,9 @@
         is_costly_to_stop(spec, step),
         _remaining_ms(step, elapsed_s * 1_000),
         step.max_unavailable > 0,
-        # an urgent job that starts again is late, which counts for as much as its own work
+        # an urgent job that is late counts for as much as its own work
         cores * step.estimate_ms / 1_000 if spec.priority == URGENT_PRIORITY else 0.0,
+        latest_start_ms,
     )
 
 
--- a/packages/lycheeslip/lycheeslip/dispatch/placement_model.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/placement_model.py
@@ -41,7 +41,8 @@
 class PlacedRun(NamedTuple):
     """A run placed on a worker; `loss` is the work in core-seconds lost by stopping it.
 
-    `delay_cost` is what the later start of a stopped run counts for, also in core-seconds.
+    `delay_cost` is what it counts for, also in core-seconds, if it starts again after
+    `latest_start_ms`, the Unix time by which it has to start to meet its latency objective.
     `remaining_ms` is its estimated time to completion; a run that `is_protected` by a disruption
     budget is never preempted.
     """
@@ -61,6 +62,7 @@
     remaining_ms: float = float("inf")
     is_protected: bool = False
     delay_cost: float = 0.0
+    latest_start_ms: float = 0.0
 
     @property
     def victim_key(self) -> VictimKey:
@@ -162,6 +164,7 @@
 
     `slack_ms` is the start delay within which it still meets its latency objective, and
     `latest_start_ms` the Unix time by which it has to start for the best result still possible.
+    Started now, it frees its workers by `frees_at_ms`, Unix time too.
     `may_wait` is set while a later start would still meet the latency objective; a unit that is
     costly to stop then stays out of the reserve;
     `wait_budget_ms` is how long an urgent unit still waits for runs to end by themselves, and
@@ -189,6 +192,7 @@
     work: float = 0.0
     slack_ms: float = 0.0
     latest_start_ms: float = 0.0
+    frees_at_ms: float = float("inf")
     is_costly_to_stop: bool = False
     may_wait: bool = False
     wait_budget_ms: float = 0.0
--- a/packages/lycheeslip/lycheeslip/dispatch/reclaim.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/reclaim.py
@@ -109,7 +109,14 @@
 
 
 def _cost(unit: Unit, placed_run: PlacedRun) -> float:
-    return 0.0 if _ends_in_time(unit, placed_run) else placed_run.loss + placed_run.delay_cost
+    if _ends_in_time(unit, placed_run):
+        return 0.0
+    return placed_run.loss + (0.0 if _can_start_later(unit, placed_run) else placed_run.delay_cost)
+
+
+def _can_start_later(unit: Unit, placed_run: PlacedRun) -> bool:
+    """Return whether a run preempted now meets its objective if it starts again after `unit`."""
+    return unit.frees_at_ms < placed_run.latest_start_ms
 
 
 def _ends_in_time(unit: Unit, placed_run: PlacedRun) -> bool:
@@ -120,12 +127,24 @@
 def _is_preemptible_for(unit: Unit, placed_run: PlacedRun) -> bool:
     """Return whether a run may be preempted for `unit`.
 
-    A guaranteed unit may preempt any run that is not guaranteed, as that borrows capacity.
+    A guaranteed unit may preempt any run that is not guaranteed, as that borrows capacity. Other
+    units may preempt runs of their own priority that can wait until they are done. These must have
+    the later latest start, so that two units never preempt each other in turn.
     """
     if placed_run.is_protected:
         return False
-    is_borrowed = unit.is_guaranteed and not placed_run.is_guaranteed
-    return placed_run.is_stopping or placed_run.priority > unit.priority or is_borrowed
+    is_peer_that_can_wait = (
+        placed_run.priority == unit.priority
+        and not placed_run.is_guaranteed
+        and unit.latest_start_ms < placed_run.latest_start_ms
+        and _can_start_later(unit, placed_run)
+    )
+    return (
+        placed_run.is_stopping
+        or placed_run.priority > unit.priority
+        or (unit.is_guaranteed and not placed_run.is_guaranteed)
+        or is_peer_that_can_wait
+    )
 
 
 def _eviction(
--- a/packages/lycheeslip/lycheeslip/dispatch/waiting.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/waiting.py
@@ -11,10 +11,13 @@
 from lycheeslip.dispatch.board import Board, StepAdvice, StoredJob
 from lycheeslip.dispatch.placement_model import Advice, StepKey, Unit, UnitKey, WorkerCapacity
 from lycheeslip.dispatch.work import (
+    MAX_OVERRUN_RATIO,
     cores_of,
     guaranteed_accounts,
     is_costly_to_stop,
     is_guaranteed,
+    start_slack_ms,
+    waiting_since_ms,
 )
 
 __all__ = ["accelerator_reserve", "build_units"]
@@ -54,13 +57,6 @@
     return max((account.guaranteed for account in accounts), default=0)
 
 
-def _slack_ms(queue: Queue | None, step: StepSpec) -> float:
-    """Return the start delay in ms within which a unit still meets its latency objective."""
-    if queue is None or step.long_running:
-        return 0.0
-    return (queue.stretch - 1) * step.estimate_ms + queue.objective_ms
-
-
 def _latest_start_ms(slack_ms: float, step: StepSpec, since_ms: int) -> float:
     """Return the Unix time in ms by which a unit waiting since `since_ms` should start.
 
@@ -76,7 +72,7 @@
 
 def _may_wait(queue: Queue | None, step: StepSpec, since_ms: int, utilization: float) -> bool:
     """Return whether a unit waiting since `since_ms` may wait longer for an unreserved worker."""
-    limit_ms = _slack_ms(queue, step) * SLACK_RATIO
+    limit_ms = start_slack_ms(queue, step) * SLACK_RATIO
     if utilization < IDLE_UTILIZATION:
         limit_ms = min(limit_ms, MAX_IDLE_WAIT_MS)
     elif utilization < SCARCE_UTILIZATION:
@@ -120,9 +116,9 @@
     first_task = job.progress.tasks[members[0]]
     queue = board.config.queue_named(spec.queue) if board.config else None
     service = queue.service if queue else spec.service  # a removed queue keeps its last service
-    since_ms = max(spec.accepted_at_ms, spec.due_at_ms(occurrence))
+    since_ms = waiting_since_ms(spec, occurrence)
     waited_ms = wall_ms() - since_ms if spec.occurrences else steady_ms() - job.loaded_at_ms
-    slack_ms = _slack_ms(queue, step)
+    slack_ms = start_slack_ms(queue, step)
     wait_budget_ms = max(0.0, min(board.times.reclaim_wait_ms, slack_ms * SLACK_RATIO) - waited_ms)
     return Unit(
         job_id=job_id,
@@ -143,6 +139,7 @@
         is_gang=step.gang,
         work=cores_of(demand_of(step)) * len(members) * step.estimate_ms / 1_000,
         slack_ms=slack_ms,
+        frees_at_ms=wall_ms() + step.estimate_ms * MAX_OVERRUN_RATIO,
         latest_start_ms=_latest_start_ms(slack_ms, step, since_ms),
         is_costly_to_stop=is_costly_to_stop(spec, step),
         wait_budget_ms=wait_budget_ms,
--- a/packages/lycheeslip/tests/dispatch/occupancy_tests.py
+++ b/packages/lycheeslip/tests/dispatch/occupancy_tests.py
@@ -67,6 +67,22 @@
     assert [unit.job_id for unit, _ in plan.starts] == [short.progress.spec.job_id]
 
 
+@pytest.mark.parametrize(("waited_ms", "is_stopped"), [(980, True), (3_000, False)])
+def test_short_urgent_job_is_not_late_behind_an_urgent_run_that_can_still_start_later(
+    waited_ms: int, is_stopped: bool
+):
+    board = board_with(1)
+    board.config = board.config._replace(
+        queues=(board.config.queues[0]._replace(stretch=1.5, objective_ms=250),), accounts=()
+    )
+    older = add_job(board, "b" * 16, waited_ms=waited_ms, priority=0, estimate_ms=8_459)
+    begin_runs(older.progress, {(0, 0, 0): ("n0", lifetime("n0"))}, False, wall_ms())
+    add_job(board, "c" * 16, priority=0, estimate_ms=1_771)
+    workers = build_worker_capacities(board)
+    plan = plan_round(build_units(board, workers, {}), workers)
+    assert [stop.placed_run.job_id for stop in plan.stops] == ["b" * 16] * is_stopped
+
+
 def test_unit_that_is_late_gives_way_only_until_its_result_has_no_value():
     board = board_with()
     board.config = board.config._replace(
--- a/packages/lycheeslip/tests/dispatch/reclaim_tests.py
+++ b/packages/lycheeslip/tests/dispatch/reclaim_tests.py
@@ -54,6 +54,20 @@
     assert all(slots(stop.worker.node) < members for stop in stops)
 
 
+@given(*[st.integers(0, 20_000)] * 4)
+def test_urgent_jobs_never_preempt_each_other_in_turn(
+    start_a: int, start_b: int, frees_a: int, frees_b: int
+):
+    def preempts(start_ms: int, frees_ms: int, other_start_ms: int) -> bool:
+        waiting = unit(
+            accelerators=8, priority=0, latest_start_ms=start_ms, frees_at_ms=frees_ms, work=1e9
+        )
+        running = placed_run("peer", 8, 0, latest_start_ms=other_start_ms)
+        return bool(plan_round([waiting], [worker("n1", free=0, placed_runs=[running])]).stops)
+
+    assert not (preempts(start_a, frees_a, start_b) and preempts(start_b, frees_b, start_a))
+
+
 def test_guaranteed_unit_does_not_make_another_urgent_job_late_to_spare_little_bulk_work():
     urgent = placed_run("urgent", 8, 0, 1.0, delay_cost=200.0)
     guaranteed = unit(accelerators=8, priority=0, is_guaranteed=True)
