Let a submission wait a quarter of its time for a store that is away

Five tries from 18.1 s on got no connection, 504 after 1.6 s, and three answers 503 within 1.1 s, each after 10 ms: all tries were used up at 20.8 s, with time left.

Cause: an entry that can't confirm its configuration refused a submission without any wait, although no entry could have done better, and callers repeat a call only a few times, whatever pause they are asked for. A trial with Retry-After: 4 instead of 1 (t = 19.73, 19.77, 20.41, 20.78 s, the same as with 1) shows that these callers keep their own pauses.

Change: submissions and cancellations ask the store again every 0.1 s for a quarter of the time they have left, while neither the entry nor the leader reaches it. Queries are refused at once as before, and so is a submission where the leader still confirms the configuration, for then another entry can accept it.

The first test failed before (503 a moment before the store is back); the second bounds the wait by half of the time.

--- a/packages/lycheeslip/lycheeslip/dispatch/intake.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/intake.py
@@ -7,7 +7,7 @@
 from lycheeslip_common.store import Compare, Put
 from lycheeslip_common.store.outcomes import KeyValue, Unreachable, Written
 from lycheeslip_common.store.port import ConditionFailed, KeyValueStore, LeaseEnded
-from lycheeslip_common.utils.clock import wall_ms
+from lycheeslip_common.utils.clock import steady_ms, wall_ms
 from lycheeslip_common.utils.logs import log_event
 from lycheeslip_common.workload.jobs import JobSpec
 from lycheeslip_common.workload.operator import OperatorConfig, Queue
@@ -40,6 +40,7 @@
 LEADER_TIMEOUT_S = 0.3  # the leader answers within a few ms; after this the store is read
 CONFIRM_TIMEOUT_S = 0.6  # the store answers in 4 ms; a slow one takes up to 60 times that
 RETRY_PAUSE_S = 0.1
+STORE_WAIT_RATIO = 0.25  # share of a call's time spent on waiting for a store that is away
 
 CANCEL_VALUE = b"1"  # the value is not used; the existence of the key is the cancellation
 
@@ -73,7 +74,7 @@
         """Accept a job: it is stored under the latest configuration or it never runs."""
         may_be_stored = False
         while call.remaining_s > 0:
-            queue_or_refusal = await self._authorize(call)
+            queue_or_refusal = await self._authorize_write(call)
             if not isinstance(queue_or_refusal, Queue):
                 return Undecided("configuration_unknown") if may_be_stored else queue_or_refusal
             config = self._board.config
@@ -135,7 +136,7 @@
 
     async def cancel(self, call: Call, job_id: str) -> Outcome:
         """Request a job's cancellation; accepted once the request is in the store."""
-        queue_or_refusal = await self._authorize(call)
+        queue_or_refusal = await self._authorize_write(call)
         if not isinstance(queue_or_refusal, Queue):
             return queue_or_refusal
         spec_record = await self._with_deadline(call, self._store.read(spec_key(job_id)))
@@ -196,6 +197,19 @@
         pending = await self._leader.pending(queue_or_refusal.name, LEADER_TIMEOUT_S)
         return NotRun("leader_unknown") if pending is None else Waiting(pending)
 
+    async def _authorize_write(self, call: Call) -> Queue | Outcome:
+        """Authorize a call that needs the store, and wait a while if that is away.
+
+        Without a confirmed configuration neither this entry nor the leader reaches the store, so
+        another entry could hardly do better, and callers repeat a call only a few times.
+        """
+        give_up_at_ms = steady_ms() + call.remaining_s * STORE_WAIT_RATIO * 1_000
+        while True:
+            queue_or_refusal = await self._authorize(call)
+            if not isinstance(queue_or_refusal, NotRun) or steady_ms() >= give_up_at_ms:
+                return queue_or_refusal
+            await asyncio.sleep(RETRY_PAUSE_S)
+
     async def _authorize(self, call: Call) -> Queue | Outcome:
         """Return the call's queue if a recently confirmed configuration allows the call."""
         board = self._board
--- a/tests/dispatch/configuration_tests.py
+++ b/tests/dispatch/configuration_tests.py
@@ -7,6 +7,7 @@
 ONE = {"count": 1, "cpu": 1000, "mem_mb": 100, "gpu": 1}
 BODY = {"spec": "10", "steps": [ONE]}
 PATH = f"/normal/{1:016x}"
+DEADLINE_S = 3.0  # of calls without a deadline of their own
 
 
 async def test_unknown_keys_and_queues_are_refused(cell: Cell):
@@ -52,6 +53,27 @@
     assert (await cell.call("GET", PATH))[0] == 410
 
 
+async def test_submission_is_not_refused_shortly_before_the_store_is_back(cell: Cell):
+    cell.store.faults.status = 503
+    await cell.until(
+        lambda: all(e.board.config_age_ms > TIMES.config_valid_ms for e in cell.entries)
+    )
+    submission = asyncio.create_task(cell.call("POST", PATH, BODY))
+    await asyncio.sleep(0.4)
+    cell.store.faults.status = 0
+    assert (await submission)[0] == 200
+
+
+async def test_submission_is_refused_well_before_its_deadline_if_the_store_stays_away(cell: Cell):
+    cell.store.faults.status = 503
+    await cell.until(
+        lambda: all(e.board.config_age_ms > TIMES.config_valid_ms for e in cell.entries)
+    )
+    async with asyncio.timeout(DEADLINE_S / 2):
+        status, document = await cell.call("POST", PATH, BODY)
+    assert (status, document["reason"]) == (503, "configuration_unconfirmed")
+
+
 async def test_older_configuration_version_is_ignored(cell: Cell):
     await cell.until(lambda: all(entry.board.config is not None for entry in cell.entries))
     cell.version = -5
