Say in an answer that may have run when to come back

Cause: only NotRun carried the pause. Undecided, whose caller has to repeat the call to learn the outcome, didn't.

The test failed before (no such header). The pause stays one second: callers here have four retries and three seconds, so a longer one would only cost those whose store is back sooner.

--- a/packages/lycheeslip/lycheeslip/dispatch/calls.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/calls.py
@@ -67,9 +67,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Undecided:
-    """The call may have been stored; a repetition with the same id resolves this."""
+    """The call may have been stored; a repetition with the same id resolves this.
+
+    The caller may repeat it after `retry_after_s`.
+    """
 
     reason: str
+    retry_after_s: int = RETRY_AFTER_S
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/dispatch/configuration_tests.py
+++ b/tests/dispatch/configuration_tests.py
@@ -74,6 +74,13 @@
     assert (status, document["reason"]) == (503, "configuration_unconfirmed")
 
 
+async def test_answer_that_may_have_run_says_when_to_come_back(cell: Cell):
+    assert (await cell.call("GET", PATH))[0] == 410
+    cell.store.faults.is_silent = True
+    assert (await cell.call("POST", PATH, BODY))[0] == 504
+    assert int(cell.last_headers["Retry-After"]) >= 1
+
+
 async def test_older_configuration_version_is_ignored(cell: Cell):
     await cell.until(lambda: all(entry.board.config is not None for entry in cell.entries))
     cell.version = -5
--- a/tests/harness/platform_cell.py
+++ b/tests/harness/platform_cell.py
@@ -138,6 +138,7 @@
         self.version = 0
         self.keys = ["key-a"]  # API keys of the tenant
         self.guaranteed = 8  # GPUs guaranteed to the tenant
+        self.last_headers: dict[str, str] = {}  # of the last response
 
     async def __aenter__(self) -> "Cell":
         """Start all processes and wait until the leader knows all workers."""
@@ -218,6 +219,7 @@
         content = None if body is None else msgspec.json.encode(body)
         async with self._session.request(method, url, data=content, headers=headers) as response:
             text = await response.read()
+            self.last_headers = dict(response.headers)
             return response.status, msgspec.json.decode(text) if text else None
 
     async def submit(
