Tell the crash of a worker from other losses of its runs

The logs called every run whose worker was gone `lost`: after a crash, a loss of power, a cut or a notice.

An agent lives on beside a worker that crashes. It now logs worker_crashed, counts it, and reports the last eight such lifetimes to whichever entry leads, so that a crash outlives the leader. A worker that had said that it leaves, or that hadn't answered for 3 s, isn't taken for crashed; an agent that lost power with its worker knows of no crash. The leader logs such ends with cause `crashed`. No decision changes.

The stand-in worker can crash by itself or on the start of a run whose payload says so, and returns as a new lifetime at the same address. Both tests failed before the agent told the difference (no cause `crashed`).

--- a/packages/lycheeslip/lycheeslip/dispatch/ends.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/ends.py
@@ -65,7 +65,8 @@
         for job_id, job in self._board.jobs.items():
             for key, task in list(job.progress.placed()):
                 if task.node == node and task.lifetime != report.lifetime:
-                    self.end_run(job_id, job, key, task.run, EndCause.LOST, "")
+                    cause = EndCause.CRASHED if task.lifetime in report.crashed else EndCause.LOST
+                    self.end_run(job_id, job, key, task.run, cause, "")
 
     def apply_reported_ends(self, view: WorkerView, report: WorkerReport) -> None:
         """Apply the ends in a worker's report."""
--- a/packages/lycheeslip_agent/lycheeslip_agent/dispatch/board.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/dispatch/board.py
@@ -1,6 +1,7 @@
 """Shared state of an agent's dispatch: the worker, its runs and the run lease."""
 
 import asyncio
+from collections import deque
 from collections.abc import Iterator
 
 from lycheeslip_common.utils.clock import steady_ms
@@ -20,6 +21,8 @@
 
 __all__ = ["Board"]
 
+MAX_CRASHED_LIFETIMES = 8  # a worker takes seconds to return, and a leader that long to be elected
+
 
 class Board:
     """Blackboard on which the dispatch controllers of one agent share their state.
@@ -34,6 +37,7 @@
         self.counters = Counters()
         self.worker_status: WorkerStatus | None = None
         self.is_worker_gone = False
+        self.crashed: deque[Lifetime] = deque(maxlen=MAX_CRASHED_LIFETIMES)
         self.has_run_lists = False
         self.running: dict[str, RunningRun] = {}
         self.ended: tuple[EndedRun, ...] = ()
@@ -87,7 +91,9 @@
         """Return the report that describes the worker to the leader."""
         worker_status = self.worker_status
         if worker_status is None or self.is_worker_gone:
-            return WorkerReport(None, "", "", (), 0, 0, 0, False, (), ())
+            return WorkerReport(
+                None, "", "", (), 0, 0, 0, False, (), (), crashed=tuple(self.crashed)
+            )
         return WorkerReport(
             worker_status.lifetime,
             worker_status.service,
@@ -101,6 +107,7 @@
             tuple(end for end in self.ended if end.number > self.last_recorded_end),
             worker_status.remaining_ms,
             tuple(self.pending_starts),
+            tuple(self.crashed),
         )
 
     def post(self, message: Message) -> None:
--- a/packages/lycheeslip_agent/lycheeslip_agent/dispatch/lists.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/dispatch/lists.py
@@ -26,6 +26,7 @@
 RETRY_S = 0.2
 GONE_AFTER_REFUSED_CONNECTIONS = 3  # a restarting process listens again within two attempts
 CHECKPOINT_REPORT_MS = 1_000  # checkpoints change once per second
+MAX_SILENCE_MS = 3_000  # a worker that ends after a longer silence was cut off or frozen before
 
 
 class WorkerLists:
@@ -37,6 +38,7 @@
         self._worker = worker
         self._refused_connections = 0
         self._reported_at_ms = 0
+        self._answered_at_ms = 0
         self._started_at_ms: dict[tuple[str, int], int] = {}
 
     def handle_heartbeat(self, worker_status: WorkerStatus) -> bool:
@@ -64,6 +66,7 @@
 
     def _begin_lifetime(self, worker_status: WorkerStatus) -> None:
         board = self._board
+        self._record_crash()
         log_event(
             "worker_announced", lifetime=worker_status.lifetime, service=worker_status.service
         )
@@ -75,6 +78,7 @@
         board.traits.clear()
         board.worker_status = worker_status
         self._started_at_ms.clear()
+        self._answered_at_ms = steady_ms()
         self._refused_connections = 0
         board.poll_requested.set()
 
@@ -125,6 +129,7 @@
                     await asyncio.sleep(RETRY_S)
                     return
                 self._refused_connections = 0
+                self._answered_at_ms = polled_at_ms
                 board.record_worker_clock(clock_ms)
                 self._apply_lists(polled_at_ms, running, ended)
                 if has_unrecorded:
@@ -167,12 +172,36 @@
         if board.is_worker_gone:
             return
         log_event("worker_gone", lifetime=board.lifetime, running=len(board.running))
+        self._record_crash()
         board.is_worker_gone = True
         board.running.clear()
         board.ended = ()
         board.has_run_lists = False
         board.report_due.set()
 
+    def _record_crash(self) -> None:
+        """Record that the current lifetime has crashed, unless it ended for another reason.
+
+        A worker that leaves says so first, and one that was cut off was silent for long. A loss of
+        power ends the agent too, which then knows of no earlier lifetime.
+        """
+        board = self._board
+        status = board.worker_status
+        if status is None or board.is_worker_gone or not status.is_ready:
+            return
+        silence_ms = steady_ms() - self._answered_at_ms
+        if silence_ms > MAX_SILENCE_MS:
+            return
+        board.crashed.append(status.lifetime)
+        board.counters.count("worker_crashes")
+        log_warning(
+            "worker_crashed",
+            lifetime=status.lifetime,
+            running=len(board.running),
+            starting=len(board.pending_starts),
+            silence_ms=silence_ms,
+        )
+
     def _apply_lists(
         self, polled_at_ms: int, running: tuple[RunningRun, ...], ended: tuple[EndedRun, ...]
     ) -> None:
--- a/packages/lycheeslip_common/lycheeslip_common/utils/events.py
+++ b/packages/lycheeslip_common/lycheeslip_common/utils/events.py
@@ -200,7 +200,8 @@
         "run_ended",
         "leader",
         "cause job_state node run task",
-        "A run ended; `job_state` is the result. Cause `lost` is inferred, others are reported.",
+        "A run ended; `job_state` is the result. Causes `lost` and `crashed` are inferred, others"
+        " are reported.",
     ),
     Event(
         "run_preempted",
@@ -247,6 +248,12 @@
         "unreadable_row", "agent", "list row", "An invalid row of the worker's lists was ignored."
     ),
     Event("worker_announced", "agent", "lifetime service", "A new lifetime of the worker began."),
+    Event(
+        "worker_crashed",
+        "agent",
+        "lifetime running silence_ms starting",
+        "The worker's process ended without notice while the agent lived on.",
+    ),
     Event("worker_gone", "agent", "lifetime running", "The worker's process ended."),
     Event(
         "worker_known",
--- a/packages/lycheeslip_common/lycheeslip_common/workload/fleet.py
+++ b/packages/lycheeslip_common/lycheeslip_common/workload/fleet.py
@@ -46,7 +46,8 @@
 class EndCause(StrEnum):
     """Why a run ended; LAPSED: its lease expired, LOST: its worker went silent or restarted.
 
-    LOST is inferred; the other causes are reported by the backend server.
+    LOST and CRASHED are inferred, the latter if the agent saw the worker crash; the other causes
+    are reported by the backend server.
     """
 
     DONE = "done"
@@ -56,6 +57,7 @@
     BROKEN = "broken"
     ALONE = "alone"
     LOST = "lost"
+    CRASHED = "crashed"
 
 
 class Lifetime(NamedTuple):
@@ -90,7 +92,10 @@
 
 
 class WorkerReport(NamedTuple):
-    """Complete state of an agent's worker; `lifetime` is None while no worker is running."""
+    """Complete state of an agent's worker; `lifetime` is None while no worker is running.
+
+    `crashed` are earlier lifetimes that the agent saw crash.
+    """
 
     lifetime: Lifetime | None
     service: str
@@ -104,6 +109,7 @@
     ended: tuple[EndedRun, ...]
     remaining_ms: int = 0
     orders_pending: tuple[tuple[str, int], ...] = ()
+    crashed: tuple[Lifetime, ...] = ()
 
 
 class Heartbeat(NamedTuple):
--- a/packages/lycheeslip_standins/lycheeslip_standins/platform/listener.py
+++ b/packages/lycheeslip_standins/lycheeslip_standins/platform/listener.py
@@ -19,12 +19,13 @@
         self.address = ""
 
     async def start(self) -> None:
-        """Listen on a free port."""
+        """Listen on a free port, or on the same one again."""
         self._runner = web.ServerRunner(
             web.Server(self._handler, access_log=None), shutdown_timeout=SHUTDOWN_TIMEOUT_S
         )
         await self._runner.setup()
-        await web.TCPSite(self._runner, "127.0.0.1", 0).start()
+        port = int(self.address.rpartition(":")[2] or 0)
+        await web.TCPSite(self._runner, "127.0.0.1", port, reuse_address=True).start()
         host, port = self._runner.addresses[0][:2]
         self.address = f"{host}:{port}"
 
--- a/packages/lycheeslip_standins/lycheeslip_standins/platform/worker.py
+++ b/packages/lycheeslip_standins/lycheeslip_standins/platform/worker.py
@@ -12,11 +12,13 @@
 
 from lycheeslip_standins.platform.listener import Listener
 
-__all__ = ["PlatformWorkerServer", "WorkerFaults"]
+__all__ = ["CRASH_PAYLOAD", "PlatformWorkerServer", "WorkerFaults"]
 
 ADVANCE_INTERVAL_S = 0.01
 MAX_HOLD_MS = 10_000
 STOP_DELAY_S = 0.02
+CRASH_PAYLOAD = "crash"  # a run with this payload crashes the worker that starts it
+CRASH_DELAY_S = 0.01
 
 
 @dataclass(slots=True)
@@ -25,7 +27,9 @@
 
     The next `delayed_starts` calls to start a run are not answered, and take effect after
     `start_delay_s`. `failing` makes each run fail at its end. Calls fail with `status` unless it
-    is 0. `requires_ticket` rejects starts without a ticket of the advice service.
+    is 0. `requires_ticket` rejects starts without a ticket of the advice service. A worker that
+    has crashed is back after `restart_s`. If `loses_answer_in_crash` is set, the start that
+    crashes it is not answered.
     """
 
     delayed_starts: int = 0
@@ -33,6 +37,8 @@
     failing: bool = False
     status: int = 0
     requires_ticket: bool = False
+    restart_s: float = 0.5
+    loses_answer_in_crash: bool = False
 
 
 @dataclass(slots=True)
@@ -70,6 +76,8 @@
         self.worker_id, self.service, self.zone, self.rack = worker_id, service, zone, rack
         self.born_ms = int(time.time() * 1_000)
         self.state = "ready"
+        self.capacity = {"cpu": 64_000, "mem_mb": 262_144, "gpu": 8}
+        self.crashes = 0
         self.faults = WorkerFaults()
         self.calls: Counter[str] = Counter()
         self.started = Started()
@@ -82,6 +90,7 @@
         self._hold_until_ms = 0.0
         self._heartbeat_sequence = 0
         self._end_event = asyncio.Event()
+        self._agent_address = ""
         self._background_tasks: list[asyncio.Task[None]] = []
         self._listener = Listener(self._handle)
 
@@ -97,12 +106,23 @@
 
     def announce(self, agent_address: str, every_s: float = 0.1) -> None:
         """Start sending a heartbeat to the agent every `every_s` seconds."""
+        self._agent_address = agent_address
         self._background_tasks.append(
             asyncio.create_task(self._send_heartbeats(agent_address, every_s))
         )
 
+    async def crash(self, exit_delay_s: float = 0.0) -> None:
+        """Stop at once, and return after `restart_s` as a new lifetime without any runs."""
+        await asyncio.sleep(exit_delay_s)
+        self.crashes += 1
+        await self.stop()
+        self.restart_empty()
+        await asyncio.sleep(self.faults.restart_s)
+        await self.start()
+        self.announce(self._agent_address)
+
     async def stop(self) -> None:
-        """Simulate a crash: stop listening, running and sending heartbeats."""
+        """Stop listening, running and sending heartbeats."""
         for task in self._background_tasks:
             task.cancel()
         await self._listener.stop()
@@ -140,7 +160,7 @@
             "slots": 8,
             "state": self.state,
             "cold_remaining_ms": 0,
-            "capacity": {"cpu": 64_000, "mem_mb": 262_144, "gpu": 8},
+            "capacity": self.capacity,
             "labels": ["a", self.rack],
             "clock_ms": self._clock_ms(),
             "sequence": self._heartbeat_sequence,
@@ -197,7 +217,10 @@
             self.faults.delayed_starts -= 1
             asyncio.get_running_loop().call_later(self.faults.start_delay_s, self._accept_run, body)
             await asyncio.sleep(3_600)
-        return self._accept_run(body)
+        response = self._accept_run(body)
+        if body["spec"] == CRASH_PAYLOAD and self.faults.loses_answer_in_crash:
+            await asyncio.sleep(3_600)
+        return response
 
     def _accept_run(self, body: dict[str, Any]) -> web.Response:
         task, run = body["task"], body["run"]
@@ -212,9 +235,12 @@
             return self._reply({"reason": "ticket"}, 409)
         self._extend_hold(body)
         now = time.monotonic()
-        work_s = int(body["spec"] or 0) / 1_000
+        crashes = body["spec"] == CRASH_PAYLOAD
+        work_s = MAX_HOLD_MS if crashes else int(body["spec"] or 0) / 1_000
         self.runs[task] = Run(task, run, work_s, now, now + work_s, body.get("checkpoint", ""))
         self.started.by_task.setdefault(task, []).append(run)
+        if crashes:
+            self._crash_task = asyncio.create_task(self.crash(CRASH_DELAY_S))
         return self._reply({})
 
     def _has_ticket(self, body: dict[str, Any]) -> bool:
--- /dev/null
+++ b/tests/dispatch/crash_tests.py
@@ -0,0 +1,40 @@
+"""Tests of tasks that crash their workers, and of workers that crash by themselves."""
+
+from lycheeslip_common.workload.fleet import EndCause
+
+from tests.harness.platform_cell import Cell
+
+ONE = {"count": 1, "cpu": 1000, "mem_mb": 100, "gpu": 1}
+
+
+def ended(cell: Cell, cause: EndCause) -> float:
+    """Return how many runs ended with `cause`, as counted by all entries."""
+    name = f'lycheeslip_runs_ended_total{{reason="{cause}"}} '
+    lines = [line for e in cell.entries for line in e.board.counters.text().decode().splitlines()]
+    return sum(float(line.removeprefix(name)) for line in lines if line.startswith(name))
+
+
+async def test_crash_of_a_worker_is_told_from_its_loss(cell: Cell):
+    await cell.submit(1, ONE, work_ms=60_000)
+    await cell.until(lambda: cell.running() == 1)
+    crashing = next(agent for agent in cell.agents if agent.worker.runs)
+    await crashing.worker.crash()
+    await cell.until(lambda: ended(cell, EndCause.CRASHED) == 1)
+    await cell.until(lambda: cell.running() == 1)
+    lost = next(agent for agent in cell.agents if agent.worker.runs)
+    await lost.stop_agent()  # a loss of power ends the agent with its worker
+    await lost.worker.crash()
+    await lost.start_agent()
+    await cell.until(lambda: ended(cell, EndCause.LOST) == 1)
+    assert ended(cell, EndCause.CRASHED) == 1
+
+
+async def test_worker_that_leaves_is_not_taken_for_crashed(cell: Cell):
+    await cell.submit(1, ONE, work_ms=60_000)
+    await cell.until(lambda: cell.running() == 1)
+    leaving = next(agent for agent in cell.agents if agent.worker.runs)
+    leaving.worker.state = "draining"
+    await cell.until(lambda: not leaving.agent.board.worker_status.is_ready)
+    await leaving.worker.stop()
+    await cell.until(lambda: ended(cell, EndCause.LOST) == 1)
+    assert ended(cell, EndCause.CRASHED) == 0
