Count the crashes of workers under a task, and give up a job whose task goes on crashing them

Cause (hypothesis 1): only ends `failed` left a mark on a task. A task whose worker crashed was as good as new.

Change: the end of a run with a crashed worker is counted at its task, for a gang at its first member whichever worker crashed, and once a run. After three such runs, two of them on workers without other work, the job fails. The counts are in the job's record, which is written before the next start is ordered, so they outlive a leader and an outage. Records without a crash are as before; earlier versions can't read those with one.

Three and not two, as the users' rule allows: a long task that loses two workers by coincidence would be condemned, and a third crash costs no other work. Two alone: what ran beside a deadly task is never given up for it.

test_task_that_crashes_each_worker... and the three others of given-up jobs failed before (no end of starts).

--- a/packages/lycheeslip/lycheeslip/dispatch/board.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/board.py
@@ -104,6 +104,13 @@
     job: StoredJob
     key: TaskKey
 
+    @property
+    def unit_key(self) -> tuple[str, int, int, int]:
+        """Key that the members of a gang share and that differs between other tasks."""
+        is_gang = self.job.progress.spec.steps[self.key[1]].gang
+        occurrence, step, index = self.key
+        return (self.job_id, occurrence, step, 0 if is_gang else index)
+
     @property
     def task(self) -> TaskProgress | None:
         """The task's progress; None if the job has no such task (yet)."""
--- a/packages/lycheeslip/lycheeslip/dispatch/ends.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/ends.py
@@ -4,10 +4,15 @@
 from lycheeslip_common.utils.logs import log_event, log_warning
 from lycheeslip_common.workload.fleet import EndCause, Lifetime, RecordedEnds, WorkerReport
 from lycheeslip_common.workload.jobs import format_task_name
-from lycheeslip_common.workload.progress import TaskKey, apply_end
+from lycheeslip_common.workload.progress import (
+    TaskKey,
+    apply_crash,
+    apply_end,
+    failure_counter,
+)
 from lycheeslip_common.workload.times import CLOCK_DRIFT
 
-from lycheeslip.dispatch.board import Board, StoredJob, WorkerView
+from lycheeslip.dispatch.board import Board, FoundTask, StoredJob, WorkerView
 from lycheeslip.dispatch.recorder import Recorder
 from lycheeslip.dispatch.stops import RunStopper
 
@@ -62,11 +67,51 @@
 
     def end_older_lifetimes(self, node: str, report: WorkerReport) -> None:
         """End the runs of earlier lifetimes of a node's worker."""
+        placed_by_lifetime: dict[Lifetime, list[FoundTask]] = {}
         for job_id, job in self._board.jobs.items():
-            for key, task in list(job.progress.placed()):
-                if task.node == node and task.lifetime != report.lifetime:
-                    cause = EndCause.CRASHED if task.lifetime in report.crashed else EndCause.LOST
-                    self.end_run(job_id, job, key, task.run, cause, "")
+            for key, task in job.progress.placed():
+                if task.node == node and task.lifetime and task.lifetime != report.lifetime:
+                    found = FoundTask(job_id, job, key)
+                    placed_by_lifetime.setdefault(task.lifetime, []).append(found)
+        for lifetime, placed in placed_by_lifetime.items():
+            is_alone = len({found.unit_key for found in placed}) == 1
+            for found in placed:
+                run = found.job.progress.tasks[found.key].run
+                if lifetime in report.crashed:
+                    self._end_crashed_run(found, run, is_alone)
+                else:
+                    self.end_run(*found, run, EndCause.LOST, "")
+
+    def _end_crashed_run(self, found: FoundTask, run: int, is_alone: bool) -> None:
+        """End a run whose worker crashed, and which may have caused that.
+
+        `is_alone` says that no other work was on the worker.
+        """
+        job = found.job.progress
+        had_ended = job.has_ended
+        node = job.tasks[found.key].node
+        if not apply_crash(job, found.key, run, is_alone, wall_ms()):
+            return
+        counter = failure_counter(job, found.key)
+        log_event(
+            "task_suspected",
+            task=format_task_name(found.job_id, found.key),
+            run=run,
+            node=node,
+            is_alone=is_alone,
+            crashes=counter.crashes,
+            crashes_alone=counter.crashes_alone,
+        )
+        self._board.counters.count("tasks_suspected")
+        if job.has_ended and not had_ended:
+            log_warning(
+                "job_given_up",
+                job=found.job_id,
+                task=format_task_name(found.job_id, found.key),
+                reason=job.reason,
+            )
+            self._board.counters.count("jobs_given_up", job.reason)
+        self._settle_end(*found, run, node, EndCause.CRASHED)
 
     def apply_reported_ends(self, view: WorkerView, report: WorkerReport) -> None:
         """Apply the ends in a worker's report."""
@@ -94,10 +139,10 @@
         if job.progress.spec.steps[key[1]].long_running:
             return True
         worker_id = view.lifetime.worker_id if view.lifetime else ""
-        # the first member of a gang holds the failures of all members
-        first_key = (key[0], key[1], 0) if job.progress.spec.steps[key[1]].gang else key
-        task = job.progress.tasks.get(first_key)
-        return task is not None and any(other != worker_id for other in task.failed_on)
+        if key not in job.progress.tasks:
+            return False
+        failed_on = failure_counter(job.progress, key).failed_on
+        return any(other != worker_id for other in failed_on)
 
     def _update_failures(self, view: WorkerView, cause: EndCause) -> None:
         now = steady_ms()
@@ -112,8 +157,13 @@
     ) -> None:
         """Apply and record the end of a run if that is still the latest run of its task."""
         node = job.progress.tasks[key].node if key in job.progress.tasks else ""
-        if not apply_end(job.progress, key, run, cause, checkpoint, wall_ms()):
-            return
+        if apply_end(job.progress, key, run, cause, checkpoint, wall_ms()):
+            self._settle_end(job_id, job, key, run, node, cause)
+
+    def _settle_end(
+        self, job_id: str, job: StoredJob, key: TaskKey, run: int, node: str, cause: EndCause
+    ) -> None:
+        """Log an end that was applied and schedule what follows from it."""
         name = format_task_name(job_id, key)
         job.stopping.discard((name, run))
         self._run_stopper.forget(name, run)
--- a/packages/lycheeslip_common/lycheeslip_common/utils/events.py
+++ b/packages/lycheeslip_common/lycheeslip_common/utils/events.py
@@ -96,6 +96,12 @@
     Event(
         "job_cancelled", "leader", "job", "The leader received a cancellation and stops the job."
     ),
+    Event(
+        "job_given_up",
+        "leader",
+        "job reason task",
+        "A job has failed since worker after worker crashed under one of its tasks.",
+    ),
     Event(
         "job_history_lost",
         "leader",
@@ -236,6 +242,13 @@
     Event("stop_ordered", "leader", "epoch node run task", "A stop order is sent."),
     Event("store_lost", "entry", "dependency reason", "The store stopped answering."),
     Event("store_regained", "entry", "age_ms dependency", "The store answers again."),
+    Event(
+        "task_suspected",
+        "leader",
+        "crashes crashes_alone is_alone node run task",
+        "The worker of a task crashed; `crashes` counts such runs, `crashes_alone` those without"
+        " other work on the worker.",
+    ),
     Event("unexpected_message", "both", "kind node", "A peer sent a message that it may not send."),
     Event(
         "unit_placed",
--- a/packages/lycheeslip_common/lycheeslip_common/workload/progress.py
+++ b/packages/lycheeslip_common/lycheeslip_common/workload/progress.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from enum import StrEnum
-from typing import Any
+from typing import Any, NamedTuple
 
 import cbor2
 import msgspec
@@ -18,8 +18,10 @@
 __all__ = [
     "JobProgress",
     "JobState",
+    "MAX_CRASHES",
     "TaskKey",
     "TaskProgress",
+    "apply_crash",
     "apply_end",
     "begin_runs",
     "cancel",
@@ -27,12 +29,18 @@
     "decode_spec",
     "encode_progress",
     "encode_spec",
+    "failure_counter",
     "open_occurrences",
     "unit_members",
     "waiting_units",
 ]
 
 MAX_REMEMBERED_FAILURES = 4
+# A task is given up after this many crashes of its workers, this many of them without other work
+# there: two crashes by coincidence are not unlikely for a long task among many.
+MAX_CRASHES = 3
+MAX_CRASHES_ALONE = 2
+CRASHES_WORKERS = "crashes_workers"
 TaskKey = tuple[int, int, int]
 """Occurrence, step and position of a task within its job."""
 
@@ -56,7 +64,8 @@
 
     `node` and `lifetime` name where that run may be in progress; `started_at_ms` is the Unix time
     at which it was ordered. `failed_run` is the last run that counts in `failures`, `failed_on` the
-    workers of the latest failures.
+    workers of the latest failures. `crashes` counts the runs under which a worker crashed,
+    `crashes_alone` those of them on a worker without other work, and `crashed_run` is the last one.
     """
 
     run: int = 0
@@ -68,6 +77,9 @@
     failed_run: int = 0
     failed_on: list[str] = field(default_factory=list)
     started_at_ms: int = 0
+    crashes: int = 0
+    crashes_alone: int = 0
+    crashed_run: int = 0
 
     @property
     def is_placed(self) -> bool:
@@ -79,7 +91,8 @@
 class JobProgress:
     """Progress of one job; `tasks` holds those of the first `opened_occurrences` occurrences.
 
-    `ended_at_ms` is Unix time, 0 while the job has not ended.
+    `ended_at_ms` is Unix time, 0 while the job has not ended. `reason` says why a job has failed if
+    that wasn't the number of its failed attempts.
     """
 
     spec: JobSpec
@@ -87,6 +100,7 @@
     opened_occurrences: int = 0
     ended_at_ms: int = 0
     tasks: dict[TaskKey, TaskProgress] = field(default_factory=dict)
+    reason: str = ""
 
     @property
     def has_ended(self) -> bool:
@@ -198,7 +212,7 @@
         case EndCause.DONE if not step.long_running:
             _mark_done(job, key, step)
         case EndCause.FAILED:
-            _record_failure(job, key, step, worker_id)
+            _record_failure(job, key, worker_id)
             _fail_if_exhausted(job, key, step, now_ms)
         case _:
             pass
@@ -206,6 +220,26 @@
     return True
 
 
+def apply_crash(job: JobProgress, key: TaskKey, run: int, is_alone: bool, now_ms: int) -> bool:
+    """Apply the end of a run whose worker crashed; return whether the job changed.
+
+    `is_alone` says that no other work was on that worker. A job is given up with a task under
+    which worker after worker crashes, since the next would crash too.
+    """
+    counter = failure_counter(job, key)
+    is_counted = counter.crashed_run >= run  # the members of a gang share a run
+    if not apply_end(job, key, run, EndCause.CRASHED, "", now_ms):
+        return False
+    if not is_counted:
+        counter.crashed_run = run
+        counter.crashes += 1
+        counter.crashes_alone += is_alone
+    is_hopeless = counter.crashes >= MAX_CRASHES and counter.crashes_alone >= MAX_CRASHES_ALONE
+    if is_hopeless and not job.has_ended:
+        job.state, job.ended_at_ms, job.reason = JobState.FAILED, now_ms, CRASHES_WORKERS
+    return True
+
+
 def _mark_done(job: JobProgress, key: TaskKey, step: StepSpec) -> None:
     """Mark a task as done; if one member of a gang is done, all members are."""
     job.tasks[key].is_done = True
@@ -215,13 +249,13 @@
         job.tasks[member].is_done = True
 
 
-def _failure_counter(job: JobProgress, key: TaskKey, step: StepSpec) -> TaskProgress:
-    """Return the task that counts failures: for a gang, its first member."""
-    return job.tasks[(key[0], key[1], 0)] if step.gang else job.tasks[key]
+def failure_counter(job: JobProgress, key: TaskKey) -> TaskProgress:
+    """Return the task that counts failures and crashes: for a gang, its first member."""
+    return job.tasks[(key[0], key[1], 0)] if job.spec.steps[key[1]].gang else job.tasks[key]
 
 
-def _record_failure(job: JobProgress, key: TaskKey, step: StepSpec, worker_id: str) -> None:
-    counter = _failure_counter(job, key, step)
+def _record_failure(job: JobProgress, key: TaskKey, worker_id: str) -> None:
+    counter = failure_counter(job, key)
     run = job.tasks[key].run
     if counter.failed_run < run:  # a run of a gang counts as one failure
         counter.failures += 1
@@ -233,7 +267,7 @@
 def _fail_if_exhausted(job: JobProgress, key: TaskKey, step: StepSpec, now_ms: int) -> None:
     if step.long_running or job.has_ended:
         return
-    if _failure_counter(job, key, step).failures >= max(1, job.spec.attempts):
+    if failure_counter(job, key).failures >= max(1, job.spec.attempts):
         job.state, job.ended_at_ms = JobState.FAILED, now_ms
 
 
@@ -276,24 +310,52 @@
             task.failed_run,
             task.failed_on,
             task.started_at_ms,
+            *((task.crashes, task.crashes_alone, task.crashed_run) if task.crashes else ()),
         ]
         for key, task in job.tasks.items()
     ]
+    reason = [job.reason] if job.reason else []
     return cbor2.dumps(
         msgspec.to_builtins(
-            [job.state, job.opened_occurrences, job.ended_at_ms, tasks], str_keys=False
+            [job.state, job.opened_occurrences, job.ended_at_ms, tasks, *reason], str_keys=False
         )
     )
 
 
-StoredTask = tuple[int, int, int, int, bool, str, Lifetime | None, str, int, int, list[str], int]
-StoredProgress = tuple[JobState, int, int, list[StoredTask]]
+class StoredTask(NamedTuple):
+    """A task's key and the fields of its `TaskProgress`, as stored; the last three only if set."""
+
+    occurrence: int
+    step: int
+    position: int
+    run: int
+    is_done: bool
+    node: str
+    lifetime: Lifetime | None
+    checkpoint: str
+    failures: int
+    failed_run: int
+    failed_on: list[str]
+    started_at_ms: int
+    crashes: int = 0
+    crashes_alone: int = 0
+    crashed_run: int = 0
+
+
+class StoredProgress(NamedTuple):
+    """The fields of a `JobProgress`, as stored; the last one only if set."""
+
+    state: JobState
+    opened_occurrences: int
+    ended_at_ms: int
+    tasks: list[StoredTask]
+    reason: str = ""
 
 
 def decode_progress(spec: JobSpec, value: bytes) -> JobProgress:
     """Return the progress stored in `value`; raises ValueError if it is malformed."""
-    state, opened_occurrences, ended_at_ms, rows = _convert(value, StoredProgress)
-    job = JobProgress(spec, state, opened_occurrences, ended_at_ms)
+    state, opened_occurrences, ended_at_ms, rows, reason = _convert(value, StoredProgress)
+    job = JobProgress(spec, state, opened_occurrences, ended_at_ms, reason=reason)
     for occurrence, step, index, *fields in rows:
         job.tasks[(occurrence, step, index)] = TaskProgress(*fields)
     return job
--- a/packages/lycheeslip_common/tests/workload_progress_tests.py
+++ b/packages/lycheeslip_common/tests/workload_progress_tests.py
@@ -1,5 +1,6 @@
 """State transitions of a job's progress: examples and random sequences."""
 
+import cbor2
 import pytest
 from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
@@ -7,8 +8,10 @@
 from lycheeslip_common.workload.fleet import EndCause, Lifetime
 from lycheeslip_common.workload.jobs import JobSpec, StepSpec, parse_task_name
 from lycheeslip_common.workload.progress import (
+    MAX_CRASHES,
     JobProgress,
     JobState,
+    apply_crash,
     apply_end,
     begin_runs,
     cancel,
@@ -184,6 +187,13 @@
         if cause == EndCause.DONE:
             self.ended_done.add(key)
 
+    @rule(data=st.data(), is_alone=st.booleans())
+    def crash(self, data: st.DataObject, is_alone: bool):
+        placed = [key for key, _ in self.job.placed()]
+        if placed:
+            key = data.draw(st.sampled_from(placed))
+            assert apply_crash(self.job, key, self.job.tasks[key].run, is_alone, NOW_MS)
+
     @rule()
     def reload(self):
         spec = decode_spec(encode_spec(self.job.spec))
@@ -196,6 +206,12 @@
         if hasattr(self, "job") and self.job.state == JobState.COMPLETED:
             assert all(task.is_done for task in self.job.tasks.values())
 
+    @invariant()
+    def task_that_keeps_crashing_workers_is_not_started_again(self):
+        if hasattr(self, "job") and not self.job.has_ended:
+            for task in self.job.tasks.values():
+                assert task.crashes < MAX_CRASHES or task.crashes_alone < 2
+
     def _width(self) -> int:
         return self.job.spec.steps[0].task_count
 
@@ -211,3 +227,31 @@
     begin(job, (0, 0, 0))
     loaded = decode_progress(job.spec, encode_progress(job))
     assert loaded.tasks[(0, 0, 0)].started_at_ms == NOW_MS
+
+
+def test_task_is_not_given_up_for_crashes_beside_other_work():
+    job = make_job(StepSpec(1))
+    for run in range(1, 10):
+        begin(job, (0, 0, 0))
+        apply_crash(job, (0, 0, 0), run, run == 1, NOW_MS)
+    assert job.state == JobState.ACTIVE
+
+
+def test_crashes_under_any_member_of_a_gang_are_counted_once_a_run():
+    job = make_job(StepSpec(3, gang=True))
+    for run in (1, 2, 3):
+        assert job.state != JobState.FAILED
+        begin(job, *((0, 0, index) for index in range(3)))
+        for index in (2, 1):
+            apply_crash(job, (0, 0, index), run, True, NOW_MS)
+        apply_end(job, (0, 0, 0), run, EndCause.BROKEN, "", NOW_MS)
+    assert job.state == JobState.FAILED
+    assert job.reason == "crashes_workers"
+
+
+def test_record_without_crashes_is_as_earlier_versions_wrote_it():
+    job = make_job(StepSpec(1))
+    begin(job, (0, 0, 0))
+    state, opened_occurrences, ended_at_ms, (row,) = cbor2.loads(encode_progress(job))
+    assert (state, opened_occurrences, ended_at_ms) == ("active", 1, 0)
+    assert row == [0, 0, 0, 1, False, "node-1", ["worker-1", 5], "", 0, 0, [], NOW_MS]
--- a/tests/dispatch/crash_tests.py
+++ b/tests/dispatch/crash_tests.py
@@ -1,10 +1,14 @@
 """Tests of tasks that crash their workers, and of workers that crash by themselves."""
 
+import asyncio
+
 from lycheeslip_common.workload.fleet import EndCause
+from lycheeslip_standins.platform.worker import CRASH_PAYLOAD
 
 from tests.harness.platform_cell import Cell
 
 ONE = {"count": 1, "cpu": 1000, "mem_mb": 100, "gpu": 1}
+MAX_STARTS = 5  # of a task that crashes its workers: two more after the third crash
 
 
 def ended(cell: Cell, cause: EndCause) -> float:
@@ -38,3 +42,34 @@
     await leaving.worker.stop()
     await cell.until(lambda: ended(cell, EndCause.LOST) == 1)
     assert ended(cell, EndCause.CRASHED) == 0
+
+
+async def test_task_that_crashes_each_worker_is_not_started_without_end(cell: Cell):
+    path = await cell.submit(1, ONE, payload=CRASH_PAYLOAD)
+    await cell.until_state(path, "failed")
+    assert cell.starts() == {f"{1:016x}.0.0.0": [1, 2, 3]}
+
+
+async def test_crashes_are_counted_on_after_a_change_of_leaders(cell: Cell):
+    path = await cell.submit(1, ONE, payload=CRASH_PAYLOAD, entry=1)
+    await cell.until(lambda: len(cell.starts().get(f"{1:016x}.0.0.0", [])) == 2)
+    cell.store.delete("lycheeslip/leader")
+    await cell.until_state(path, "failed")
+    assert len(cell.starts()[f"{1:016x}.0.0.0"]) <= MAX_STARTS
+
+
+async def test_crashes_are_counted_on_after_an_outage_of_the_store(cell: Cell):
+    path = await cell.submit(1, ONE, payload=CRASH_PAYLOAD)
+    await cell.until(lambda: len(cell.starts().get(f"{1:016x}.0.0.0", [])) == 2)
+    cell.store.faults.status = 503
+    await asyncio.sleep(2.0)
+    cell.store.faults.status = 0
+    await cell.until_state(path, "failed")
+    assert len(cell.starts()[f"{1:016x}.0.0.0"]) <= MAX_STARTS
+
+
+async def test_gang_with_a_member_that_crashes_workers_is_given_up(cell: Cell):
+    gang = {**ONE, "count": 2, "gpu": 8, "gang": True}
+    path = await cell.submit(1, gang, payload=CRASH_PAYLOAD)
+    await cell.until_state(path, "failed")
+    assert all(len(runs) <= MAX_STARTS for runs in cell.starts().values())
--- a/tests/harness/platform_cell.py
+++ b/tests/harness/platform_cell.py
@@ -223,11 +223,17 @@
             return response.status, msgspec.json.decode(text) if text else None
 
     async def submit(
-        self, number: int, *steps: dict[str, Any], work_ms: int = 50, priority: int = 1, **more: Any
+        self,
+        number: int,
+        *steps: dict[str, Any],
+        work_ms: int = 50,
+        priority: int = 1,
+        payload: str = "",
+        **more: Any,
     ) -> str:
         """Submit a job, assert that it is accepted, and return its path."""
         path = f"{PREFIXES[priority]}{number:016x}"
-        body = {"spec": str(work_ms), "steps": list(steps)}
+        body = {"spec": payload or str(work_ms), "steps": list(steps)}
         status, _ = await self.call("POST", path, body, **more)
         assert status == 200
         return path
