Run a task that may crash its worker by itself

Change: a task is a suspect if its worker crashed just after its start, or for the second time. One worker at a time is emptied for suspects; an urgent one may preempt within its usual limit. Work that had run for longer when its worker crashed isn't held back, so an ordinary crash of a worker costs its tasks nothing more than before. A gang is isolated as a whole. The agent reports how long ago a worker crashed, since the report may reach a leader only after an outage.

--- a/packages/lycheeslip/lycheeslip/dispatch/ends.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/ends.py
@@ -73,24 +73,25 @@
                 if task.node == node and task.lifetime and task.lifetime != report.lifetime:
                     found = FoundTask(job_id, job, key)
                     placed_by_lifetime.setdefault(task.lifetime, []).append(found)
+        crashed_at_ms = {crash.lifetime: wall_ms() - crash.ago_ms for crash in report.crashes}
         for lifetime, placed in placed_by_lifetime.items():
             is_alone = len({found.unit_key for found in placed}) == 1
             for found in placed:
                 run = found.job.progress.tasks[found.key].run
-                if lifetime in report.crashed:
-                    self._end_crashed_run(found, run, is_alone)
+                if lifetime in crashed_at_ms:
+                    self._end_crashed_run(found, run, is_alone, crashed_at_ms[lifetime])
                 else:
                     self.end_run(*found, run, EndCause.LOST, "")
 
-    def _end_crashed_run(self, found: FoundTask, run: int, is_alone: bool) -> None:
-        """End a run whose worker crashed, and which may have caused that.
+    def _end_crashed_run(self, found: FoundTask, run: int, is_alone: bool, at_ms: int) -> None:
+        """End a run whose worker crashed at Unix time `at_ms`, and which may have caused that.
 
         `is_alone` says that no other work was on the worker.
         """
         job = found.job.progress
         had_ended = job.has_ended
         node = job.tasks[found.key].node
-        if not apply_crash(job, found.key, run, is_alone, wall_ms()):
+        if not apply_crash(job, found.key, run, is_alone, at_ms):
             return
         counter = failure_counter(job, found.key)
         log_event(
@@ -101,6 +102,8 @@
             is_alone=is_alone,
             crashes=counter.crashes,
             crashes_alone=counter.crashes_alone,
+            is_suspect=counter.is_suspect,
+            age_ms=wall_ms() - at_ms,
         )
         self._board.counters.count("tasks_suspected")
         if job.has_ended and not had_ended:
--- a/packages/lycheeslip/lycheeslip/dispatch/occupancy.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/occupancy.py
@@ -13,6 +13,7 @@
     guaranteed_accounts,
     is_costly_to_stop,
     is_guaranteed,
+    must_run_isolated,
     start_slack_ms,
     waiting_since_ms,
 )
@@ -34,9 +35,7 @@
             continue
         worker = _worker_capacity(view, view.lifetime)
         for placed_run in placed_runs.get(view.lifetime, []):
-            worker.allocate(placed_run.demand)
-            worker.placed_runs.append(placed_run)
-            worker.task_counts[placed_run.step_key] += 1
+            worker.add_placed_run(placed_run)
         _allocate_unrecorded_runs(board, view, worker)
         is_in_service = view.report.is_ready and view.report.zone not in board.evacuated_zones
         if is_in_service and steady_ms() >= view.backoff_until_ms:
@@ -126,6 +125,7 @@
         # an urgent job that is late counts for as much as its own work
         cores * step.estimate_ms / 1_000 if spec.priority == URGENT_PRIORITY else 0.0,
         latest_start_ms,
+        must_run_isolated(job.progress, key, now_ms),
     )
 
 
--- a/packages/lycheeslip/lycheeslip/dispatch/placement.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/placement.py
@@ -45,11 +45,11 @@
     plan = Plan()
     _mark_reserve(workers, reserve)
     preempted: set[VictimKey] = set()
-    blocked_kinds: set[tuple[StepKey, frozenset[str]]] = set()
+    blocked_kinds: set[tuple[StepKey, frozenset[str], bool]] = set()
     for unit in sorted(units, key=_priority_key):
         if not is_view_complete and unit.priority != URGENT_PRIORITY:
             break
-        kind = (unit.step_key, unit.avoided_workers)
+        kind = (unit.step_key, unit.avoided_workers, unit.is_isolated)
         if kind in blocked_kinds:  # capacity only shrinks within a round
             plan.blocked.append(unit)
             continue
@@ -80,8 +80,12 @@
     eligible = approved(unit, usable_workers)
     may_reclaim = unit.priority == URGENT_PRIORITY and not may_wait_for_view
     is_freeing_capacity = may_reclaim and reclaim(unit, eligible, plan, preempted)
-    if unit.is_gang and not is_freeing_capacity:
-        _reserve_for_gang(unit, eligible)
+    if is_freeing_capacity:
+        return
+    if unit.is_isolated and not plan.has_isolation_reserve:
+        plan.has_isolation_reserve = _reserve(unit, eligible)
+    elif unit.is_gang and not unit.is_isolated:
+        _reserve(unit, eligible)
 
 
 def _priority_key(unit: Unit) -> tuple[int, bool, float, int, str]:
@@ -140,14 +144,20 @@
     return (held / max(1, total), group[0].rack)
 
 
-def _reserve_for_gang(unit: Unit, usable_workers: Sequence[WorkerCapacity]) -> None:
-    """Reserve the emptiest group for a blocked gang, so that smaller units don't starve it."""
+def _reserve(unit: Unit, usable_workers: Sequence[WorkerCapacity]) -> bool:
+    """Reserve the emptiest group for a blocked unit, so that smaller units don't starve it.
+
+    Returns whether there is a group that is large enough.
+    """
     for group in sorted(
         candidate_groups(unit, usable_workers), key=free_accelerators, reverse=True
     ):
+        if unit.is_isolated:
+            group = sorted(group, key=lambda worker: -worker.free_accelerators)
         chosen = pack(unit, group, WorkerCapacity.task_slots_when_empty)
         if chosen is None:
             continue
         for worker in chosen:
-            worker.allocate(unit.demand)
-        return
+            worker.reserve(unit)
+        return True
+    return False
--- a/packages/lycheeslip/lycheeslip/dispatch/placement_model.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/placement_model.py
@@ -44,7 +44,7 @@
     `delay_cost` is what it counts for, also in core-seconds, if it starts again after
     `latest_start_ms`, the Unix time by which it has to start to meet its latency objective.
     `remaining_ms` is its estimated time to completion; a run that `is_protected` by a disruption
-    budget is never preempted.
+    budget is never preempted. No other unit starts beside a run that `is_isolated`.
     """
 
     job_id: str
@@ -63,6 +63,7 @@
     is_protected: bool = False
     delay_cost: float = 0.0
     latest_start_ms: float = 0.0
+    is_isolated: bool = False
 
     @property
     def victim_key(self) -> VictimKey:
@@ -111,6 +112,8 @@
         return self._task_slots_in(unit, self.total)
 
     def _task_slots_in(self, unit: "Unit", free: Demand) -> int:
+        if unit.is_isolated and free != self.total:
+            return 0
         slots = len(unit.indexes)
         if unit.max_per_worker:
             slots = min(slots, unit.max_per_worker - self.task_counts[unit.step_key])
@@ -122,10 +125,22 @@
         return max(0, slots)
 
     def allocate_task(self, unit: "Unit") -> None:
-        """Allocate the demand of one task of `unit`."""
-        self.allocate(unit.demand)
+        """Place one task of `unit`."""
+        self.reserve(unit)
         self.task_counts[unit.step_key] += 1
 
+    def reserve(self, unit: "Unit") -> None:
+        """Allocate the demand of one task of `unit`, or all if the unit is isolated."""
+        self.allocate(self.total if unit.is_isolated else unit.demand)
+
+    def add_placed_run(self, placed_run: PlacedRun) -> None:
+        """Allocate the demand of a run that is placed here, or all if it is isolated."""
+        if placed_run.is_isolated:
+            placed_run = placed_run._replace(demand=self.total)
+        self.allocate(placed_run.demand)
+        self.placed_runs.append(placed_run)
+        self.task_counts[placed_run.step_key] += 1
+
     def fits(self, demand: Demand) -> bool:
         """Return whether `demand` fits into the free capacity."""
         return (
@@ -171,6 +186,7 @@
     `max_loss_ratio` limits the work of others that a unit without a guarantee may cost, as a
     ratio of its own work. `advice` is None if any worker of the service may run the unit.
     `claimed_nodes` are the nodes on which an earlier round began to free capacity for it.
+    A unit that `is_isolated` starts only on workers without other work.
     """
 
     job_id: str
@@ -199,6 +215,7 @@
     max_loss_ratio: float = 1.0
     advice: Advice | None = None
     claimed_nodes: frozenset[str] = frozenset()
+    is_isolated: bool = False
 
     @property
     def key(self) -> UnitKey:
@@ -232,6 +249,7 @@
     """Decisions of a round: starts as (unit, worker of each member), stops and advice requests.
 
     `claims` maps each unit that waits for capacity to the nodes on which it is being freed.
+    Workers are reserved for one isolated unit at a time, which `has_isolation_reserve` notes.
     """
 
     starts: list[tuple[Unit, list[WorkerCapacity]]] = field(default_factory=list)
@@ -240,3 +258,4 @@
     declined: list[DeclinedPreemption] = field(default_factory=list)
     claims: dict[UnitKey, frozenset[str]] = field(default_factory=dict)
     advice_requests: list[AdviceRequest] = field(default_factory=list)
+    has_isolation_reserve: bool = False
--- a/packages/lycheeslip/lycheeslip/dispatch/reclaim.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/reclaim.py
@@ -64,7 +64,7 @@
             return False
         best = claimed_eviction
     for worker in best.workers:
-        worker.allocate(unit.demand)
+        worker.reserve(unit)
     plan.claims[unit.key] = frozenset(worker.node for worker in best.workers)
     for victim in best.victims:
         preempted.add(victim.key)
--- a/packages/lycheeslip/lycheeslip/dispatch/waiting.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/waiting.py
@@ -16,6 +16,7 @@
     guaranteed_accounts,
     is_costly_to_stop,
     is_guaranteed,
+    must_start_isolated,
     start_slack_ms,
     waiting_since_ms,
 )
@@ -146,4 +147,5 @@
         max_loss_ratio=EARLY_MAX_LOSS_RATIO if wait_budget_ms else LATE_MAX_LOSS_RATIO,
         may_wait=_may_wait(queue, step, since_ms, utilization_by_service.get(service, 0.0)),
         advice=_advice(board, queue, (job_id, occurrence, step_number)),
+        is_isolated=must_start_isolated(job.progress, members[0], wall_ms()),
     )
--- a/packages/lycheeslip/tests/dispatch/placement_tests.py
+++ b/packages/lycheeslip/tests/dispatch/placement_tests.py
@@ -257,3 +257,49 @@
     gang = unit("gang", members=2, accelerators=8, priority=0, waiting_since_ms=1)
     later = unit("later", accelerators=8, priority=0, waiting_since_ms=2)
     assert plan_round([gang, later], workers).starts == []
+
+
+def test_unit_that_may_crash_its_worker_is_not_placed_beside_other_work():
+    suspect = unit("suspect", is_isolated=True)
+    busy = worker("n1", free=7, placed_runs=[placed_run("busy", 1, 1)])
+    assert plan_round([suspect], [busy]).starts == []
+    other = unit("other", priority=2)
+    plan = plan_round([suspect, other], [busy, worker("n2")])
+    assert [(started.job_id, nodes(plan, i)) for i, (started, _) in enumerate(plan.starts)] == [
+        ("suspect", ["n2"])
+    ]
+
+
+def test_nothing_is_placed_beside_a_run_that_may_crash_its_worker():
+    held = worker("n1")
+    held.add_placed_run(placed_run("suspect", 1, 1, is_isolated=True))
+    assert plan_round([unit("other")], [held]).starts == []
+    assert plan_round([unit("suspect-2", is_isolated=True)], [held]).starts == []
+
+
+def test_only_one_worker_at_a_time_is_emptied_for_units_that_may_crash_it():
+    workers = [worker(f"n{n}", free=7, placed_runs=[placed_run(f"r{n}", 1, 1)]) for n in range(4)]
+    suspects = [unit("suspect", indexes=(n,), is_isolated=True) for n in range(3)]
+    others = [unit("other", indexes=(n,), accelerators=7, priority=2) for n in range(4)]
+    plan = plan_round([*suspects, *others], workers)
+    assert [started.job_id for started, _ in plan.starts] == ["other"] * 3
+
+
+def test_waiting_suspect_does_not_block_the_other_tasks_of_its_step():
+    suspect = unit("job", indexes=(0,), is_isolated=True)
+    workers = [
+        worker("n1", free=7, placed_runs=[placed_run("r1", 1, 1)]),
+        worker("n2", free=6, placed_runs=[placed_run("r2", 2, 1)]),
+    ]
+    plan = plan_round([suspect, unit("job", indexes=(1,))], workers)
+    assert [started.indexes for started, _ in plan.starts] == [(1,)]
+
+
+def test_urgent_suspect_preempts_all_that_runs_on_one_worker():
+    cheap, costly = worker("n1"), worker("n2")
+    for run in (placed_run("cheap", 1, 2, 1.0), placed_run("other", 1, 2, 2.0)):
+        cheap.add_placed_run(run)
+    costly.add_placed_run(placed_run("costly", 1, 2, 1e6))
+    suspect = unit("suspect", priority=0, is_isolated=True)
+    plan = plan_round([suspect], [cheap, costly])
+    assert sorted(stop.placed_run.task for stop in plan.stops) == ["cheap", "other"]
--- a/packages/lycheeslip_agent/lycheeslip_agent/dispatch/board.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/dispatch/board.py
@@ -1,7 +1,6 @@
 """Shared state of an agent's dispatch: the worker, its runs and the run lease."""
 
 import asyncio
-from collections import deque
 from collections.abc import Iterator
 
 from lycheeslip_common.utils.clock import steady_ms
@@ -12,6 +11,7 @@
     Message,
     RunningRun,
     RunTraits,
+    WorkerCrash,
     WorkerReport,
 )
 from lycheeslip_common.workload.link import Link
@@ -21,7 +21,7 @@
 
 __all__ = ["Board"]
 
-MAX_CRASHED_LIFETIMES = 8  # a worker takes seconds to return, and a leader that long to be elected
+MAX_CRASHES = 8  # a worker takes seconds to return, and a leader that long to be elected
 
 
 class Board:
@@ -37,7 +37,7 @@
         self.counters = Counters()
         self.worker_status: WorkerStatus | None = None
         self.is_worker_gone = False
-        self.crashed: deque[Lifetime] = deque(maxlen=MAX_CRASHED_LIFETIMES)
+        self.crashed_at_ms: dict[Lifetime, int] = {}
         self.has_run_lists = False
         self.running: dict[str, RunningRun] = {}
         self.ended: tuple[EndedRun, ...] = ()
@@ -91,9 +91,7 @@
         """Return the report that describes the worker to the leader."""
         worker_status = self.worker_status
         if worker_status is None or self.is_worker_gone:
-            return WorkerReport(
-                None, "", "", (), 0, 0, 0, False, (), (), crashed=tuple(self.crashed)
-            )
+            return WorkerReport(None, "", "", (), 0, 0, 0, False, (), (), crashes=self._crashes())
         return WorkerReport(
             worker_status.lifetime,
             worker_status.service,
@@ -107,7 +105,19 @@
             tuple(end for end in self.ended if end.number > self.last_recorded_end),
             worker_status.remaining_ms,
             tuple(self.pending_starts),
-            tuple(self.crashed),
+            self._crashes(),
+        )
+
+    def record_crash(self, lifetime: Lifetime) -> None:
+        """Record that a lifetime has just crashed; the latest `MAX_CRASHES` are kept."""
+        self.crashed_at_ms[lifetime] = steady_ms()
+        for oldest in list(self.crashed_at_ms)[:-MAX_CRASHES]:
+            del self.crashed_at_ms[oldest]
+
+    def _crashes(self) -> tuple[WorkerCrash, ...]:
+        now = steady_ms()
+        return tuple(
+            WorkerCrash(lifetime, now - at_ms) for lifetime, at_ms in self.crashed_at_ms.items()
         )
 
     def post(self, message: Message) -> None:
--- a/packages/lycheeslip_agent/lycheeslip_agent/dispatch/lists.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/dispatch/lists.py
@@ -192,7 +192,7 @@
         silence_ms = steady_ms() - self._answered_at_ms
         if silence_ms > MAX_SILENCE_MS:
             return
-        board.crashed.append(status.lifetime)
+        board.record_crash(status.lifetime)
         board.counters.count("worker_crashes")
         log_warning(
             "worker_crashed",
--- a/packages/lycheeslip_common/lycheeslip_common/utils/events.py
+++ b/packages/lycheeslip_common/lycheeslip_common/utils/events.py
@@ -245,9 +245,9 @@
     Event(
         "task_suspected",
         "leader",
-        "crashes crashes_alone is_alone node run task",
-        "The worker of a task crashed; `crashes` counts such runs, `crashes_alone` those without"
-        " other work on the worker.",
+        "age_ms crashes crashes_alone is_alone is_suspect node run task",
+        "The worker of a task crashed `age_ms` ago; `crashes` counts such runs, `crashes_alone`"
+        " those without other work on the worker. A suspect starts next on a worker of its own.",
     ),
     Event("unexpected_message", "both", "kind node", "A peer sent a message that it may not send."),
     Event(
--- a/packages/lycheeslip_common/lycheeslip_common/workload/fleet.py
+++ b/packages/lycheeslip_common/lycheeslip_common/workload/fleet.py
@@ -33,6 +33,7 @@
     "RunningRun",
     "StartOrder",
     "StopOrder",
+    "WorkerCrash",
     "WorkerReport",
     "decode",
     "encode",
@@ -67,6 +68,13 @@
     born_ms: int
 
 
+class WorkerCrash(NamedTuple):
+    """A lifetime of a worker that its agent saw crash `ago_ms` before the report."""
+
+    lifetime: Lifetime
+    ago_ms: int
+
+
 class RunningRun(NamedTuple):
     """A run that the backend server lists as running.
 
@@ -94,7 +102,7 @@
 class WorkerReport(NamedTuple):
     """Complete state of an agent's worker; `lifetime` is None while no worker is running.
 
-    `crashed` are earlier lifetimes that the agent saw crash.
+    `crashes` are those of earlier lifetimes.
     """
 
     lifetime: Lifetime | None
@@ -109,7 +117,7 @@
     ended: tuple[EndedRun, ...]
     remaining_ms: int = 0
     orders_pending: tuple[tuple[str, int], ...] = ()
-    crashed: tuple[Lifetime, ...] = ()
+    crashes: tuple[WorkerCrash, ...] = ()
 
 
 class Heartbeat(NamedTuple):
--- a/packages/lycheeslip_common/lycheeslip_common/workload/progress.py
+++ b/packages/lycheeslip_common/lycheeslip_common/workload/progress.py
@@ -18,6 +18,7 @@
 __all__ = [
     "JobProgress",
     "JobState",
+    "EARLY_CRASH_MS",
     "MAX_CRASHES",
     "TaskKey",
     "TaskProgress",
@@ -41,6 +42,7 @@
 MAX_CRASHES = 3
 MAX_CRASHES_ALONE = 2
 CRASHES_WORKERS = "crashes_workers"
+EARLY_CRASH_MS = 3_000  # a worker crashes when it starts such a task; seen up to 2 s later
 TaskKey = tuple[int, int, int]
 """Occurrence, step and position of a task within its job."""
 
@@ -66,6 +68,7 @@
     at which it was ordered. `failed_run` is the last run that counts in `failures`, `failed_on` the
     workers of the latest failures. `crashes` counts the runs under which a worker crashed,
     `crashes_alone` those of them on a worker without other work, and `crashed_run` is the last one.
+    The task `is_suspect` if the last crash came just after its start, or if it is not the first.
     """
 
     run: int = 0
@@ -80,6 +83,7 @@
     crashes: int = 0
     crashes_alone: int = 0
     crashed_run: int = 0
+    is_suspect: bool = False
 
     @property
     def is_placed(self) -> bool:
@@ -220,23 +224,25 @@
     return True
 
 
-def apply_crash(job: JobProgress, key: TaskKey, run: int, is_alone: bool, now_ms: int) -> bool:
-    """Apply the end of a run whose worker crashed; return whether the job changed.
+def apply_crash(job: JobProgress, key: TaskKey, run: int, is_alone: bool, at_ms: int) -> bool:
+    """Apply the end of a run whose worker crashed at `at_ms`; return whether the job changed.
 
     `is_alone` says that no other work was on that worker. A job is given up with a task under
     which worker after worker crashes, since the next would crash too.
     """
     counter = failure_counter(job, key)
     is_counted = counter.crashed_run >= run  # the members of a gang share a run
-    if not apply_end(job, key, run, EndCause.CRASHED, "", now_ms):
+    is_early = at_ms - counter.started_at_ms < EARLY_CRASH_MS
+    if not apply_end(job, key, run, EndCause.CRASHED, "", at_ms):
         return False
     if not is_counted:
         counter.crashed_run = run
         counter.crashes += 1
         counter.crashes_alone += is_alone
+        counter.is_suspect = is_early or counter.crashes > 1
     is_hopeless = counter.crashes >= MAX_CRASHES and counter.crashes_alone >= MAX_CRASHES_ALONE
     if is_hopeless and not job.has_ended:
-        job.state, job.ended_at_ms, job.reason = JobState.FAILED, now_ms, CRASHES_WORKERS
+        job.state, job.ended_at_ms, job.reason = JobState.FAILED, at_ms, CRASHES_WORKERS
     return True
 
 
@@ -310,7 +316,7 @@
             task.failed_run,
             task.failed_on,
             task.started_at_ms,
-            *((task.crashes, task.crashes_alone, task.crashed_run) if task.crashes else ()),
+            *(_crash_fields(task) if task.crashes else ()),
         ]
         for key, task in job.tasks.items()
     ]
@@ -322,8 +328,12 @@
     )
 
 
+def _crash_fields(task: TaskProgress) -> tuple[int, int, int, bool]:
+    return task.crashes, task.crashes_alone, task.crashed_run, task.is_suspect
+
+
 class StoredTask(NamedTuple):
-    """A task's key and the fields of its `TaskProgress`, as stored; the last three only if set."""
+    """A task's key and the fields of its `TaskProgress`, as stored; the last four only if set."""
 
     occurrence: int
     step: int
@@ -340,6 +350,7 @@
     crashes: int = 0
     crashes_alone: int = 0
     crashed_run: int = 0
+    is_suspect: bool = False
 
 
 class StoredProgress(NamedTuple):
--- a/packages/lycheeslip_common/tests/workload_progress_tests.py
+++ b/packages/lycheeslip_common/tests/workload_progress_tests.py
@@ -255,3 +255,16 @@
     state, opened_occurrences, ended_at_ms, (row,) = cbor2.loads(encode_progress(job))
     assert (state, opened_occurrences, ended_at_ms) == ("active", 1, 0)
     assert row == [0, 0, 0, 1, False, "node-1", ["worker-1", 5], "", 0, 0, [], NOW_MS]
+
+
+@pytest.mark.parametrize(("after_ms", "is_suspect"), [(100, True), (10_000, False)])
+def test_only_work_that_had_just_started_is_suspected_at_a_first_crash(
+    after_ms: int, is_suspect: bool
+):
+    job = make_job(StepSpec(1))
+    begin(job, (0, 0, 0))
+    apply_crash(job, (0, 0, 0), 1, False, NOW_MS + after_ms)
+    assert job.tasks[(0, 0, 0)].is_suspect is is_suspect
+    begin(job, (0, 0, 0))
+    apply_crash(job, (0, 0, 0), 2, False, NOW_MS + after_ms)
+    assert job.tasks[(0, 0, 0)].is_suspect
--- a/tests/dispatch/crash_tests.py
+++ b/tests/dispatch/crash_tests.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from lycheeslip_common.workload.fleet import EndCause
+from lycheeslip_common.workload.progress import EARLY_CRASH_MS
 from lycheeslip_standins.platform.worker import CRASH_PAYLOAD
 
 from tests.harness.platform_cell import Cell
@@ -73,3 +74,42 @@
     path = await cell.submit(1, gang, payload=CRASH_PAYLOAD)
     await cell.until_state(path, "failed")
     assert all(len(runs) <= MAX_STARTS for runs in cell.starts().values())
+
+
+async def test_work_beside_a_task_that_crashes_workers_is_lost_once_and_done_at_last(cell: Cell):
+    """The task is placed beside other work at first, and by itself once a worker has crashed."""
+    innocent = await cell.submit(1, {**ONE, "count": 10}, work_ms=1_500)
+    await cell.until(lambda: cell.running() == 10)
+    deadly = await cell.submit(2, ONE, payload=CRASH_PAYLOAD)
+    await cell.until_state(deadly, "failed")
+    await cell.until_state(innocent, "completed")
+    starts = cell.starts()
+    assert len(starts.pop(f"{2:016x}.0.0.0")) <= MAX_STARTS
+    assert max(len(runs) for runs in starts.values()) <= 2
+
+
+async def test_job_that_lost_its_worker_twice_to_a_neighbour_is_not_given_up(cell: Cell):
+    innocent = await cell.submit(1, ONE, work_ms=2_500)
+    for number in (2, 3):
+        await cell.until(lambda: cell.running() == 1)
+        running = next(agent for agent in cell.agents if agent.worker.runs)
+        await running.worker.crash()
+        await cell.until_state(await cell.submit(number, ONE), "completed")
+    await cell.until_state(innocent, "completed")
+
+
+async def test_crash_in_an_outage_leaves_its_task_suspected(cell: Cell):
+    """The outage outlasts the time in which a crash after a start makes a suspect."""
+    innocent = await cell.submit(1, {**ONE, "count": 10}, work_ms=60_000)
+    await cell.until(lambda: cell.running() == 10)
+    await cell.submit(2, ONE, payload=CRASH_PAYLOAD)
+    await cell.until(lambda: f"{2:016x}.0.0.0" in cell.starts())
+    cell.store.faults.status = 503
+    await asyncio.sleep(EARLY_CRASH_MS / 1_000 + 0.5)
+    cell.store.faults.status = 0
+    await cell.until(lambda: ended(cell, EndCause.CRASHED))
+    await cell.until(lambda: cell.leader() is not None)
+    job = cell.leader().board.jobs[f"{2:016x}"]
+    await cell.until(lambda: job.progress.tasks[(0, 0, 0)].crashes)
+    assert job.progress.tasks[(0, 0, 0)].is_suspect
+    await cell.call("DELETE", innocent)
