Measure a worker's silence from its last answer

Cause: the silence before an end was measured from when the last answered poll was sent. A poll is held for up to 1.5 s, so a worker that crashed during the next one seemed to have been silent for over 3 s. Found in the log: worker_gone at 17.797 s without worker_crashed.

Change: it is measured from the last answer, the answer to a start included.

--- a/packages/lycheeslip_agent/lycheeslip_agent/dispatch/lists.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/dispatch/lists.py
@@ -94,6 +94,7 @@
 
     def record_run_started(self, task: str, run: int, checkpoint: str) -> None:
         """Record a start that the worker has confirmed but not listed yet."""
+        self._answered_at_ms = steady_ms()
         self._started_at_ms[(task, run)] = steady_ms()
         self._board.running[task] = RunningRun(task, run, checkpoint, 0)
 
@@ -129,7 +130,7 @@
                     await asyncio.sleep(RETRY_S)
                     return
                 self._refused_connections = 0
-                self._answered_at_ms = polled_at_ms
+                self._answered_at_ms = steady_ms()
                 board.record_worker_clock(clock_ms)
                 self._apply_lists(polled_at_ms, running, ended)
                 if has_unrecorded:
