Leave a start without an answer to the end of its worker

Cause: the agent repeats a start that isn't answered. Where the repetition found no worker, it reported that the order had led to no run, though the first try may have run, and have crashed the worker. Such a crash was never counted.

Change: once a start wasn't answered, an agent that finds the worker gone reports nothing of the order; the leader ends the run with its worker, as crashed or lost. Until the agent is sure that the worker is gone, it asks again.

Both tests failed before: ten runs and more instead of three, and a report worker_gone.

--- a/packages/lycheeslip_agent/lycheeslip_agent/dispatch/orders.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/dispatch/orders.py
@@ -60,6 +60,8 @@
         try:
             while True:
                 refusal = self._refusal_reason(order)
+                if refusal == "worker_gone" and was_unanswered:
+                    return  # it may have run; the leader ends it with its worker
                 if refusal:
                     await self._report_not_started(order, refusal, was_unanswered)
                     return
@@ -76,9 +78,11 @@
                     case Rejected(reason):
                         await self._report_not_started(order, reason, was_unanswered)
                         return
-                    case OtherLifetime() | NoWorker():
+                    case OtherLifetime() | NoWorker() if not was_unanswered:
                         self._post_result(order.lifetime, order.task, order.run, "worker_gone")
                         return
+                    case OtherLifetime() | NoWorker():
+                        await asyncio.sleep(RETRY_S)
                     case NoAnswer(detail):
                         was_unanswered = True
                         board.counters.count("start_retries", "no_answer")
--- a/packages/lycheeslip_agent/tests/dispatch/orders_tests.py
+++ b/packages/lycheeslip_agent/tests/dispatch/orders_tests.py
@@ -57,8 +57,11 @@
         return self._next("hold")
 
 
-async def reported_reasons(worker, order, **board_fields):
-    """Execute `order` and return the reasons that were reported to the leader."""
+async def reported_reasons(worker, order, gone_after_calls=100, **board_fields):
+    """Execute `order` and return the reasons that were reported to the leader.
+
+    The agent learns after `gone_after_calls` calls that the worker is gone.
+    """
     board = Board("agent-1", DispatchTimes())
     board.worker_status = WorkerStatus(LIFETIME, 1, "s", "z", ("a", "r"), 1, 1, 1, True, 0)
     board.epoch = 3
@@ -73,6 +76,7 @@
     async with asyncio.timeout(5):
         while orders._tasks:  # noqa: ASYNC110
             await asyncio.sleep(0.01)
+            board.is_worker_gone |= len(worker.calls) >= gone_after_calls
     return [result.reason for result in reported]
 
 
@@ -111,6 +115,12 @@
     assert await reported_reasons(ScriptedWorker(), STOP) == ["absent"]
 
 
+async def test_a_start_that_may_have_crashed_its_worker_is_not_reported_as_without_a_run():
+    worker = ScriptedWorker([NoAnswer("reset"), NoWorker()])
+    assert await reported_reasons(worker, START, gone_after_calls=3) == []
+    assert worker.calls == ["start"] * 3
+
+
 @pytest.mark.parametrize("gone", [NoWorker(), OtherLifetime()])
 async def test_a_start_at_a_gone_worker_is_reported(gone):
     assert await reported_reasons(ScriptedWorker([gone]), START) == ["worker_gone"]
--- a/tests/dispatch/crash_tests.py
+++ b/tests/dispatch/crash_tests.py
@@ -113,3 +113,11 @@
     await cell.until(lambda: job.progress.tasks[(0, 0, 0)].crashes)
     assert job.progress.tasks[(0, 0, 0)].is_suspect
     await cell.call("DELETE", innocent)
+
+
+async def test_crash_that_takes_the_answer_to_the_start_with_it_is_counted(cell: Cell):
+    for agent in cell.agents:
+        agent.worker.faults.loses_answer_in_crash = True
+    path = await cell.submit(1, ONE, payload=CRASH_PAYLOAD)
+    await cell.until_state(path, "failed")
+    assert cell.starts() == {f"{1:016x}.0.0.0": [1, 2, 3]}
