Back off from a worker whose order found it gone

Cause: a refusal for want of room, lease or health keeps further orders away for 0.5 s; `worker_gone` didn't, and the agent reports the end of a worker's process only after three refused connections, 0.6 s.

Change: `worker_gone` counts as a rejection too. A new lifetime starts without the pause, so a restart after a loss of power isn't delayed. The test failed before: run 10 instead of 3 at most.

--- a/packages/lycheeslip/lycheeslip/dispatch/dispatcher.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/dispatcher.py
@@ -32,7 +32,7 @@
 CHECKPOINT_WRITE_INTERVAL_MS = 2_000  # limits writes; tasks save checkpoints once a second
 SLOW_ROUND_MS = 50  # the shortest urgent jobs have about 0.5 s in all to start and to be shown
 REJECTION_BACKOFF_MS = 500  # a worker that rejected an order gets no other for this long
-REJECTIONS = frozenset({"fence", "late", "no_lease", "room", "unhealthy"})
+REJECTIONS = frozenset({"fence", "late", "no_lease", "room", "unhealthy", "worker_gone"})
 
 
 class Dispatcher:
@@ -160,6 +160,7 @@
             )
         if view.lifetime is not None and view.lifetime != report.lifetime:
             view.lost_lifetime_at_ms = steady_ms()
+            view.backoff_until_ms = 0  # the new lifetime has rejected nothing
         view.report, view.link, view.heard_at_ms = report, link, steady_ms()
         self._run_ends.end_older_lifetimes(node, report)
         for run in report.running:
--- a/tests/dispatch/crash_tests.py
+++ b/tests/dispatch/crash_tests.py
@@ -121,3 +121,17 @@
     path = await cell.submit(1, ONE, payload=CRASH_PAYLOAD)
     await cell.until_state(path, "failed")
     assert cell.starts() == {f"{1:016x}.0.0.0": [1, 2, 3]}
+
+
+async def test_worker_that_has_just_ended_is_not_sent_order_after_order(cell: Cell):
+    """The agent notices after 0.6 s; until then its worker is the only one that fits."""
+    crashing, leaving = cell.agents
+    leaving.worker.state = "draining"
+    await cell.until(lambda: not leaving.agent.board.worker_status.is_ready)
+    crash = asyncio.create_task(crashing.worker.crash())
+    await cell.until(lambda: crashing.worker.crashes)
+    path = await cell.submit(1, ONE)
+    await cell.until_state(path, "completed")
+    await crash
+    job = cell.leader().board.jobs[f"{1:016x}"]
+    assert job.progress.tasks[(0, 0, 0)].run <= 3
