Tell callers why a job was given up

A job whose task crashes worker after worker was shown as `failed` like one that used up its attempts, and its caller couldn't tell its own fault from the fleet's. GET now returns the reason `crashes_workers` beside the state, from the leader, through another entry, or from the record. Failed attempts have no reason, as before.

--- a/packages/lycheeslip/lycheeslip/dispatch/board.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/board.py
@@ -14,6 +14,7 @@
 from lycheeslip_common.workload.progress import JobProgress, JobState, TaskKey, TaskProgress
 from lycheeslip_common.workload.times import DispatchTimes
 
+from lycheeslip.dispatch.calls import Shown
 from lycheeslip.dispatch.placement_model import StepKey
 
 __all__ = [
@@ -81,6 +82,12 @@
     has_newer_checkpoint: bool = False
     stopping: set[tuple[str, int]] = field(default_factory=set)
 
+    @property
+    def shown(self) -> Shown:
+        """What callers may be told of the job: its recorded state."""
+        has_failed = self.recorded_state == JobState.FAILED
+        return Shown(self.recorded_state.value, self.progress.reason if has_failed else "")
+
 
 class Ticket(NamedTuple):
     """Permits the tasks of one step on one worker until a time on the steady clock."""
--- a/packages/lycheeslip/lycheeslip/dispatch/calls.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/calls.py
@@ -92,9 +92,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Shown:
-    """The state of a job."""
+    """The state of a job, and why it failed if that wasn't the number of its failed attempts."""
 
     state: str
+    reason: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/lycheeslip/lycheeslip/dispatch/intake.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/intake.py
@@ -168,10 +168,10 @@
             return queue_or_refusal
         if self._board.leadership is not None and self._board.is_loaded:
             job = self._board.jobs.get(job_id)
-            state = job.recorded_state.value if job is not None else ""
+            shown = job.shown if job is not None else None
         else:
-            state = await self._leader.job_state(job_id, LEADER_TIMEOUT_S)
-        return Shown(state) if state else await self._stored_state(call, job_id, queue_or_refusal)
+            shown = await self._leader.job_state(job_id, LEADER_TIMEOUT_S)
+        return shown or await self._stored_state(call, job_id, queue_or_refusal)
 
     async def _stored_state(self, call: Call, job_id: str, queue: Queue) -> Outcome:
         spec_record = await self._with_deadline(call, self._store.read(spec_key(job_id)))
@@ -185,7 +185,7 @@
         if not runs.items:
             return Shown(JobState.QUEUED)
         progress = decode_progress(decode_spec(spec_record.items[0].value), runs.items[0].value)
-        return Shown(progress.state.value)
+        return Shown(progress.state.value, progress.reason)
 
     async def pending(self, call: Call) -> Outcome:
         """Return the number of jobs of the queue that have not started."""
--- a/packages/lycheeslip/lycheeslip/dispatch/links.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/links.py
@@ -25,6 +25,7 @@
 from lycheeslip_common.workload.progress import JobState
 
 from lycheeslip.dispatch.board import Board
+from lycheeslip.dispatch.calls import Shown
 from lycheeslip.dispatch.dispatcher import Dispatcher
 
 __all__ = ["LeaderLink", "LinkServer", "pending_jobs"]
@@ -105,7 +106,8 @@
                 self._on_record_stored(KeyValue(key, value, 0))
             case JobQuery(number, job_id):
                 job = self._board.jobs.get(job_id)
-                link.post(JobReply(number, job.recorded_state.value if job else ""))
+                shown = job.shown if job else Shown("")
+                link.post(JobReply(number, shown.state, shown.reason))
             case QueueQuery(number, queue):
                 link.post(QueueReply(number, pending_jobs(self._board, queue)))
             case Farewell(reason):
@@ -200,7 +202,7 @@
                 self._on_config(KeyValue(key, value, revision))
             case Redirect(address, _):
                 return bool(address)
-            case JobReply(number, _) | QueueReply(number, _):
+            case JobReply(number, _, _) | QueueReply(number, _):
                 future = self._pending_replies.pop(number, None)
                 if future is not None and not future.done():
                     future.set_result(message)
@@ -223,11 +225,13 @@
         if self._link is not None:
             self._link.post(RecordStored(item.key, item.value))
 
-    async def job_state(self, job_id: str, timeout_s: float) -> str:
-        """Return the job's state as recorded by the leader, "" if unknown or without a reply."""
+    async def job_state(self, job_id: str, timeout_s: float) -> Shown | None:
+        """Return the job's state as recorded by the leader, None if unknown or without a reply."""
         self._last_query_number += 1
         reply = await self._query(JobQuery(self._last_query_number, job_id), timeout_s)
-        return reply.state if isinstance(reply, JobReply) else ""
+        if not isinstance(reply, JobReply) or not reply.state:
+            return None
+        return Shown(reply.state, reply.reason)
 
     async def pending(self, queue: str, timeout_s: float) -> int | None:
         """Return the number of jobs of `queue` not yet started, None without a reply."""
--- a/packages/lycheeslip_common/lycheeslip_common/workload/fleet.py
+++ b/packages/lycheeslip_common/lycheeslip_common/workload/fleet.py
@@ -237,10 +237,11 @@
 
 
 class JobReply(NamedTuple):
-    """The state of a job; empty if the job is unknown to the leader."""
+    """The state of a job, empty if it is unknown to the leader, and why it failed, if known."""
 
     number: int
     state: str
+    reason: str = ""
 
 
 class QueueQuery(NamedTuple):
--- a/tests/dispatch/crash_tests.py
+++ b/tests/dispatch/crash_tests.py
@@ -51,6 +51,18 @@
     assert cell.starts() == {f"{1:016x}.0.0.0": [1, 2, 3]}
 
 
+async def test_caller_learns_at_every_entry_why_its_job_was_given_up(cell: Cell):
+    path = await cell.submit(1, ONE, payload=CRASH_PAYLOAD)
+    await cell.until_state(path, "failed")
+    shown = (200, {"state": "failed", "reason": "crashes_workers"})
+    assert [await cell.call("GET", path, entry=entry) for entry in (0, 1)] == [shown] * 2
+    for agent in cell.agents:
+        agent.worker.faults.failing = True
+    path = await cell.submit(2, ONE)
+    await cell.until_state(path, "failed")
+    assert await cell.call("GET", path) == (200, {"state": "failed"})
+
+
 async def test_crashes_are_counted_on_after_a_change_of_leaders(cell: Cell):
     path = await cell.submit(1, ONE, payload=CRASH_PAYLOAD, entry=1)
     await cell.until(lambda: len(cell.starts().get(f"{1:016x}.0.0.0", [])) == 2)
