Withdraw starts that no longer fit a worker whose capacity has shrunk

The users' workers may shrink while they run (LIMIT).

Cause: a start that was decided before the worker shrank was sent all the same once its record was written, or repeated by the agent until the worker answered; both may take as long as an outage, past the time that the rule allows.

Change: when a report shows less capacity, and when an agent has a new link, the leader stops the latest starts that the worker doesn't list yet until the others fit. The agent refuses or fences a start that was stopped, so the run starts elsewhere. Runs that the worker lists stay, as the rule asks for no stop.

--- a/packages/lycheeslip/lycheeslip/dispatch/dispatcher.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/dispatcher.py
@@ -5,6 +5,7 @@
 from lycheeslip_common.utils.clock import steady_ms, wall_ms
 from lycheeslip_common.utils.logs import log_event
 from lycheeslip_common.workload.fleet import EndCause, OrderResult, WorkerReport
+from lycheeslip_common.workload.jobs import Demand
 from lycheeslip_common.workload.link import Link
 from lycheeslip_common.workload.progress import open_occurrences
 
@@ -161,11 +162,17 @@
         if view.lifetime is not None and view.lifetime != report.lifetime:
             view.lost_lifetime_at_ms = steady_ms()
             view.backoff_until_ms = 0  # the new lifetime has rejected nothing
+        has_shrunk = any(
+            now < before
+            for now, before in zip(_capacity(report), _capacity(view.report), strict=True)
+        )
         view.report, view.link, view.heard_at_ms = report, link, steady_ms()
         self._run_ends.end_older_lifetimes(node, report)
         for run in report.running:
             self._update_checkpoint(run.task, run.run, run.checkpoint)
         self._run_ends.apply_reported_ends(view, report)
+        if has_shrunk or is_new_link:
+            self._run_stopper.withdraw_starts_over_capacity(report)
         if is_new_link:
             self._run_ends.reset_acknowledgement(report.lifetime)
             self._run_starter.resend(view, report)
@@ -206,3 +213,7 @@
         if advice is not None and result.reason == "ticket":
             advice.tickets.pop(result.lifetime, None)
         self._run_ends.end_run(*found, result.run, EndCause.STOPPED, "")
+
+
+def _capacity(report: WorkerReport) -> Demand:
+    return Demand(report.cpu_milli, report.memory_mb, report.accelerators)
--- a/packages/lycheeslip/lycheeslip/dispatch/stops.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/stops.py
@@ -3,10 +3,10 @@
 from lycheeslip_common.utils.clock import steady_ms
 from lycheeslip_common.utils.logs import log_event
 from lycheeslip_common.workload.fleet import Lifetime, StopOrder, WorkerReport
-from lycheeslip_common.workload.jobs import format_task_name
+from lycheeslip_common.workload.jobs import demand_of, format_task_name
 from lycheeslip_common.workload.progress import TaskKey, unit_members
 
-from lycheeslip.dispatch.board import Board, StoredJob, WorkerView
+from lycheeslip.dispatch.board import Board, FoundTask, StoredJob, WorkerView
 from lycheeslip.dispatch.placement_model import Preemption
 
 __all__ = ["RunStopper"]
@@ -93,6 +93,33 @@
         tasks = [job.progress.tasks[member] for member in members]
         return not all(task.is_placed for task in tasks)
 
+    def withdraw_starts_over_capacity(self, report: WorkerReport) -> None:
+        """Withdraw the latest starts that the worker doesn't list yet, until the others fit.
+
+        A start may be on its way for long, with its record or its worker, while a worker's capacity
+        shrinks. Runs that the worker lists stay.
+        """
+        listed = {(run.task, run.run) for run in report.running}
+        free = [report.cpu_milli, report.memory_mb, report.accelerators]
+        unlisted: list[tuple[int, str, FoundTask]] = []
+        for job_id, job in self._board.jobs.items():
+            for key, task in job.progress.placed():
+                if task.lifetime != report.lifetime:
+                    continue
+                demand = demand_of(job.progress.spec.steps[key[1]])
+                free = [a - b for a, b in zip(free, demand, strict=True)]
+                name = format_task_name(job_id, key)
+                if (name, task.run) not in listed:
+                    found = FoundTask(job_id, job, key)
+                    unlisted.append((task.started_at_ms, name, found))
+        for _, name, (job_id, job, key) in sorted(unlisted, reverse=True):
+            if min(free) >= 0:
+                return
+            log_event("start_withdrawn", task=name, run=job.progress.tasks[key].run)
+            self._stop(job_id, job, key)
+            demand = demand_of(job.progress.spec.steps[key[1]])
+            free = [a + b for a, b in zip(free, demand, strict=True)]
+
     def stop_superseded(self, view: WorkerView, report: WorkerReport) -> None:
         """Stop the runs that the worker lists but that are not the current runs of their tasks."""
         if report.lifetime is None:
--- a/packages/lycheeslip_common/lycheeslip_common/utils/events.py
+++ b/packages/lycheeslip_common/lycheeslip_common/utils/events.py
@@ -238,6 +238,12 @@
         "reason run task",
         "The worker did not answer a start order and may have started the run.",
     ),
+    Event(
+        "start_withdrawn",
+        "leader",
+        "run task",
+        "A start that may be on its way no longer fits, as its worker's capacity has shrunk.",
+    ),
     Event("stop_done", "agent", "outcome run task", "The worker confirmed a stop."),
     Event("stop_ordered", "leader", "epoch node run task", "A stop order is sent."),
     Event("store_lost", "entry", "dependency reason", "The store stopped answering."),
