Make the log output a whole stream

Each process that ended in order printed a traceback: the exit handler of the logging library closes its stream, and BoundedOutput had no `close`. It is a text stream of the standard library now, so whatever a handler asks of a stream is there.

--- a/packages/lycheeslip_common/lycheeslip_common/utils/output.py
+++ b/packages/lycheeslip_common/lycheeslip_common/utils/output.py
@@ -1,6 +1,7 @@
 """Non-blocking standard output: a bounded queue of lines that counts dropped lines."""
 
 import errno
+import io
 import os
 from collections import deque
 
@@ -9,8 +10,11 @@
 MAX_QUEUED_LINES = 2_000  # about 400 KB; a reader 2,000 lines behind has stopped reading
 
 
-class BoundedOutput:
-    """A log stream; `write` queues a line and `flush` writes as much as the pipe accepts."""
+class BoundedOutput(io.TextIOBase):
+    """A log stream; `write` queues a line and `flush` writes as much as the pipe accepts.
+
+    Closing it flushes it and leaves the descriptor open.
+    """
 
     def __init__(self, descriptor: int) -> None:
         """Write to the file `descriptor`, which is set to non-blocking mode."""
--- a/packages/lycheeslip_common/tests/output_tests.py
+++ b/packages/lycheeslip_common/tests/output_tests.py
@@ -2,6 +2,8 @@
 
 import contextlib
 import os
+import subprocess
+import sys
 import time
 
 from lycheeslip_common.utils.output import MAX_QUEUED_LINES, BoundedOutput
@@ -52,3 +54,16 @@
     os.close(write_fd)
     with os.fdopen(read_fd) as pipe:
         assert pipe.read().splitlines() == [f"event=line number={n}" for n in range(100)]
+
+
+def test_process_that_logs_to_a_bounded_output_ends_without_an_error():
+    """The exit handler of the logging library closes the stream."""
+    program = (
+        "from lycheeslip_common.utils.logs import configure_logs, log_event\n"
+        "from lycheeslip_common.utils.output import BoundedOutput\n"
+        "configure_logs('info', BoundedOutput(1))\n"
+        "log_event('agent_stopped', node='n1')\n"
+    )
+    ended = subprocess.run([sys.executable, "-c", program], capture_output=True, timeout=30)
+    assert (ended.returncode, ended.stderr) == (0, b"")
+    assert ended.stdout.endswith(b"event=agent_stopped node=n1\n")
