Report a start that crashed its backend server as lost in the HTTP deployment, too

NOT_STARTED puts a job back without counting an attempt against it, so a request that kills each backend server was repeated without end, and a request that isn't repeatable was run again.

A refused connection reached nobody and is as before.

The first case of the test failed before (may_have_started was false).

--- a/packages/lycheeslip_agent/lycheeslip_agent/runner.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/runner.py
@@ -175,14 +175,17 @@
         lease_deadline_ms = self.member.lease_deadline_ms
         not_after_ms = min(self._board.permit.deadline_ms, lease_deadline_ms)
         self.may_have_started = True
+        was_unanswered = False
         while monotonic_ms() < not_after_ms:
             try:
                 await self._backend.start(self.key.task_id, not_after_ms, lease_deadline_ms)
             except BackendError as error:
                 if error.status:
-                    self.may_have_started = False
+                    # an earlier try may have run, and have crashed the backend server
+                    self.may_have_started = was_unanswered
                     self.member.fail(f"start_refused:{error.reason}")
                     return
+                was_unanswered = was_unanswered or not error.is_refused
                 await asyncio.sleep(RETRY_S)
                 continue
             self._confirmed_until_ms = lease_deadline_ms
--- a/packages/lycheeslip_agent/tests/runner_tests.py
+++ b/packages/lycheeslip_agent/tests/runner_tests.py
@@ -1,7 +1,7 @@
 import asyncio
 
 import pytest
-from lycheeslip_agent.backend import BackendClient, TaskLoad
+from lycheeslip_agent.backend import REFUSED, BackendClient, BackendError, TaskLoad
 from lycheeslip_agent.blackboard import Blackboard
 from lycheeslip_agent.gang import Member
 from lycheeslip_agent.grants import HeldGrant
@@ -82,3 +82,35 @@
             await run._ping_once()
     assert anchor.pings == [GangPhase.PREPARED, GangPhase.ARMED, GangPhase.PREPARED]
     assert run.member.reason == reason
+
+
+class ScriptedBackend:
+    """Fails each start with the next scripted error."""
+
+    def __init__(self, *errors):
+        self.errors = list(errors)
+
+    async def start(self, *_):
+        raise self.errors.pop(0)
+
+
+@pytest.mark.parametrize(
+    ("first_reason", "may_have_started"), [("connection reset", True), (REFUSED, False)]
+)
+async def test_a_start_that_crashed_its_backend_server_is_not_reported_as_not_started(
+    first_reason, may_have_started
+):
+    settings = AgentSettings("w1", "r", "z", "rack", CLOSED, (CLOSED,), CLOSED, "k" * 16)
+    board = Blackboard(settings, Metrics())
+    board.permit.on_directive(Directive(1, 1, True, (), LEASE_MS, LEASE_MS))
+    board.permit.on_pong(Pong(monotonic_ms(), 1, 300), monotonic_ms())
+    grant = GRANT._replace(state=GrantState.PREPARED)
+    until_ms = monotonic_ms() + LEASE_MS
+    backend = ScriptedBackend(BackendError(0, first_reason), BackendError(404, "no_such_task"))
+    member = Member(REF, 1, until_ms)
+    member.adopt(until_ms)
+    run = MemberRun(board, backend, None, member, grant, LEASE_MS)
+    board.grants.held_by_key[run.key] = HeldGrant(grant, until_ms)
+    await run._start()
+    assert member.reason == "start_refused:no_such_task"
+    assert run.may_have_started is may_have_started
