--- a/packages/lycheeslip/lycheeslip/dispatch/occupancy.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/occupancy.py
@@ -3,6 +3,7 @@
 from lycheeslip_common.utils.clock import steady_ms, wall_ms
 from lycheeslip_common.workload.fleet import Lifetime
 from lycheeslip_common.workload.jobs import Demand, StepSpec, demand_of, format_task_name
+from lycheeslip_common.workload.operator import Queue
 from lycheeslip_common.workload.progress import TaskKey
 
 from lycheeslip.dispatch.board import Board, StoredJob, WorkerView
@@ -78,25 +79,26 @@
 def _placed_runs_by_lifetime(board: Board) -> dict[Lifetime, list[PlacedRun]]:
     now = wall_ms()
     guaranteed = guaranteed_accounts(board)
+    queues = {queue.name: queue for queue in board.config.queues} if board.config else {}
     result: dict[Lifetime, list[PlacedRun]] = {}
     for job_id, job in board.jobs.items():
         for key, task in job.progress.placed():
             if task.lifetime is not None:
-                placed_run = _placed_run(board, job_id, job, key, now, guaranteed)
+                queue = queues.get(job.progress.spec.queue)
+                placed_run = _placed_run(job_id, job, key, queue, now, guaranteed)
                 result.setdefault(task.lifetime, []).append(placed_run)
     return result
 
 
 def _placed_run(
-    board: Board,
     job_id: str,
     job: StoredJob,
     key: TaskKey,
+    queue: Queue | None,
     now_ms: int,
     guaranteed: frozenset[str],
 ) -> PlacedRun:
     spec = job.progress.spec
-    queue = board.config.queue_named(spec.queue) if board.config else None
     step = spec.steps[key[1]]
     task = job.progress.tasks[key]
     name = format_task_name(job_id, key)
