Forget the crashes before a long run, and give isolation its own module

Crashes before a run of a minute are forgotten now, and a suspect has a worker for itself for a minute at most. The test failed before (the job was given up at the third crash).

--- a/packages/lycheeslip/lycheeslip/dispatch/ends.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/ends.py
@@ -95,7 +95,7 @@
             return
         counter = failure_counter(job, found.key)
         log_event(
-            "task_suspected",
+            "crash_counted",
             task=format_task_name(found.job_id, found.key),
             run=run,
             node=node,
@@ -105,7 +105,7 @@
             is_suspect=counter.is_suspect,
             age_ms=wall_ms() - at_ms,
         )
-        self._board.counters.count("tasks_suspected")
+        self._board.counters.count("crashes_counted")
         if job.has_ended and not had_ended:
             log_warning(
                 "job_given_up",
--- a/packages/lycheeslip/lycheeslip/dispatch/occupancy.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/occupancy.py
@@ -7,6 +7,7 @@
 from lycheeslip_common.workload.progress import TaskKey
 
 from lycheeslip.dispatch.board import Board, StoredJob, WorkerView
+from lycheeslip.dispatch.isolation import must_run_isolated
 from lycheeslip.dispatch.placement_model import URGENT_PRIORITY, PlacedRun, WorkerCapacity
 from lycheeslip.dispatch.work import (
     MAX_OVERRUN_RATIO,
@@ -14,7 +15,6 @@
     guaranteed_accounts,
     is_costly_to_stop,
     is_guaranteed,
-    must_run_isolated,
     start_slack_ms,
     waiting_since_ms,
 )
--- a/packages/lycheeslip/lycheeslip/dispatch/waiting.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/waiting.py
@@ -9,6 +9,7 @@
 from lycheeslip_common.workload.progress import TaskKey, waiting_units
 
 from lycheeslip.dispatch.board import Board, StepAdvice, StoredJob
+from lycheeslip.dispatch.isolation import must_start_isolated
 from lycheeslip.dispatch.placement_model import Advice, StepKey, Unit, UnitKey, WorkerCapacity
 from lycheeslip.dispatch.work import (
     MAX_OVERRUN_RATIO,
@@ -16,7 +17,6 @@
     guaranteed_accounts,
     is_costly_to_stop,
     is_guaranteed,
-    must_start_isolated,
     start_slack_ms,
     waiting_since_ms,
 )
--- a/packages/lycheeslip/lycheeslip/dispatch/work.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/work.py
@@ -1,33 +1,24 @@
-"""Computes what planning needs to know of a job: size, slack, guarantee, stop cost, isolation."""
+"""Computes the size, the slack, the guarantee and the cost of a stop of jobs and their tasks."""
 
 from collections import Counter
 
 from lycheeslip_common.workload.jobs import Demand, JobSpec, StepSpec
 from lycheeslip_common.workload.operator import Queue
-from lycheeslip_common.workload.progress import JobProgress, TaskKey, failure_counter
+from lycheeslip_common.workload.progress import JobProgress
 
 from lycheeslip.dispatch.board import Board
 from lycheeslip.dispatch.placement_model import ACCELERATOR_CORES, URGENT_PRIORITY
 
 __all__ = [
-    "ISOLATION_MS",
-    "MAX_ISOLATION_WAIT_MS",
     "MAX_OVERRUN_RATIO",
     "cores_of",
     "guaranteed_accounts",
     "is_costly_to_stop",
     "is_guaranteed",
-    "must_run_isolated",
-    "must_start_isolated",
     "start_slack_ms",
     "waiting_since_ms",
 ]
 
-# How long a suspect waits for a worker of its own, and how long it then has it for itself, if one
-# worker has crashed under it: most suspects are innocent, and a deadly task crashes its worker at
-# once. With more crashes there is no limit to either.
-MAX_ISOLATION_WAIT_MS = 5_000
-ISOLATION_MS = 2_000
 MAX_OVERRUN_RATIO = 1.5  # run time as a multiple of the estimate past which the estimate is ignored
 
 
@@ -72,23 +63,6 @@
     return job.spec.priority == URGENT_PRIORITY and job.spec.account in guaranteed
 
 
-def must_start_isolated(job: JobProgress, key: TaskKey, now_ms: int) -> bool:
-    """Return whether a waiting task needs a worker without other work, as it may crash it."""
-    return _is_isolated(job, key, now_ms, MAX_ISOLATION_WAIT_MS)
-
-
-def must_run_isolated(job: JobProgress, key: TaskKey, now_ms: int) -> bool:
-    """Return whether no other work may start beside a placed task, as it may crash its worker."""
-    return _is_isolated(job, key, now_ms, ISOLATION_MS)
-
-
-def _is_isolated(job: JobProgress, key: TaskKey, now_ms: int, limit_ms: int) -> bool:
-    """Return whether a suspect is isolated; after one crash for `limit_ms` from its last start."""
-    counter = failure_counter(job, key)
-    is_recent = now_ms - counter.started_at_ms < limit_ms
-    return counter.is_suspect and (counter.crashes > 1 or is_recent)
-
-
 def _urgent_accelerators_by_account(board: Board) -> dict[str, int]:
     """Return the accelerators that the unfinished urgent jobs of each account need."""
     result: Counter[str] = Counter()
--- a/packages/lycheeslip/tests/dispatch/occupancy_tests.py
+++ b/packages/lycheeslip/tests/dispatch/occupancy_tests.py
@@ -2,6 +2,7 @@
 
 import pytest
 from lycheeslip.dispatch.board import Board, StepAdvice, Ticket
+from lycheeslip.dispatch.isolation import ISOLATION_MS, MAX_ISOLATION_WAIT_MS
 from lycheeslip.dispatch.occupancy import (
     QUARANTINE_FAILURES,
     RECENT_CRASH_MS,
@@ -9,11 +10,11 @@
 )
 from lycheeslip.dispatch.placement import plan_round
 from lycheeslip.dispatch.waiting import MAX_IDLE_WAIT_MS, MAX_WAIT_MS, build_units
-from lycheeslip.dispatch.work import ISOLATION_MS, MAX_ISOLATION_WAIT_MS, cores_of
+from lycheeslip.dispatch.work import cores_of
 from lycheeslip_common.utils.clock import steady_ms, wall_ms
 from lycheeslip_common.workload.fleet import RunningRun
 from lycheeslip_common.workload.operator import AdviceTiming
-from lycheeslip_common.workload.progress import begin_runs
+from lycheeslip_common.workload.progress import HEALTHY_RUN_MS, begin_runs
 
 from .builders import JOB, add_job, board_with, lifetime
 
@@ -166,7 +167,8 @@
         (1, 0, True, True),
         (1, ISOLATION_MS, True, False),
         (1, MAX_ISOLATION_WAIT_MS, False, False),
-        (2, 60_000, True, True),
+        (2, HEALTHY_RUN_MS - 1_000, True, True),
+        (2, HEALTHY_RUN_MS, True, False),
     ],
 )
 def test_suspect_is_isolated_for_a_limited_time_after_its_first_crash(
--- a/packages/lycheeslip_agent/lycheeslip_agent/dispatch/board.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/dispatch/board.py
@@ -21,7 +21,7 @@
 
 __all__ = ["Board"]
 
-MAX_CRASHES = 8  # a worker takes seconds to return, and a leader that long to be elected
+MAX_REPORTED_CRASHES = 8  # a worker takes seconds to return, and a leader that long to be elected
 
 
 class Board:
@@ -109,9 +109,9 @@
         )
 
     def record_crash(self, lifetime: Lifetime) -> None:
-        """Record that a lifetime has just crashed; the latest `MAX_CRASHES` are kept."""
+        """Record that a lifetime has just crashed; the latest `MAX_REPORTED_CRASHES` are kept."""
         self.crashed_at_ms[lifetime] = steady_ms()
-        for oldest in list(self.crashed_at_ms)[:-MAX_CRASHES]:
+        for oldest in list(self.crashed_at_ms)[:-MAX_REPORTED_CRASHES]:
             del self.crashed_at_ms[oldest]
 
     def _crashes(self) -> tuple[WorkerCrash, ...]:
--- a/packages/lycheeslip_common/lycheeslip_common/utils/events.py
+++ b/packages/lycheeslip_common/lycheeslip_common/utils/events.py
@@ -58,6 +58,13 @@
         "controller error",
         "A controller raised an exception; it restarts.",
     ),
+    Event(
+        "crash_counted",
+        "leader",
+        "age_ms crashes crashes_alone is_alone is_suspect node run task",
+        "The worker of a task crashed `age_ms` ago; `crashes` counts such runs, `crashes_alone`"
+        " those without other work on the worker. A suspect starts next on a worker of its own.",
+    ),
     Event(
         "end_of_unknown_job",
         "leader",
@@ -248,13 +255,6 @@
     Event("stop_ordered", "leader", "epoch node run task", "A stop order is sent."),
     Event("store_lost", "entry", "dependency reason", "The store stopped answering."),
     Event("store_regained", "entry", "age_ms dependency", "The store answers again."),
-    Event(
-        "task_suspected",
-        "leader",
-        "age_ms crashes crashes_alone is_alone is_suspect node run task",
-        "The worker of a task crashed `age_ms` ago; `crashes` counts such runs, `crashes_alone`"
-        " those without other work on the worker. A suspect starts next on a worker of its own.",
-    ),
     Event("unexpected_message", "both", "kind node", "A peer sent a message that it may not send."),
     Event(
         "unit_placed",
--- a/packages/lycheeslip_common/lycheeslip_common/workload/progress.py
+++ b/packages/lycheeslip_common/lycheeslip_common/workload/progress.py
@@ -19,6 +19,7 @@
     "JobProgress",
     "JobState",
     "EARLY_CRASH_MS",
+    "HEALTHY_RUN_MS",
     "MAX_CRASHES",
     "TaskKey",
     "TaskProgress",
@@ -43,6 +44,7 @@
 MAX_CRASHES_ALONE = 2
 CRASHES_WORKERS = "crashes_workers"
 EARLY_CRASH_MS = 3_000  # a worker crashes when it starts such a task; seen up to 2 s later
+HEALTHY_RUN_MS = 60_000  # a task that ran for this long doesn't crash the workers that start it
 TaskKey = tuple[int, int, int]
 """Occurrence, step and position of a task within its job."""
 
@@ -66,9 +68,10 @@
 
     `node` and `lifetime` name where that run may be in progress; `started_at_ms` is the Unix time
     at which it was ordered. `failed_run` is the last run that counts in `failures`, `failed_on` the
-    workers of the latest failures. `crashes` counts the runs under which a worker crashed,
-    `crashes_alone` those of them on a worker without other work, and `crashed_run` is the last one.
-    The task `is_suspect` if the last crash came just after its start, or if it is not the first.
+    workers of the latest failures. `crashes` counts the runs under which a worker crashed, since
+    the last long run, and `crashes_alone` those of them on a worker without other work;
+    `crashed_run` is the last such run. The task `is_suspect` if the last crash came just after its
+    start or was not the first.
     """
 
     run: int = 0
@@ -228,18 +231,21 @@
     """Apply the end of a run whose worker crashed at `at_ms`; return whether the job changed.
 
     `is_alone` says that no other work was on that worker. A job is given up with a task under
-    which worker after worker crashes, since the next would crash too.
+    which worker after worker crashes, since the next would crash too. A long run shows that the
+    crashes before it had other causes.
     """
     counter = failure_counter(job, key)
     is_counted = counter.crashed_run >= run  # the members of a gang share a run
-    is_early = at_ms - counter.started_at_ms < EARLY_CRASH_MS
+    ran_ms = at_ms - counter.started_at_ms
     if not apply_end(job, key, run, EndCause.CRASHED, "", at_ms):
         return False
     if not is_counted:
+        if ran_ms >= HEALTHY_RUN_MS:
+            counter.crashes = counter.crashes_alone = 0
         counter.crashed_run = run
         counter.crashes += 1
         counter.crashes_alone += is_alone
-        counter.is_suspect = is_early or counter.crashes > 1
+        counter.is_suspect = ran_ms < EARLY_CRASH_MS or counter.crashes > 1
     is_hopeless = counter.crashes >= MAX_CRASHES and counter.crashes_alone >= MAX_CRASHES_ALONE
     if is_hopeless and not job.has_ended:
         job.state, job.ended_at_ms, job.reason = JobState.FAILED, at_ms, CRASHES_WORKERS
--- a/packages/lycheeslip_common/tests/workload_progress_tests.py
+++ b/packages/lycheeslip_common/tests/workload_progress_tests.py
@@ -8,6 +8,7 @@
 from lycheeslip_common.workload.fleet import EndCause, Lifetime
 from lycheeslip_common.workload.jobs import JobSpec, StepSpec, parse_task_name
 from lycheeslip_common.workload.progress import (
+    HEALTHY_RUN_MS,
     MAX_CRASHES,
     JobProgress,
     JobState,
@@ -268,3 +269,12 @@
     begin(job, (0, 0, 0))
     apply_crash(job, (0, 0, 0), 2, False, NOW_MS + after_ms)
     assert job.tasks[(0, 0, 0)].is_suspect
+
+
+def test_task_that_lasts_is_not_given_up_for_crashes_far_apart():
+    job = make_job(StepSpec(1, long_running=True))
+    for run in range(1, 10):
+        begin(job, (0, 0, 0))
+        apply_crash(job, (0, 0, 0), run, True, NOW_MS + HEALTHY_RUN_MS)
+    assert job.state == JobState.ACTIVE
+    assert not job.tasks[(0, 0, 0)].is_suspect
--- a/tests/dispatch/crash_tests.py
+++ b/tests/dispatch/crash_tests.py
@@ -110,7 +110,7 @@
     await cell.until_state(innocent, "completed")
 
 
-async def test_crash_in_an_outage_leaves_its_task_suspected(cell: Cell):
+async def test_crash_in_an_outage_leaves_its_crash_counted(cell: Cell):
     """The outage outlasts the time in which a crash after a start makes a suspect."""
     innocent = await cell.submit(1, {**ONE, "count": 10}, work_ms=60_000)
     await cell.until(lambda: cell.running() == 10)
