Recognise crashes where orders go in answers to heartbeats

Where the settings say that workers take commands by heartbeat, no call shows that a worker's process has ended. The agent learns of a crash from the next lifetime, some seconds later, which the limit of 3 s took for the end of a cut; and a start that a heartbeat's answer had carried was reported as "another lifetime", so as an order without a run. No crash would have been counted on such a deployment.

A start that was delivered before the lifetime ended has an unknown outcome.

--- a/packages/lycheeslip_agent/lycheeslip_agent/dispatch/lists.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/dispatch/lists.py
@@ -26,7 +26,6 @@
 RETRY_S = 0.2
 GONE_AFTER_REFUSED_CONNECTIONS = 3  # a restarting process listens again within two attempts
 CHECKPOINT_REPORT_MS = 1_000  # checkpoints change once per second
-MAX_SILENCE_MS = 3_000  # a worker that ends after a longer silence was cut off or frozen before
 
 
 class WorkerLists:
@@ -191,7 +190,7 @@
         if status is None or board.is_worker_gone or not status.is_ready:
             return
         silence_ms = steady_ms() - self._answered_at_ms
-        if silence_ms > MAX_SILENCE_MS:
+        if silence_ms > self._worker.max_crash_silence_ms:
             return
         board.record_crash(status.lifetime)
         board.counters.count("worker_crashes")
--- a/packages/lycheeslip_agent/lycheeslip_agent/dispatch/worker_port.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/dispatch/worker_port.py
@@ -84,8 +84,12 @@
     """Calls to the worker; a fault of the worker is returned, never raised.
 
     `epoch` is the leader's fencing token, and `until_ms` is on the worker's clock.
+    `max_crash_silence_ms` is the longest silence of a worker that crashes until its agent learns
+    that its process has ended; after a longer silence it was cut off or frozen before.
     """
 
+    max_crash_silence_ms: int
+
     async def hold(
         self, lifetime: Lifetime, until_ms: int, epoch: int, recorded: int, wait_ms: int
     ) -> RunLists | Rejected | OtherLifetime | NoWorker | NoAnswer:
--- a/packages/lycheeslip_agent/tests/dispatch/lists_tests.py
+++ b/packages/lycheeslip_agent/tests/dispatch/lists_tests.py
@@ -17,6 +17,8 @@
 class PolledWorker:
     """Answers polls from a script of outcomes and the seconds that each takes."""
 
+    max_crash_silence_ms = 400
+
     def __init__(self, *script: tuple[object, float]) -> None:
         self._script = list(script)
 
@@ -42,7 +44,6 @@
 
 @pytest.fixture(autouse=True)
 def _short_times(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(lists, "MAX_SILENCE_MS", 400)
     monkeypatch.setattr(lists, "RETRY_S", 0.02)
 
 
--- a/tests/platform_adapter/heartbeat_worker_tests.py
+++ b/tests/platform_adapter/heartbeat_worker_tests.py
@@ -6,8 +6,18 @@
 
 import msgspec
 import pytest
-from lycheeslip_agent.dispatch.worker_port import NoAnswer, NoWorker, OtherLifetime, Rejected, Taken
-from lycheeslip_common.workload.fleet import EndCause, StartOrder
+from lycheeslip_agent.dispatch.board import Board
+from lycheeslip_agent.dispatch.lists import WorkerLists
+from lycheeslip_agent.dispatch.worker_port import (
+    NoAnswer,
+    NoWorker,
+    OtherLifetime,
+    Rejected,
+    Taken,
+    WorkerStatus,
+)
+from lycheeslip_common.workload.fleet import EndCause, Lifetime, StartOrder
+from lycheeslip_common.workload.times import DispatchTimes
 from lycheeslip_platform import heartbeat_worker
 from lycheeslip_platform.heartbeat_worker import MAX_START_DELIVERIES, HeartbeatWorker
 from lycheeslip_platform.worker import parse_heartbeat
@@ -182,3 +192,27 @@
     assert isinstance(await worker.port.hold(worker.lifetime(), 0, 7, 0, 0), NoAnswer)
     worker.port._last_heartbeat_at_ms -= LEASE_MS
     assert await worker.port.hold(worker.lifetime(), 0, 7, 0, 0) == NoWorker()
+
+
+async def test_start_that_was_delivered_to_a_worker_that_crashed_may_have_run(worker: FakeWorker):
+    outcome = worker.start()
+    await run_pending_tasks()
+    await worker.send_heartbeat()
+    worker.born, worker.sequence = 6, 0
+    await worker.send_heartbeat()
+    assert isinstance(await outcome, NoAnswer)
+
+
+async def test_crash_is_told_by_the_next_lifetime_where_orders_go_in_heartbeats():
+    """Such a worker can't be seen to refuse connections; it is silent until it is back."""
+    worker = FakeWorker()
+    worker.port.max_crash_silence_ms = 400
+    board = Board("agent-1", DispatchTimes())
+    lists = WorkerLists(board, worker.port)
+    for silence_s, crashes in ((0.2, 1), (0.6, 1)):
+        status = WorkerStatus(Lifetime("i-1", worker.born), 1, "s", "z", (), 1, 1, 1, True, 0)
+        lists.handle_heartbeat(status)
+        await asyncio.sleep(silence_s)
+        worker.born += 1
+        lists.handle_heartbeat(status._replace(lifetime=Lifetime("i-1", worker.born)))
+        assert len(board.crashed_at_ms) == crashes
