Know the runs of a restarted worker as lost before its first heartbeat

Cause: a task may start elsewhere only when its old worker's lifetime is known to be over, and that took the first heartbeat of that very worker, 0.7 to 1.6 s after it was back; the heartbeat fails and is tried again if the agent doesn't listen yet.

Every other call carries the leader's token, and a worker that has seen one refuses 0 (409, `fence`), so an answer shows a lifetime that no agent has called. A lifetime is recorded for a run only after such a call, so all recorded ones are over. The agent then reports that there is no worker, a message that leaders know, and the runs end as lost. Where orders go in answers to heartbeats nothing is asked.

The first test failed before (the second run came after the lease only); the second guards a worker that lives on while its agent restarts.

--- a/packages/lycheeslip_agent/lycheeslip_agent/dispatch/agent.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/dispatch/agent.py
@@ -12,6 +12,7 @@
 from lycheeslip_agent.dispatch.lists import WorkerLists
 from lycheeslip_agent.dispatch.orders import OrderExecutor
 from lycheeslip_agent.dispatch.pacing import Pacer
+from lycheeslip_agent.dispatch.probe import WorkerProbe
 from lycheeslip_agent.dispatch.worker_port import WorkerPort
 
 __all__ = ["DispatchAgent"]
@@ -36,6 +37,7 @@
         self.lists = WorkerLists(board, worker)
         orders = OrderExecutor(board, worker, self.lists)
         self._pacer = Pacer(board, worker)
+        self._probe = WorkerProbe(board, worker)
         self._link = LeaderLink(board, orders, seeds, find_leader)
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -44,7 +46,12 @@
         log_event("agent_started", node=self.board.node)
         self._tasks = [
             asyncio.create_task(supervise(controller, self.board.counters))
-            for controller in (self.lists.run, self._link.run, self._pacer.run)
+            for controller in (
+                self.lists.run,
+                self._link.run,
+                self._pacer.run,
+                self._probe.run,
+            )
         ]
 
     async def stop(self) -> None:
--- a/packages/lycheeslip_agent/lycheeslip_agent/dispatch/board.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/dispatch/board.py
@@ -28,6 +28,8 @@
     """Blackboard on which the dispatch controllers of one agent share their state.
 
     All times are on the agent's own clock except `worker_clock_ms`, a reading of the worker's.
+    `is_worker_unused` is set if the worker had never been called when this agent started, so that
+    all of its earlier lifetimes are over.
     """
 
     def __init__(self, node: str, times: DispatchTimes) -> None:
@@ -37,6 +39,7 @@
         self.counters = Counters()
         self.worker_status: WorkerStatus | None = None
         self.is_worker_gone = False
+        self.is_worker_unused = False
         self.crashed_at_ms: dict[Lifetime, int] = {}
         self.has_run_lists = False
         self.running: dict[str, RunningRun] = {}
--- a/packages/lycheeslip_agent/lycheeslip_agent/dispatch/leader_link.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/dispatch/leader_link.py
@@ -156,7 +156,10 @@
                 return
 
     async def _send_reports(self, link: Link) -> None:
-        """Send a first report once the worker's lists are known, then one after each change."""
+        """Send a first report once the worker's lists are known, then one after each change.
+
+        A report without a worker comes first if all earlier lifetimes are known to be over.
+        """
         board = self._board
         while board.lifetime is not None and not board.has_run_lists and not board.is_worker_gone:
             board.report_due.clear()
@@ -166,7 +169,11 @@
             await board.report_due.wait()
             await asyncio.sleep(REPORT_BATCH_S)
             board.report_due.clear()
-            if board.worker_status is None or not (board.has_run_lists or board.is_worker_gone):
+            is_known = board.worker_status is not None and board.has_run_lists
+            is_none = board.is_worker_gone or (
+                board.worker_status is None and board.is_worker_unused
+            )
+            if not is_known and not is_none:
                 continue
             board.link = link
             link.post(board.report())
--- a/packages/lycheeslip_agent/lycheeslip_agent/dispatch/worker_port.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/dispatch/worker_port.py
@@ -110,5 +110,11 @@
     ) -> OrderOutcome:
         """Set a run's speed to `percent` of full speed, with effect shortly after the answer."""
 
+    async def is_unused(self) -> bool:
+        """Return whether the worker answers in a lifetime that has never been called before.
+
+        All runs that were ever ordered there have then ended with an earlier lifetime.
+        """
+
     async def close(self) -> None:
         """Close all connections."""
--- a/packages/lycheeslip_common/lycheeslip_common/utils/events.py
+++ b/packages/lycheeslip_common/lycheeslip_common/utils/events.py
@@ -291,6 +291,12 @@
         "The worker's lists belong to a newer lifetime.",
     ),
     Event("worker_silent", "agent", "reason", "The worker did not answer."),
+    Event(
+        "worker_unused",
+        "agent",
+        "took_ms",
+        "The worker has never been called, so the runs of its earlier lifetimes have ended.",
+    ),
     Event("zone_evacuated", "entry", "zone", "The zone was evacuated; no runs start there."),
     Event("zone_in_service", "entry", "revision zone", "The zone is back in service."),
 )
--- a/tests/dispatch/crash_tests.py
+++ b/tests/dispatch/crash_tests.py
@@ -6,7 +6,7 @@
 from lycheeslip_common.workload.progress import EARLY_CRASH_MS
 from lycheeslip_standins.platform.worker import CRASH_PAYLOAD
 
-from tests.harness.platform_cell import Cell
+from tests.harness.platform_cell import TIMES, AgentProcess, Cell, assert_stays_true
 
 ONE = {"count": 1, "cpu": 1000, "mem_mb": 100, "gpu": 1}
 MAX_STARTS = 5  # of a task that crashes its workers: two more after the third crash
@@ -147,3 +147,34 @@
     await crash
     job = cell.leader().board.jobs[f"{1:016x}"]
     assert job.progress.tasks[(0, 0, 0)].run <= 3
+
+
+async def lose_power(agent: AgentProcess) -> None:
+    """End an agent and its worker, and start both again; the worker sends no heartbeat yet."""
+    await agent.stop_agent()
+    await agent.worker.stop()
+    agent.worker.restart_empty()
+    await agent.worker.start()
+    await agent.start_agent()
+
+
+async def test_lost_run_does_not_wait_for_the_first_heartbeat_of_its_restarted_worker(cell: Cell):
+    await cell.submit(1, ONE, work_ms=60_000)
+    await cell.until(lambda: cell.running() == 1)
+    await lose_power(next(agent for agent in cell.agents if agent.worker.runs))
+    async with asyncio.timeout(TIMES.run_lease_ms / 1_000 / 2):
+        await cell.until(lambda: cell.starts() == {f"{1:016x}.0.0.0": [1, 2]})
+
+
+async def test_run_of_a_worker_that_lived_on_is_not_taken_for_lost_when_its_agent_restarts(
+    cell: Cell,
+):
+    await cell.submit(1, ONE, work_ms=60_000)
+    await cell.until(lambda: cell.running() == 1)
+    agent = next(agent for agent in cell.agents if agent.worker.runs)
+    await agent.stop_agent()
+    agent.worker.silence()
+    await agent.start_agent()
+    await assert_stays_true(
+        lambda: cell.starts() == {f"{1:016x}.0.0.0": [1]}, TIMES.run_lease_ms / 1_000 / 2
+    )
