End the lease of a leader before succeeding it

Seen: a leader that the store turns away for a moment is succeeded by another entry, reaches the store again, and both lead for good. Found by the review of the design.

Cause: a successor wrote the leader's key under a lease of its own, but the old leader's lease lived on, so its renewals went on succeeding, and it took them for its term. Only a write of records, which names the term, would have told it. The class of the incident: an instance decides by an answer that says nothing of the others.

Change: the successor revokes the old lease, which removes the key, and writes the key if it is absent. The old leader's next renewal finds its lease ended. Its last extension of agents' leases is bounded by its last renewal before that, as the successor assumes. An entry that finds the key absent after such a doubt assumes the same.

The test failed before: both led until its time ran out.

--- a/packages/lycheeslip/lycheeslip/dispatch/leadership.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/leadership.py
@@ -10,7 +10,7 @@
 
 import cbor2
 from lycheeslip_common.store import Compare, Put
-from lycheeslip_common.store.outcomes import Unreachable, Written
+from lycheeslip_common.store.outcomes import KeyValue, Unreachable, Written
 from lycheeslip_common.store.port import KeyValueStore, LeaseEnded, LeaseGranted
 from lycheeslip_common.utils.clock import steady_ms
 from lycheeslip_common.utils.logs import log_event, log_warning
@@ -55,6 +55,7 @@
         """
         self._notify_lease_in_doubt = notify_lease_in_doubt
         self._is_leader_in_doubt = asyncio.Event()
+        self._doubted_epoch = 0
         self._board = board
         self._store = store
         self._lead = lead
@@ -103,7 +104,7 @@
         This process stepped down while the store was unreachable, or its predecessor at the same
         address led.
         """
-        if await self._acquire(epoch, self._board.times.leader_lease_ms):
+        if await self._acquire(epoch, self._board.times.leader_lease_ms, epoch):
             await self._serve_term()
 
     async def _follow_or_take_over(self, address: str, epoch: int) -> bool:
@@ -125,6 +126,7 @@
 
     def on_leader_in_doubt(self) -> None:
         """Handle the notice that the followed leader can't renew its lease."""
+        self._doubted_epoch = self._board.leader_epoch
         self._is_leader_in_doubt.set()
 
     async def _take_over_when_in_doubt(self, epoch: int) -> None:
@@ -141,16 +143,31 @@
                 self._is_leader_in_doubt.clear()
                 continue
             self._is_leader_in_doubt.clear()
-            is_same_term = any(item.mod_revision == epoch for item in result.items)
-            if not is_same_term or await self._acquire(epoch, self._board.times.leader_lease_ms):
+            record = next((item for item in result.items if item.mod_revision == epoch), None)
+            if record is None or await self._succeed(record):
                 return
 
+    async def _succeed(self, record: KeyValue) -> bool:
+        """Take over from a leader in doubt; its lease ends first, so that it can't renew it."""
+        await self._store.revoke(record.lease_id)
+        return await self._acquire(0, self._board.times.leader_lease_ms, record.mod_revision)
+
     async def _campaign(self) -> None:
-        if await self._acquire(0, 0):
+        """Lead if there is no leader.
+
+        If the last one was in doubt, its lease may have been revoked rather than expired.
+        """
+        was_in_doubt = self._doubted_epoch == self._board.leader_epoch
+        if await self._acquire(0, self._board.times.leader_lease_ms if was_in_doubt else 0):
             await self._serve_term()
 
-    async def _acquire(self, expected_revision: int, predecessor_lease_ms: int) -> bool:
-        """Write the leader key if its revision is `expected_revision` (0: the key is absent)."""
+    async def _acquire(
+        self, expected_revision: int, predecessor_lease_ms: int, succeeded: int = 0
+    ) -> bool:
+        """Write the leader key if its revision is `expected_revision` (0: the key is absent).
+
+        `succeeded` is the epoch of a predecessor whose lease has not expired.
+        """
         requested_at = steady_ms()
         lease = await self._store.grant(self._board.times.leader_lease_ms)
         if not isinstance(lease, LeaseGranted):
@@ -167,7 +184,7 @@
             epoch, lease.lease_id, requested_at + lease.ttl_ms, now + predecessor_lease_ms
         )
         self._board.leader_address, self._board.leader_epoch = self._board.address, epoch
-        log_event("leader_elected", epoch=epoch, node=self._board.node, succeeded=expected_revision)
+        log_event("leader_elected", epoch=epoch, node=self._board.node, succeeded=succeeded)
         return True
 
     async def _serve_term(self) -> None:
--- a/packages/lycheeslip_common/lycheeslip_common/store/outcomes.py
+++ b/packages/lycheeslip_common/lycheeslip_common/store/outcomes.py
@@ -15,15 +15,17 @@
 
 
 class KeyValue(NamedTuple):
-    """One key, its value, and the revisions of its last change and its creation.
+    """One key, its value, the revisions of its last change and its creation, and its lease.
 
-    `create_revision` is 0 if the store does not report it.
+    `create_revision` is 0 if the store does not report it; `lease_id` is 0 if it has no lease or
+    the store does not report it.
     """
 
     key: str
     value: bytes
     mod_revision: int
     create_revision: int = 0
+    lease_id: int = 0
 
 
 class ReadResult(NamedTuple):
--- a/tests/dispatch/lifecycle_tests.py
+++ b/tests/dispatch/lifecycle_tests.py
@@ -357,3 +357,20 @@
         lambda: all(entry.board.leader_epoch == epoch for entry in cell.entries), 1.0
     )
     assert old.board.leadership is not None
+
+
+async def test_replaced_leader_that_reaches_the_store_again_does_not_go_on_leading(cell: Cell):
+    old = cell.leader()
+    assert old is not None
+    other = next(entry for entry in cell.entries if entry is not old)
+    renew, attempts = old.store.renew, []
+
+    async def fail_until_replaced(lease_id: int) -> object:
+        attempts.append(lease_id)
+        return await renew(lease_id) if other.board.is_loaded else Unreachable(False, "503")
+
+    old.store.renew = fail_until_replaced
+    await cell.until(lambda: other.board.is_loaded)
+    async with asyncio.timeout(2 * TIMES.leader_lease_ms / 1_000):
+        await cell.until(lambda: old.board.leadership is None)
+    await cell.until(lambda: old.board.leader_epoch == other.board.leader_epoch)
