Read the zones when a term begins

Seen: an entry whose watch of the operators' keys is silent, and which a leader confirms the configuration to, takes over and starts a task in a zone that was evacuated meanwhile (EVAC).

Cause: what a leader confirms to followers is the configuration alone; planning took that for a confirmation of all operators' keys.

Change: a new leader reads all of them before it plans.

The test failed before: the task was started.

--- a/packages/lycheeslip/lycheeslip/dispatch/entry.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/entry.py
@@ -96,7 +96,8 @@
         board.jobs.clear()
         board.workers.clear()
         self._dispatcher.begin_term()
-        if not await self._loader.load():
+        # zones are not part of what a leader confirms to followers
+        if not await self._operator.refresh() or not await self._loader.load():
             return False
         board.is_loaded = True
         self._term_tasks = [
--- a/packages/lycheeslip/lycheeslip/dispatch/operator_sync.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/operator_sync.py
@@ -84,6 +84,10 @@
         self._confirm_as_of(requested_at)
         return True
 
+    async def refresh(self) -> bool:
+        """Read all operators' keys from the store now; returns whether the store answered."""
+        return await self._read_all() != 0
+
     def apply(self, item: KeyValue) -> None:
         """Apply an operator's key that another store call or the leader returned."""
         self._apply_change(item, False)
--- a/tests/dispatch/lifecycle_tests.py
+++ b/tests/dispatch/lifecycle_tests.py
@@ -374,3 +374,25 @@
     async with asyncio.timeout(2 * TIMES.leader_lease_ms / 1_000):
         await cell.until(lambda: old.board.leadership is None)
     await cell.until(lambda: old.board.leader_epoch == other.board.leader_epoch)
+
+
+async def test_new_leader_starts_nothing_in_a_zone_that_was_evacuated_unnoticed_by_it(cell: Cell):
+    old = cell.leader()
+    assert old is not None
+    other = next(entry for entry in cell.entries if entry is not old)
+    changes = other.store.changes
+
+    async def hide_operator_keys(prefix: str, after: int, wait_ms: int) -> object:
+        if prefix == "op/":
+            await asyncio.sleep(wait_ms / 1_000)
+            return Unreachable(True, "silent")
+        return await changes(prefix, after, wait_ms)
+
+    other.store.changes = hide_operator_keys
+    await asyncio.sleep(2 * TIMES.config_watch_ms / 1_000)
+    for zone in ("zone-0", "zone-1"):
+        cell.store.put(f"op/evacuate/{zone}", b"1")
+    await old.entry.release_leadership()
+    await cell.until(lambda: other.board.is_loaded and cell.known_workers())
+    await cell.submit(1, ONE, entry=cell.entries.index(other))
+    await assert_stays_true(lambda: cell.starts() == {}, 1.0)
