Don't wait a second for a lost leader that is still named

Cause: all agents lose the old leader at 4.68 s, read the leader's key, which the store keeps until the lease ends (and may give in an outdated state), and dial a machine that is gone, for a second.

Change: an agent that lost a silent leader doesn't follow the store's naming of that address, but asks the other entries, whose addresses it gets from each leader; entries don't name a leader that they have lost.

The test failed before.

--- a/packages/lycheeslip/lycheeslip/dispatch/links.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/links.py
@@ -6,6 +6,7 @@
 from lycheeslip_common.store.outcomes import KeyValue
 from lycheeslip_common.utils.clock import steady_ms
 from lycheeslip_common.utils.logs import log_event, log_warning
+from lycheeslip_common.workload.dialer import Dialer
 from lycheeslip_common.workload.fleet import (
     ConfigRelay,
     EntryAddress,
@@ -241,6 +242,7 @@
         `on_leader_announced` when the peer names a leader.
         """
         self._on_leader_announced = on_leader_announced
+        self._dialer = Dialer("entry", board.node)
         self._on_leader_in_doubt = on_leader_in_doubt
         self._board = board
         self._on_config = on_config
@@ -251,7 +253,15 @@
     async def follow(self, address: str) -> None:
         """Keep a link to the leader at `address` until the link ends or the peer doesn't lead."""
         try:
-            link = await dial(address, "entry", self._board.node)
+            await self._follow(address)
+        finally:
+            # not named to others any more, unless a newer leader is known
+            if self._board.leader_address == address:
+                self._board.leader_address = ""
+
+    async def _follow(self, address: str) -> None:
+        try:
+            link = await self._dialer.dial(address)
         except LinkClosedError as error:
             log_warning("leader_unreachable", address=address, reason=error)
             return
--- a/packages/lycheeslip_agent/lycheeslip_agent/dispatch/leader_link.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/dispatch/leader_link.py
@@ -6,7 +6,10 @@
 from lycheeslip_common.utils.clock import steady_ms
 from lycheeslip_common.utils.logs import log_event, log_warning
 from lycheeslip_common.utils.retry import Backoff
+from lycheeslip_common.workload.dialer import Dialer
 from lycheeslip_common.workload.fleet import (
+    EntryAddresses,
+    EntryAddressesQuery,
     Heartbeat,
     HeartbeatReply,
     InvalidMessageError,
@@ -16,7 +19,7 @@
     StartOrder,
     StopOrder,
 )
-from lycheeslip_common.workload.link import Link, LinkClosedError, dial
+from lycheeslip_common.workload.link import Link, LinkClosedError, LinkSilentError
 
 from lycheeslip_agent.dispatch.board import Board
 from lycheeslip_agent.dispatch.orders import OrderExecutor
@@ -27,6 +30,7 @@
 RETRY_LIMIT_S = 0.6
 SUCCESSOR_LOOKUP_S = 0.3  # only while the leader is unconfirmed; store reads are not rate-limited
 REPORT_BATCH_S = 0.01  # batches changes that occur together into one report
+BEATS_PER_ADDRESSES_QUERY = 10  # entries are replaced some times a day
 
 
 class LeaderLink:
@@ -39,10 +43,15 @@
         seeds: Sequence[str],
         find_leader: Callable[[], Awaitable[tuple[str, int] | None]],
     ) -> None:
-        """`find_leader` reads (address, epoch) from the store; `seeds` are entry addresses."""
+        """`find_leader` reads (address, epoch) from the store; `seeds` are entry addresses.
+
+        The addresses that leaders send replace the seeds.
+        """
         self._board = board
         self._orders = orders
-        self._seeds = list(seeds)
+        self._entry_addresses = list(seeds)
+        self._dialer = Dialer("agent", board.node)
+        self._silent_address = ""
         self._find_leader = find_leader
         self._redirect_address = ""
         self._is_leader_unconfirmed = False
@@ -59,23 +68,29 @@
             await asyncio.sleep(backoff.next_delay_s())
 
     async def _next_address(self, attempt: int) -> str:
-        """Return the address to dial: the last redirect, else the stored leader, else a seed."""
+        """Return the address to dial: the last redirect, else the stored leader, else any entry.
+
+        The store names a lost leader until its lease ends; other entries know sooner.
+        """
         if self._redirect_address:
             address, self._redirect_address = self._redirect_address, ""
             return address
         found = await self._find_leader()
-        if found is not None and found[1] >= self._board.epoch:
-            return found[0]
-        return self._seeds[attempt % len(self._seeds)] if self._seeds else ""
+        address = found[0] if found is not None and found[1] >= self._board.epoch else ""
+        if address and address != self._silent_address:
+            return address
+        others = [other for other in self._entry_addresses if other != self._silent_address]
+        return others[attempt % len(others)] if others else address
 
     async def _run_link(self, address: str) -> bool:
         """Open and serve one link; return whether its peer was the leader."""
         board = self._board
         try:
-            link = await dial(address, "agent", board.node)
+            link = await self._dialer.dial(address)
         except LinkClosedError as error:
             board.counters.count("link_failures")
             log_warning("entry_unreachable", address=address, reason=error)
+            self._note_silence(address, error)
             return False
         sender = asyncio.create_task(link.run_sender())
         was_leader = False
@@ -87,17 +102,23 @@
                 self._redirect_address = first.address
                 return False
             board.epoch = first.epoch
+            self._silent_address = ""
             board.poll_requested.set()
             was_leader = True
             await self._serve(link)
         except (LinkClosedError, InvalidMessageError) as error:
             log_warning("leader_lost", dependency="leader", address=address, reason=error)
+            self._note_silence(address, error)
         finally:
             board.link = None
             sender.cancel()
             link.abort()
         return was_leader
 
+    def _note_silence(self, address: str, error: Exception) -> None:
+        if isinstance(error, LinkSilentError):
+            self._silent_address = address
+
     async def _serve(self, link: Link) -> None:
         board = self._board
         log_event("leader_linked", address=link.node, epoch=board.epoch)
@@ -131,6 +152,8 @@
             case RecordedEnds(lifetime, number):
                 if lifetime == board.lifetime:
                     board.last_recorded_end = max(board.last_recorded_end, number)
+            case EntryAddresses(addresses):
+                self._entry_addresses = list(addresses)
             case Redirect(address, _):
                 self._redirect_address = address
                 return False
@@ -139,8 +162,12 @@
         return True
 
     async def _send_heartbeats(self, link: Link) -> None:
+        beats = 0
         while True:
             link.post(Heartbeat(steady_ms(), self._board.epoch))
+            if beats % BEATS_PER_ADDRESSES_QUERY == 0:
+                link.post(EntryAddressesQuery())
+            beats += 1
             await asyncio.sleep(self._board.times.heartbeat_ms / 1_000)
 
     async def _watch_for_successor(self, link: Link) -> None:
--- a/packages/lycheeslip_common/lycheeslip_common/workload/link.py
+++ b/packages/lycheeslip_common/lycheeslip_common/workload/link.py
@@ -15,7 +15,7 @@
 
 from lycheeslip_common.workload.fleet import InvalidMessageError, Message, decode, encode
 
-__all__ = ["PEER_ROLE", "Link", "LinkClosedError", "dial", "listen"]
+__all__ = ["PEER_ROLE", "Link", "LinkClosedError", "LinkSilentError", "dial", "listen"]
 
 PEER_ROLE = "peer"  # of an entry that opens a link to another one for a single message
 
@@ -29,6 +29,10 @@
     """The link could not be established or was closed."""
 
 
+class LinkSilentError(LinkClosedError):
+    """The peer did not answer or send anything in time."""
+
+
 class Link:
     """An open link to the process `node`; its `role` is "entry", "agent" or "peer"."""
 
@@ -78,13 +82,13 @@
         return decode(await self.receive_frame(timeout_s))
 
     async def receive_frame(self, timeout_s: float) -> bytes | str:
-        """Return the next frame; raises LinkClosedError if none arrives within `timeout_s`."""
+        """Return the next frame; raises LinkClosedError, of type LinkSilentError on a timeout."""
         try:
             async with asyncio.timeout(timeout_s):
                 return await self._connection.recv()
         except TimeoutError:
             self.abort()
-            raise LinkClosedError(f"no message from {self.node} within {timeout_s} s") from None
+            raise LinkSilentError(f"no message from {self.node} within {timeout_s} s") from None
         except (ConnectionClosed, OSError) as error:
             self.abort()
             raise LinkClosedError(str(error)) from error
@@ -97,13 +101,13 @@
             transport.abort()
 
 
-async def dial(address: str, role: str, node: str) -> Link:
+async def dial(address: str, role: str, node: str, timeout_s: float = OPEN_TIMEOUT_S) -> Link:
     """Open a link to `address` (IP:PORT) as process `node`; raises LinkClosedError.
 
     The caller must run `run_sender` of the link.
     """
     try:
-        async with asyncio.timeout(OPEN_TIMEOUT_S):
+        async with asyncio.timeout(timeout_s):
             connection = await connect(
                 f"ws://{address}",
                 ping_interval=None,
@@ -113,7 +117,9 @@
                 proxy=None,
             )
             await connection.send(cbor2.dumps([role, node]))
-    except (OSError, TimeoutError, WebSocketException) as error:
+    except TimeoutError as error:
+        raise LinkSilentError(f"{address} does not answer") from error
+    except (OSError, WebSocketException) as error:
         raise LinkClosedError(f"can't connect to {address}: {error!r}") from error
     link = Link(connection)
     link.node = address
--- a/tests/dispatch/lifecycle_tests.py
+++ b/tests/dispatch/lifecycle_tests.py
@@ -402,3 +402,32 @@
     await cell.until(lambda: other.board.is_loaded and cell.known_workers())
     await cell.submit(1, ONE, entry=cell.entries.index(other))
     await assert_stays_true(lambda: cell.starts() == {}, 1.0)
+
+
+async def test_agents_do_not_wait_for_a_lost_leader_that_is_still_named(cell: Cell):
+    """A machine that lost power doesn't answer, and the store names it until its lease ends."""
+    old = cell.leader()
+    assert old is not None
+    await cell.until(lambda: all(len(a.agent._link._entry_addresses) == 2 for a in cell.agents))
+    dead = await start_silent_listener()
+    address = f"127.0.0.1:{dead.sockets[0].getsockname()[1]}"
+
+    async def name_the_lost_leader() -> tuple[str, int]:
+        return address, old.board.leader_epoch
+
+    for agent in cell.agents:
+        agent.agent._link._find_leader = name_the_lost_leader
+        agent.agent._link._silent_address = ""
+        agent.agent.board.link.abort()
+    async with asyncio.timeout(0.8):  # less than one attempt to open a link may take
+        await cell.until(lambda: all(agent.agent.board.link is None for agent in cell.agents))
+        await cell.until(lambda: all(agent.agent.board.link is not None for agent in cell.agents))
+    dead.close()
+
+
+async def start_silent_listener() -> asyncio.Server:
+    async def ignore(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.read()
+        writer.transport.abort()
+
+    return await asyncio.start_server(ignore, "127.0.0.1", 0)
