Refuse an unusable address before dialling it

Operators of similar systems saw processes end again and again after another writer had left an address with a port out of range. Here `dial` of links and of sessions raised ValueError or UnicodeError for such an address, while its callers handle only LinkClosedError and SessionError: the election and the agent's link ended until their supervisor started them again, and the task that keeps a session to another entry ended for good.

`lycheeslip_common.utils.usable` now says what a usable address is, and both functions refuse any other with their own error.

--- a/packages/lycheeslip_common/lycheeslip_common/wire/session.py
+++ b/packages/lycheeslip_common/lycheeslip_common/wire/session.py
@@ -16,6 +16,7 @@
 from lycheeslip_common.structure.fleet import EntryInfo
 from lycheeslip_common.utils.logs import log_warning
 from lycheeslip_common.utils.metrics import Metrics
+from lycheeslip_common.utils.usable import is_usable_address, shorten
 from lycheeslip_common.wire.codec import MAX_FRAME_BYTES, MalformedFrameError, decode, encode
 from lycheeslip_common.wire.messages import Challenge, Hello, Message, Welcome
 
@@ -85,6 +86,8 @@
 
 async def dial(address: str, key: str, role: str, node_id: str) -> Session:
     """Open a session to the listener at `address` (host:port); raises SessionError."""
+    if not is_usable_address(address):
+        raise SessionError(f"not an address: {shorten(address)}")
     try:
         connection = await connect(
             f"ws://{address}",
--- a/packages/lycheeslip_common/lycheeslip_common/workload/link.py
+++ b/packages/lycheeslip_common/lycheeslip_common/workload/link.py
@@ -13,6 +13,7 @@
 from websockets.asyncio.server import Server, ServerConnection, serve
 from websockets.exceptions import ConnectionClosed, WebSocketException
 
+from lycheeslip_common.utils.usable import is_usable_address, parse_cbor, shorten
 from lycheeslip_common.workload.fleet import InvalidMessageError, Message, decode, encode
 
 __all__ = ["Link", "LinkClosedError", "dial", "listen"]
@@ -91,6 +92,8 @@
 
     The caller must run `run_sender` of the link.
     """
+    if not is_usable_address(address):
+        raise LinkClosedError(f"not an address: {shorten(address)}")
     try:
         async with asyncio.timeout(OPEN_TIMEOUT_S):
             connection = await connect(
@@ -118,8 +121,9 @@
         sender = asyncio.create_task(link.run_sender())
         try:
             hello = await link.receive_frame(OPEN_TIMEOUT_S)
-            role, node = cbor2.loads(hello if isinstance(hello, bytes) else b"")
-            link.role, link.node = str(role), str(node)
+            link.role, link.node = parse_cbor(
+                hello if isinstance(hello, bytes) else b"", tuple[str, str]
+            )
             await handle(link)
         except (LinkClosedError, InvalidMessageError, ValueError, TypeError, EOFError):
             return
