Open the session to an entry again after a failure or a change of its address

An unexpected error in the task that keeps the session to another entry ended the task, which stayed in its table, so that the entry was never dialled again. A task also kept the first address that it had seen, so that a later good value under the same key changed nothing.

Tasks are now kept by the entry's whole description and are started again, with a log line, once they have ended. They are cancelled with the controller.

--- a/packages/lycheeslip/lycheeslip/entry/peers.py
+++ b/packages/lycheeslip/lycheeslip/entry/peers.py
@@ -59,20 +59,35 @@
         self._fleet_key = fleet_key
         self._ping_every_ms = permit_ms // PINGS_PER_PERMIT
         self._routes = routes
-        self._dial_tasks_by_peer: dict[str, asyncio.Task[None]] = {}
+        self._dial_tasks_by_peer: dict[EntryInfo, asyncio.Task[None]] = {}
 
     async def run(self) -> None:
-        """Keep sessions to the entries to dial, and stop dialling entries that have left."""
-        own_id = self._board.info.entry_id
-        while True:
-            to_dial = self._entries_to_dial(own_id)
-            for entry_id, info in to_dial.items():
-                if entry_id not in self._dial_tasks_by_peer:
-                    task = asyncio.create_task(self._maintain_session(info))
-                    self._dial_tasks_by_peer[entry_id] = task
-            for entry_id in self._dial_tasks_by_peer.keys() - to_dial.keys():
-                self._dial_tasks_by_peer.pop(entry_id).cancel()
-            await asyncio.sleep(MEMBERSHIP_POLL_S)
+        """Keep sessions to the entries to dial; an entry whose description changes is redialled."""
+        try:
+            while True:
+                self._update_dial_tasks()
+                await asyncio.sleep(MEMBERSHIP_POLL_S)
+        finally:
+            for task in self._dial_tasks_by_peer.values():
+                task.cancel()
+
+    def _update_dial_tasks(self) -> None:
+        to_dial = set(self._entries_to_dial(self._board.info.entry_id).values())
+        for info in self._dial_tasks_by_peer.keys() - to_dial:
+            self._dial_tasks_by_peer.pop(info).cancel()
+        for info in to_dial:
+            if info not in self._dial_tasks_by_peer or self._has_failed(info):
+                task = asyncio.create_task(self._maintain_session(info))
+                self._dial_tasks_by_peer[info] = task
+
+    def _has_failed(self, info: EntryInfo) -> bool:
+        """Return whether the task that keeps the session to a peer has ended, and log why."""
+        task = self._dial_tasks_by_peer[info]
+        if not task.done():
+            return False
+        error = None if task.cancelled() else task.exception()
+        log_warning("peer_task_failed", peer=info.entry_id, detail=repr(error))
+        return True
 
     def _entries_to_dial(self, own_id: str) -> dict[str, EntryInfo]:
         """Return the leased entries with a higher id, and all permit holders without a lease.
