Read deeply nested responses as malformed

A gateway response whose result is no object and a backend document with a number beyond 2^53 are malformed too.

--- a/packages/lycheeslip_agent/lycheeslip_agent/backend.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/backend.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 from lycheeslip_common.structure.jobs import MAX_ANSWER_BYTES
+from lycheeslip_common.utils.usable import UnusableValueError, check_numbers, parse_json
 from pydantic import TypeAdapter, ValidationError
 
 __all__ = ["BackendClient", "BackendError", "ServerDocument", "TaskDocument", "TaskLoad"]
@@ -172,7 +173,7 @@
             async with self._http.request(
                 method, self._base + path, json=body, timeout=timeout
             ) as response:
-                document = await response.json()
+                document = await response.json(loads=parse_json)
         except aiohttp.ClientConnectorError as error:
             raise BackendError(0, REFUSED) from error
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
@@ -194,6 +195,7 @@
 
 def _validate(adapter: TypeAdapter, fields: tuple[str, ...], document: dict[str, Any]) -> Any:
     try:
+        check_numbers(document)
         return adapter.validate_python({name: document.get(name) for name in fields})
-    except ValidationError as error:
+    except (UnusableValueError, ValidationError) as error:
         raise BackendError(0, "malformed") from error
--- a/packages/lycheeslip_common/lycheeslip_common/store/transport.py
+++ b/packages/lycheeslip_common/lycheeslip_common/store/transport.py
@@ -1,6 +1,5 @@
 """HTTP transport to the addresses of the store, with failover that never repeats a write."""
 
-import json
 from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
 from typing import Any
@@ -9,6 +8,7 @@
 
 from lycheeslip_common.store.outcomes import Unreachable
 from lycheeslip_common.utils.metrics import Metrics
+from lycheeslip_common.utils.usable import parse_json
 
 __all__ = ["StoreTransport"]
 
@@ -93,10 +93,11 @@
         return Unreachable(may_have_run=False, detail=_error_text(status, content))
     # The gateway's streaming calls return one message a line, wrapped in "result".
     first_line = content.split(b"\n", 1)[0]
-    response = json.loads(first_line)
-    if not isinstance(response, dict):
+    response = parse_json(first_line)
+    result = response.get("result", response) if isinstance(response, dict) else None
+    if not isinstance(result, dict):
         raise ValueError("the response is not a JSON object")
-    return response.get("result", response)
+    return result
 
 
 def _error_text(status: int, content: bytes) -> str:
--- a/packages/lycheeslip_common/lycheeslip_common/store/watch.py
+++ b/packages/lycheeslip_common/lycheeslip_common/store/watch.py
@@ -1,6 +1,5 @@
 """Watches of key prefixes in the store."""
 
-import json
 from collections.abc import AsyncIterator
 from typing import Any
 
@@ -10,6 +9,7 @@
 from lycheeslip_common.store.outcomes import WatchEvent
 from lycheeslip_common.store.transport import StoreTransport
 from lycheeslip_common.utils.metrics import Metrics
+from lycheeslip_common.utils.usable import parse_json
 
 __all__ = ["WatchEnded", "watch_prefix"]
 
@@ -70,12 +70,14 @@
         buffer = bytearray(rest)
         for line in lines:
             if line.strip():
-                yield _unwrap_result(json.loads(line))
+                yield _unwrap_result(parse_json(line))
 
 
 def _unwrap_result(message: Any) -> dict[str, Any]:
     if not isinstance(message, dict) or "result" not in message:
         raise ValueError(f"unexpected watch message: {str(message)[:200]}")
+    if not isinstance(message["result"], dict):
+        raise ValueError("the result of a watch message is not a JSON object")
     return message["result"]
 
 
