Keep reading the store when a key is no text

One key under the entries' prefix whose bytes aren't UTF-8 made each read of the prefix fail, so that the store counted as unreachable for all entries until somebody removed the key.

--- a/packages/lycheeslip_common/lycheeslip_common/store/gateway.py
+++ b/packages/lycheeslip_common/lycheeslip_common/store/gateway.py
@@ -129,9 +129,9 @@
 
 
 def parse_key_value(item: Json) -> KeyValue:
-    """Return the key in `item`."""
+    """Return the key in `item`; bytes that aren't UTF-8 are escaped, as no key here has any."""
     return KeyValue(
-        decode_bytes(item["key"]).decode(),
+        decode_bytes(item["key"]).decode(errors="backslashreplace"),
         decode_bytes(item.get("value", "")),
         int(item.get("mod_revision", 0)),
         int(item.get("create_revision", 0)),
