Pass over an unreadable configuration once, without ending the reader

A deeply nested unknown field of the operators' configuration raised RecursionError in the controller that follows their keys; it was started again, read the value and failed again, five times a second, and took no later key. An unreadable value was also decoded and logged with each confirmation.

The decoder reports it as unreadable, and a revision found unreadable is counted (`unusable_values`) and not decoded again.

--- a/packages/lycheeslip/lycheeslip/dispatch/operator_sync.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/operator_sync.py
@@ -8,6 +8,7 @@
 from lycheeslip_common.utils.clock import steady_ms
 from lycheeslip_common.utils.logs import log_event, log_warning
 from lycheeslip_common.utils.retry import Backoff
+from lycheeslip_common.utils.usable import UnusableKeys
 from lycheeslip_common.workload.operator import (
     ConfigChange,
     OperatorChange,
@@ -48,6 +49,7 @@
         self._store = store
         self._keys = keys
         self._is_store_unreachable = False
+        self._unusable = UnusableKeys(lambda: board.counters.count("unusable_values", "config"))
 
     @property
     def config_key(self) -> str:
@@ -141,6 +143,8 @@
 
     def _apply_change(self, item: KeyValue, is_deleted: bool) -> None:
         board = self._board
+        if self._unusable.holds(item.key, item.mod_revision):
+            return
         match self._keys.decode(item, is_deleted):
             case ConfigChange(config) if self._is_newer(config):
                 board.config, board.config_item = config, item
@@ -160,6 +164,8 @@
                 board.evacuated_zones.discard(zone)
                 log_event("zone_in_service", zone=zone)
                 board.planning_needed.set()
+            case None if item.key == self.config_key and not is_deleted:
+                self._unusable.add(item.key, item.mod_revision)
             case _:
                 return
 
