Take over a term whose record names no usable leader

Another writer's value under the leader's key left the entries without a leader for ever: they couldn't read it and waited, or they dialled an address with a port out of range and failed again and again.

An entry that finds an unusable record succeeds it conditionally on its revision, after the same wait as for an ended term of its own address.

--- a/packages/lycheeslip/lycheeslip/dispatch/leadership.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/leadership.py
@@ -8,12 +8,12 @@
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
-import cbor2
 from lycheeslip_common.store import Compare, Put
 from lycheeslip_common.store.outcomes import Unreachable, Written
 from lycheeslip_common.store.port import KeyValueStore, LeaseEnded, LeaseGranted
 from lycheeslip_common.utils.clock import steady_ms
 from lycheeslip_common.utils.logs import log_event, log_warning
+from lycheeslip_common.workload.leader import decode_leader, encode_leader
 
 from lycheeslip.dispatch.board import Board, Leadership
 from lycheeslip.dispatch.keys import LEADER_KEY
@@ -27,15 +27,6 @@
 TAKEOVER_RETRY_S = 1.0  # the store is unreachable here too; lets the leader renew first
 
 
-def decode_leader(value: bytes) -> tuple[str, str] | None:
-    """Return the leader's node and listening address, None if `value` can't be decoded."""
-    try:
-        node, address = cbor2.loads(value)
-    except Exception:
-        return None
-    return str(node), str(address)
-
-
 class Election:
     """Campaigns for leadership while there is no leader, and renews the lease while leading."""
 
@@ -89,19 +80,21 @@
         item = result.items[0]
         leader = decode_leader(item.value)
         if leader is None:
-            return
-        if leader[1] == self._board.address:
-            await self._take_over_own_term(item.mod_revision)
+            log_warning("leader_record_unusable", revision=item.mod_revision)
+            self._board.counters.count("unusable_values", "leader_record")
+        if leader is None or leader[1] == self._board.address:
+            await self._take_over_unled_term(item.mod_revision)
             return
         self._board.leader_address, self._board.leader_epoch = leader[1], item.mod_revision
         if await self._follow_or_take_over(leader[1], item.mod_revision):
             await self._serve_term()
 
-    async def _take_over_own_term(self, epoch: int) -> None:
-        """Succeed a term of this address that has ended, whose lease has yet to expire.
+    async def _take_over_unled_term(self, epoch: int) -> None:
+        """Succeed a term that nobody leads although its record is there.
 
-        This process stepped down while the store was unreachable, or its predecessor at the same
-        address led.
+        Another writer replaced the record by one that names no leader; or the term was of this
+        address and has ended, as this process stepped down while the store was unreachable, or its
+        predecessor at the same address led.
         """
         if await self._acquire(epoch, self._board.times.leader_lease_ms):
             await self._serve_term()
@@ -155,7 +148,7 @@
         lease = await self._store.grant(self._board.times.leader_lease_ms)
         if not isinstance(lease, LeaseGranted):
             return False
-        value = cbor2.dumps([self._board.node, self._board.address])
+        value = encode_leader(self._board.node, self._board.address)
         outcome = await self._store.transact(
             [Compare(LEADER_KEY, expected_revision)], [Put(LEADER_KEY, value, lease.lease_id)]
         )
--- a/packages/lycheeslip_common/lycheeslip_common/utils/events.py
+++ b/packages/lycheeslip_common/lycheeslip_common/utils/events.py
@@ -145,6 +145,12 @@
     Event(
         "leader_lost", "both", "address dependency reason", "The connection to the leader ended."
     ),
+    Event(
+        "leader_record_unusable",
+        "entry",
+        "revision",
+        "Another writer replaced the leader's record; the entry takes the term over.",
+    ),
     Event(
         "leader_renewal_failed",
         "leader",
