--- a/packages/lycheeslip/lycheeslip/dispatch/loader.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/loader.py
@@ -7,6 +7,7 @@
 from lycheeslip_common.utils.clock import steady_ms, wall_ms
 from lycheeslip_common.utils.logs import log_event, log_warning
 from lycheeslip_common.utils.retry import Backoff
+from lycheeslip_common.utils.usable import UnusableKeys
 from lycheeslip_common.workload.jobs import JobSpec, StepSpec
 from lycheeslip_common.workload.progress import (
     JobProgress,
@@ -45,6 +46,7 @@
         self._store = store
         self._recorder = recorder
         self._revision = 0
+        self._unusable = UnusableKeys(lambda: board.counters.count("unusable_values", "job_record"))
 
     async def load(self) -> bool:
         """Read all records; returns whether the store answered."""
@@ -108,10 +110,14 @@
             return
         try:
             spec = decode_spec(item.value)
+            if spec.job_id != job_id:
+                raise ValueError("the record is of another job")
             job = self._build_stored_job(spec, progress_by_id.get(job_id))
         except ValueError as error:
-            log_warning("record_unreadable", job=job_id, reason=error)
+            if self._unusable.add(job_id, item.mod_revision):
+                log_warning("record_unreadable", job=job_id, reason=error)
             return
+        self._unusable.discard(job_id)
         self._board.jobs[job_id] = job
         log_event(
             "job_known",
--- a/packages/lycheeslip_common/lycheeslip_common/workload/jobs.py
+++ b/packages/lycheeslip_common/lycheeslip_common/workload/jobs.py
@@ -5,14 +5,17 @@
 __all__ = [
     "Demand",
     "JobSpec",
+    "MAX_TASKS",
     "StepSpec",
     "TaskName",
     "demand_of",
     "parse_task_name",
+    "find_spec_fault",
     "format_task_name",
 ]
 
 TASK_NAME_PARTS = 4
+MAX_TASKS = 10_000  # over all steps and occurrences; keeps a job's record below 1 MB
 
 
 class Demand(NamedTuple):
@@ -110,6 +113,17 @@
     return TaskName(parts[0], int(parts[1]), int(parts[2]), int(parts[3]))
 
 
+def find_spec_fault(spec: JobSpec) -> str:
+    """Return what makes it impossible to run `spec`, "" if nothing does."""
+    for number, step in enumerate(spec.steps):
+        if not all(0 <= earlier < number for earlier in step.after):
+            return f"step {number} is after a step that isn't earlier"
+        if min(step.task_count, step.cpu_milli, step.memory_mb, step.accelerators) < 0:
+            return f"step {number} has a negative amount"
+    tasks = sum(step.task_count for step in spec.steps) * spec.occurrence_count()
+    return "" if 0 < tasks <= MAX_TASKS else f"{tasks} tasks are not between 1 and {MAX_TASKS}"
+
+
 def demand_of(step: StepSpec) -> Demand:
     """Return the demand of one task of `step`.
 
--- a/packages/lycheeslip_common/lycheeslip_common/workload/progress.py
+++ b/packages/lycheeslip_common/lycheeslip_common/workload/progress.py
@@ -12,8 +12,9 @@
 import cbor2
 import msgspec
 
+from lycheeslip_common.utils.usable import UnusableValueError, parse_cbor
 from lycheeslip_common.workload.fleet import EndCause, Lifetime
-from lycheeslip_common.workload.jobs import JobSpec, StepSpec
+from lycheeslip_common.workload.jobs import JobSpec, StepSpec, find_spec_fault
 
 __all__ = [
     "JobProgress",
@@ -305,7 +306,11 @@
 
 def decode_spec(value: bytes) -> JobSpec:
     """Return the specification stored in `value`; raises ValueError if it is malformed."""
-    return _convert(value, JobSpec)
+    spec: JobSpec = _convert(value, JobSpec)
+    fault = find_spec_fault(spec)
+    if fault:
+        raise ValueError(f"not a stored job: {fault}")
+    return spec
 
 
 def encode_progress(job: JobProgress) -> bytes:
@@ -375,11 +380,20 @@
     job = JobProgress(spec, state, opened_occurrences, ended_at_ms, reason=reason)
     for occurrence, step, index, *fields in rows:
         job.tasks[(occurrence, step, index)] = TaskProgress(*fields)
+    if not 0 <= opened_occurrences <= spec.occurrence_count():
+        raise ValueError(f"not the progress of this job: {opened_occurrences} occurrences")
+    if job.tasks.keys() != {
+        key
+        for occurrence in range(opened_occurrences)
+        for step in range(len(spec.steps))
+        for key in unit_members(job, occurrence, step)
+    }:
+        raise ValueError("not the progress of this job: its tasks are others")
     return job
 
 
 def _convert(value: bytes, kind: Any) -> Any:
     try:
-        return msgspec.convert(cbor2.loads(value), kind)
-    except Exception as error:
+        return parse_cbor(value, kind)
+    except UnusableValueError as error:
         raise ValueError(f"not a stored job: {error}") from error
