Refuse messages with numbers beyond 2^53

A message between processes could carry a number of any size into planning and into the encoding of replies.

--- a/packages/lycheeslip_common/lycheeslip_common/wire/codec.py
+++ b/packages/lycheeslip_common/lycheeslip_common/wire/codec.py
@@ -5,6 +5,7 @@
 import cbor2
 from pydantic import TypeAdapter, ValidationError
 
+from lycheeslip_common.utils.usable import check_numbers
 from lycheeslip_common.wire.messages import MESSAGE_TYPES, Message
 
 __all__ = ["MAX_FRAME_BYTES", "MalformedFrameError", "PROTOCOL_VERSION", "decode", "encode"]
@@ -32,6 +33,7 @@
         raise MalformedFrameError("received a text frame, expected a binary frame")
     try:
         parts = cbor2.loads(frame)
+        check_numbers(parts)
     except Exception as error:
         raise MalformedFrameError(f"invalid CBOR: {error}") from error
     if not isinstance(parts, list) or len(parts) < 2:
--- a/packages/lycheeslip_common/lycheeslip_common/workload/fleet.py
+++ b/packages/lycheeslip_common/lycheeslip_common/workload/fleet.py
@@ -11,6 +11,8 @@
 import cbor2
 import msgspec
 
+from lycheeslip_common.utils.usable import check_numbers
+
 __all__ = [
     "ConfigRelay",
     "EndCause",
@@ -292,6 +294,7 @@
         raise InvalidMessageError("expected a binary frame, got a text frame")
     try:
         name, fields = cbor2.loads(frame)
+        check_numbers(fields)
         return msgspec.convert(fields, MESSAGE_TYPES_BY_NAME[name], builtin_types=(bytes,))
     except KeyError as error:
         raise InvalidMessageError(f"unknown message type {error}") from error
