Pass over odd records of entries, jobs and configurations

Any exception in a controller of an entry ends its process. An unreadable configuration in the store raised out of the reading that confirms it, in all entries at once and again after each start; an unreadable job record did so at the next write of that job. An entry's record with a port out of range, or under the key of another entry, was taken.

Records are checked for numbers, addresses and the id of their key. What fails is counted (`store.malformed_value`) and logged once for each revision, and a later usable value is taken. An unreadable configuration counts as older than the one in force, which is written back as after a restored store; a write over an unreadable job record fails as while the store is away.

--- a/packages/lycheeslip/lycheeslip/entry/blackboard.py
+++ b/packages/lycheeslip/lycheeslip/entry/blackboard.py
@@ -5,6 +5,7 @@
 
 from lycheeslip_common.structure.fleet import EntryInfo, WorkerState
 from lycheeslip_common.utils.metrics import Metrics
+from lycheeslip_common.utils.usable import UnusableKeys
 
 from lycheeslip.config.model import FleetConfig
 from lycheeslip.entry.job_table import JobTable
@@ -99,6 +100,7 @@
         self.reservation: RackReservation | None = None
         self.synced = False
         self.store_reachable = False
+        self.unusable_keys = UnusableKeys(lambda: metrics.count("store.malformed_value"))
         self.confirmed_at_ms = 0
         self.permit_until_ms = 0
         self.leaving = False
--- a/packages/lycheeslip/lycheeslip/entry/config_apply.py
+++ b/packages/lycheeslip/lycheeslip/entry/config_apply.py
@@ -109,7 +109,7 @@
                 log_event("config_applied", revision=revision, confirmed_by=confirmed_by)
                 return Applied(revision, confirmed_by)
             case Conflict(KeyValue(value=value)):
-                return RevisionConflict(expected_revision, decode_config(value)["revision"])
+                return RevisionConflict(expected_revision, _revision_in(value))
             case Conflict():
                 return RevisionConflict(expected_revision, 0)
             case Unreachable():
@@ -120,7 +120,7 @@
         current = await self._store.read(CONFIG_KEY)
         if isinstance(current, Unreachable):
             return Unreachable(False, current.detail)
-        known = decode_config(current.items[0].value)["revision"] if current.items else 0
+        known = _revision_in(current.items[0].value) if current.items else 0
         newest = max(known, self._board.config.revision)
         if newest != expected_revision:
             return RevisionConflict(expected_revision, newest)
@@ -131,7 +131,8 @@
         outcome = await self._store.read_prefix(HISTORY_PREFIX)
         if isinstance(outcome, Unreachable):
             return outcome
-        return [decode_config(item.value) for item in outcome.items]
+        found = [_decode_or_none(item.value) for item in outcome.items]
+        return [stored for stored in found if stored is not None]
 
     async def _write(
         self, stored: StoredConfig, mod_revision: int
@@ -157,7 +158,9 @@
         outcome = await self._store.write_if(CONFIG_KEY, value, mod_revision)
         if not isinstance(outcome, Conflict) or outcome.current is None:
             return lost if isinstance(outcome, Unreachable) else outcome
-        current = decode_config(outcome.current.value)
+        current = _decode_or_none(outcome.current.value)
+        if current is None:
+            return lost
         if current["writer"] == stored["writer"]:
             return Written(outcome.current.mod_revision)
         return outcome if current["revision"] <= stored["revision"] else lost
@@ -206,3 +209,16 @@
             for peer, status in self._board.peers_by_id.items()
             if status.config_revision >= revision
         }
+
+
+def _decode_or_none(value: bytes) -> StoredConfig | None:
+    try:
+        return decode_config(value)
+    except ValueError:
+        return None
+
+
+def _revision_in(value: bytes) -> int:
+    """Return the revision of a stored configuration, 0 if another writer made it unreadable."""
+    stored = _decode_or_none(value)
+    return stored["revision"] if stored is not None else 0
--- a/packages/lycheeslip/lycheeslip/entry/job_store.py
+++ b/packages/lycheeslip/lycheeslip/entry/job_store.py
@@ -12,6 +12,8 @@
     Written,
 )
 from lycheeslip_common.structure.jobs import JobRecord
+from lycheeslip_common.utils.logs import log_warning
+from lycheeslip_common.utils.usable import shorten
 
 from lycheeslip.entry.blackboard import Blackboard
 from lycheeslip.entry.records import (
@@ -25,6 +27,7 @@
 __all__ = ["Created", "Declined", "Existing", "JobStore", "Transition", "Updated"]
 
 MAX_CONFLICTS = 8
+UNREADABLE_RECORD = "the stored record of the job can't be read"
 
 Transition = Callable[[JobRecord], JobRecord | None]
 
@@ -149,7 +152,10 @@
                 self._board.jobs.put(changed, revision)
                 return Updated(changed)
             case Conflict(KeyValue() as current):
-                self._board.jobs.put(decode_job(current.value), current.mod_revision)
+                record = self._decode(current)
+                if record is None:
+                    return Unreachable(False, UNREADABLE_RECORD)
+                self._board.jobs.put(record, current.mod_revision)
                 return None
             case Conflict():
                 self._board.jobs.remove(job_id)
@@ -168,10 +174,20 @@
         if not outcome.items:
             return Conflict(None)
         current = outcome.items[0]
-        if decode_job(current.value)["writer"] == changed["writer"]:
+        stored = self._decode(current)
+        if stored is not None and stored["writer"] == changed["writer"]:
             return Written(current.mod_revision)
         return Conflict(current)
 
+    def _decode(self, item: KeyValue) -> JobRecord | None:
+        """Return the stored record, None if another writer replaced it by an unusable value."""
+        try:
+            return decode_job(item.value)
+        except ValueError as error:
+            if self._board.unusable_keys.add(item.key, item.mod_revision):
+                log_warning("store_value_malformed", key=item.key, detail=shorten(str(error)))
+            return None
+
     async def _create_after_lost_response(
         self, record: JobRecord, lost: Unreachable
     ) -> Created | Existing | Unreachable:
@@ -184,8 +200,10 @@
                 return self._existing(current, record)
         return lost
 
-    def _existing(self, current: KeyValue, record: JobRecord) -> Created | Existing:
-        stored = decode_job(current.value)
+    def _existing(self, current: KeyValue, record: JobRecord) -> Created | Existing | Unreachable:
+        stored = self._decode(current)
+        if stored is None:
+            return Unreachable(False, UNREADABLE_RECORD)
         self._board.jobs.put(stored, current.mod_revision)
         if stored["writer"] == record["writer"]:
             return Created(stored)
--- a/packages/lycheeslip/lycheeslip/entry/records.py
+++ b/packages/lycheeslip/lycheeslip/entry/records.py
@@ -1,9 +1,16 @@
 """Keys in the platform's store and the JSON encoding of their values."""
 
 import json
+from typing import Any
 
 from lycheeslip_common.structure.fleet import EntryInfo
 from lycheeslip_common.structure.jobs import JobRecord
+from lycheeslip_common.utils.usable import (
+    check_numbers,
+    is_usable_address,
+    parse_json,
+    shorten,
+)
 from pydantic import TypeAdapter
 from typing_extensions import TypedDict
 
@@ -89,8 +96,8 @@
 
 
 def decode_job(value: bytes) -> JobRecord:
-    """Decode a job record; raises pydantic.ValidationError."""
-    return _job_adapter.validate_json(value)
+    """Decode a job record; raises ValueError."""
+    return _decode(_job_adapter, value)
 
 
 def encode_config(stored: StoredConfig) -> bytes:
@@ -99,8 +106,8 @@
 
 
 def decode_config(value: bytes) -> StoredConfig:
-    """Decode a stored configuration; raises pydantic.ValidationError."""
-    return _config_adapter.validate_json(value)
+    """Decode a stored configuration; raises ValueError."""
+    return _decode(_config_adapter, value)
 
 
 def encode_homes(stored: StoredHomes) -> bytes:
@@ -109,8 +116,8 @@
 
 
 def decode_homes(value: bytes) -> StoredHomes:
-    """Decode a home map; raises pydantic.ValidationError."""
-    return _homes_adapter.validate_json(value)
+    """Decode a home map; raises ValueError."""
+    return _decode(_homes_adapter, value)
 
 
 def encode_entry(info: EntryInfo) -> bytes:
@@ -119,5 +126,13 @@
 
 
 def decode_entry(value: bytes) -> EntryInfo:
-    """Decode the description of an entry; raises pydantic.ValidationError."""
-    return _entry_adapter.validate_json(value)
+    """Decode the description of an entry; raises ValueError, also if it can't be dialled."""
+    info: EntryInfo = _decode(_entry_adapter, value)
+    if not is_usable_address(info.session_address):
+        raise ValueError(f"unusable session address {shorten(info.session_address)}")
+    return info
+
+
+def _decode(adapter: TypeAdapter[Any], value: bytes) -> Any:
+    check_numbers(parse_json(value))
+    return adapter.validate_json(value)
--- a/packages/lycheeslip/lycheeslip/entry/store_sync.py
+++ b/packages/lycheeslip/lycheeslip/entry/store_sync.py
@@ -4,10 +4,12 @@
 
 from lycheeslip_common.store import Store, WatchEnded
 from lycheeslip_common.store.outcomes import KeyValue, ReadResult, Unreachable
+from lycheeslip_common.structure.fleet import EntryInfo
+from lycheeslip_common.structure.jobs import JobRecord
 from lycheeslip_common.utils.clock import monotonic_ms
 from lycheeslip_common.utils.logs import log_event, log_warning
 from lycheeslip_common.utils.retry import Backoff
-from pydantic import ValidationError
+from lycheeslip_common.utils.usable import shorten
 
 from lycheeslip.config.loader import ConfigError, parse_config
 from lycheeslip.entry.blackboard import AppliedConfig, Blackboard, HomesRecord, PermitHolder
@@ -24,6 +26,7 @@
     decode_homes,
     decode_job,
     encode_config,
+    job_key,
 )
 
 __all__ = ["StoreSync"]
@@ -69,34 +72,39 @@
             await asyncio.sleep(self._confirm_every_s)
 
     def apply_item(self, item: KeyValue) -> None:
-        """Apply one key of the state prefix to the blackboard; malformed values are logged."""
+        """Apply one key of the state prefix to the blackboard; malformed values are passed over."""
+        unusable_keys = self._board.unusable_keys
+        if unusable_keys.holds(item.key, item.mod_revision):
+            return
         try:
             if item.key == CONFIG_KEY:
                 self._apply_config(item)
             elif item.key == HOMES_KEY:
                 self._apply_homes(item)
             elif item.key.startswith(ENTRY_PREFIX):
-                info = decode_entry(item.value)
+                info = _decode_entry_of(item, ENTRY_PREFIX)
                 self._board.entries_by_id[info.entry_id] = info
             elif item.key.startswith(HOLDER_PREFIX):
-                info = decode_entry(item.value)
+                info = _decode_entry_of(item, HOLDER_PREFIX)
                 self._board.permit_holders_by_id[info.entry_id] = PermitHolder(
                     info, item.mod_revision
                 )
             elif item.key.startswith(JOB_PREFIX):
-                self._board.jobs.put(decode_job(item.value), item.mod_revision)
-        except (ValidationError, ConfigError) as error:
-            self._board.metrics.count("store.malformed_value")
-            log_warning("store_value_malformed", key=item.key, detail=error)
+                self._board.jobs.put(_decode_job_of(item), item.mod_revision)
+        except (ValueError, ConfigError) as error:
+            if unusable_keys.add(item.key, item.mod_revision):
+                log_warning("store_value_malformed", key=item.key, detail=shorten(str(error)))
+        else:
+            unusable_keys.discard(item.key)
 
     async def _is_config_current(self, items: tuple[KeyValue, ...]) -> bool:
         """Return whether the stored configuration is not older than the one in force.
 
         An accepted configuration never reverts, so it is written back if the store was restored
-        to an older state.
+        to an older state, or if another writer replaced it by a value that can't be read.
         """
         applied = self._board.applied
-        stored = decode_config(items[0].value)["revision"] if items else 0
+        stored = _stored_revision(items)
         if stored >= applied.config.revision:
             return True
         self._board.metrics.count("config.republished")
@@ -175,3 +183,27 @@
         if reachable != self._board.store_reachable:
             log_event("store_reachability_changed", reachable=reachable)
         self._board.store_reachable = reachable
+
+
+def _decode_entry_of(item: KeyValue, prefix: str) -> EntryInfo:
+    """Decode the description of the entry that the key names; raises ValueError."""
+    info = decode_entry(item.value)
+    if prefix + info.entry_id != item.key:
+        raise ValueError("the value describes an entry other than that of the key")
+    return info
+
+
+def _decode_job_of(item: KeyValue) -> JobRecord:
+    """Decode the record of the job that the key names; raises ValueError."""
+    record = decode_job(item.value)
+    if job_key(record["job_id"]) != item.key:
+        raise ValueError("the value is the record of a job other than that of the key")
+    return record
+
+
+def _stored_revision(items: tuple[KeyValue, ...]) -> int:
+    """Return the revision of the stored configuration, 0 if there is none that can be read."""
+    try:
+        return decode_config(items[0].value)["revision"] if items else 0
+    except ValueError:
+        return 0
