--- a/packages/lycheeslip_common/lycheeslip_common/config/yaml_lines.py
+++ b/packages/lycheeslip_common/lycheeslip_common/config/yaml_lines.py
@@ -9,6 +9,7 @@
 
 Path = tuple[str, ...]
 
+MAX_DEPTH = 20  # the reader takes over a second to reach the interpreter's limit
 NUMBER_FIRST_CHARACTERS = list("-+0123456789.")
 
 
@@ -50,13 +51,19 @@
     """Resolves plain scalars as in YAML 1.2: `22:00`, `yes` and dates remain strings."""
 
     yaml_implicit_resolvers: dict = {}
+    _depth = 0
 
     def compose_node(self, parent: yaml.Node | None, index: int) -> yaml.Node | None:
-        """Reject aliases, with which a short file could expand without bound."""
+        """Reject aliases, with which a short file could expand without bound, and deep nesting."""
         if self.check_event(yaml.AliasEvent):
             mark = self.peek_event().start_mark
             raise yaml.composer.ComposerError(None, None, "aliases are not supported", mark)
-        return super().compose_node(parent, index)
+        if self._depth >= MAX_DEPTH:
+            raise RecursionError
+        self._depth += 1
+        node = super().compose_node(parent, index)
+        self._depth -= 1
+        return node
 
 
 def _add_resolver(tag: str, pattern: str, first_characters: list[str]) -> None:
