Answer a query for a job with an unreadable progress record

The call raised ValueError and was answered with status 500 without a reason. It is answered with status 503 and the reason `record_unreadable`, since another entry or a later try may know the state.

--- a/packages/lycheeslip/lycheeslip/dispatch/intake.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/intake.py
@@ -184,7 +184,11 @@
             return NotRun("store_unavailable")
         if not runs.items:
             return Shown(JobState.QUEUED)
-        progress = decode_progress(decode_spec(spec_record.items[0].value), runs.items[0].value)
+        try:
+            progress = decode_progress(decode_spec(spec_record.items[0].value), runs.items[0].value)
+        except ValueError as error:
+            log_event("record_unreadable", job=job_id, reason=error)
+            return NotRun("record_unreadable")
         return Shown(progress.state.value, progress.reason)
 
     async def pending(self, call: Call) -> Outcome:
--- a/tests/dispatch/odd_values_tests.py
+++ b/tests/dispatch/odd_values_tests.py
@@ -78,6 +78,7 @@
     leader = cell.leader()
     assert leader is not None
     assert not odd.keys() & leader.board.jobs.keys()
+    assert await cell.state("/normal/" + "f" * 16) == "503"
     cell.store.put(SPEC_PREFIX + "b" * 16, stored_spec("b" * 16, [1]))
     await cell.until(lambda: "b" * 16 in leader.board.jobs)
     await assert_still_works(cell, 2)
