Treat a task name with a huge number as malformed

A worker that listed a run whose name holds a number of 5,000 digits made the leader's handling of its report raise ValueError, which ended the agent's link with each report. Such a name is no task name. The case added to test_malformed_task_name_is_not_parsed failed before (run).

--- a/packages/lycheeslip_common/lycheeslip_common/workload/jobs.py
+++ b/packages/lycheeslip_common/lycheeslip_common/workload/jobs.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from lycheeslip_common.utils.usable import parse_digits
+
 __all__ = [
     "Demand",
     "JobSpec",
@@ -108,9 +110,10 @@
     parts = text.split(".")
     if len(parts) != TASK_NAME_PARTS:
         return None
-    if not all(part.isascii() and part.isdigit() for part in parts[1:]):
+    occurrence, step, position = (parse_digits(part) for part in parts[1:])
+    if occurrence is None or step is None or position is None:
         return None
-    return TaskName(parts[0], int(parts[1]), int(parts[2]), int(parts[3]))
+    return TaskName(parts[0], occurrence, step, position)
 
 
 def find_spec_fault(spec: JobSpec) -> str:
--- a/packages/lycheeslip_common/tests/workload_progress_tests.py
+++ b/packages/lycheeslip_common/tests/workload_progress_tests.py
@@ -139,7 +139,9 @@
     assert list(waiting_units(job)) == []
 
 
-@pytest.mark.parametrize("text", ["", "a.0.0", "a.0.0.x", "a.0.-1.0", "a.0.0.0.0"])
+@pytest.mark.parametrize(
+    "text", ["", "a.0.0", "a.0.0.x", "a.0.-1.0", "a.0.0.0.0", "a.%s.0.0" % ("9" * 5_000)]
+)
 def test_malformed_task_name_is_not_parsed(text: str):
     assert parse_task_name(text) is None
 
