--- a/packages/lycheeslip/lycheeslip/dispatch/entry_directory.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/entry_directory.py
@@ -3,6 +3,7 @@
 from collections.abc import Sequence
 
 from lycheeslip_common.utils.clock import steady_ms
+from lycheeslip_common.utils.usable import is_usable_address
 
 __all__ = ["EntryDirectory"]
 
@@ -20,8 +21,9 @@
         self._avoid_until_ms: dict[str, int] = {}
 
     def add(self, address: str) -> None:
-        """Add the address of a live entry, or keep it for longer."""
-        self._forget_at_ms[address] = steady_ms() + KEEP_MS
+        """Add the address of a live entry, or keep it for longer; an unusable one is left out."""
+        if is_usable_address(address):
+            self._forget_at_ms[address] = steady_ms() + KEEP_MS
 
     def avoid(self, address: str) -> None:
         """Leave an entry out of `helpers` for a while, since it could not help."""
--- a/packages/lycheeslip/lycheeslip/dispatch/leadership.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/leadership.py
@@ -8,13 +8,13 @@
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
-import cbor2
 from lycheeslip_common.store import Compare, Put
 from lycheeslip_common.store.outcomes import KeyValue, Unreachable, Written
 from lycheeslip_common.store.port import KeyValueStore, LeaseEnded, LeaseGranted
 from lycheeslip_common.utils.clock import steady_ms
 from lycheeslip_common.utils.logs import log_event, log_warning
 from lycheeslip_common.workload.fleet import Redirect
+from lycheeslip_common.workload.leader import decode_leader, encode_leader
 
 from lycheeslip.dispatch.board import Board, Leadership
 from lycheeslip.dispatch.keys import LEADER_KEY
@@ -31,15 +31,6 @@
 ASK_PERIOD_MS = 1_000  # a leader announces itself too, so this finds only what that has missed
 
 
-def decode_leader(value: bytes) -> tuple[str, str] | None:
-    """Return the leader's node and listening address, None if `value` can't be decoded."""
-    try:
-        node, address = cbor2.loads(value)
-    except Exception:
-        return None
-    return str(node), str(address)
-
-
 class Election:
     """Campaigns for leadership while there is no leader, and renews the lease while leading."""
 
@@ -90,8 +81,8 @@
 
     async def _lead_or_follow(self) -> None:
         if self._announced is not None:
-            leader, self._announced = self._announced, None
-            await self._follow_leader(leader)
+            announced, self._announced = self._announced, None
+            await self._follow_leader(announced)
             return
         result = await self._store.read(LEADER_KEY, READ_TIMEOUT_S)
         if self._board.is_leaving:
@@ -105,13 +96,14 @@
             await self._campaign()
             return
         item = result.items[0]
-        leader_record = decode_leader(item.value)
-        if leader_record is None:
-            return
-        if leader_record[1] == self._board.address:
-            await self._take_over_own_term(item.mod_revision)
+        leader = decode_leader(item.value)
+        if leader is None:
+            log_warning("leader_record_unusable", revision=item.mod_revision)
+            self._board.counters.count("unusable_values", "leader_record")
+        if leader is None or leader[1] == self._board.address:
+            await self._take_over_unled_term(item.mod_revision)
             return
-        await self._follow_leader(Redirect(leader_record[1], item.mod_revision))
+        await self._follow_leader(Redirect(leader[1], item.mod_revision))
 
     async def _follow_leader(self, leader: Redirect) -> None:
         """Follow `leader` unless a newer one has announced itself; lead after a takeover."""
@@ -153,11 +145,12 @@
         board.leader_address, board.leader_epoch = leader
         self._is_leader_in_doubt.set()
 
-    async def _take_over_own_term(self, epoch: int) -> None:
-        """Succeed a term of this address that has ended, whose lease has yet to expire.
+    async def _take_over_unled_term(self, epoch: int) -> None:
+        """Succeed a term that nobody leads although its record is there.
 
-        This process stepped down while the store was unreachable, or its predecessor at the same
-        address led.
+        Another writer replaced the record by one that names no leader; or the term was of this
+        address and has ended, as this process stepped down while the store was unreachable, or its
+        predecessor at the same address led.
         """
         if await self._acquire(epoch, self._board.times.leader_lease_ms, epoch):
             await self._serve_term()
@@ -229,7 +222,7 @@
         lease = await self._store.grant(self._board.times.leader_lease_ms)
         if not isinstance(lease, LeaseGranted):
             return False
-        value = cbor2.dumps([self._board.node, self._board.address])
+        value = encode_leader(self._board.node, self._board.address)
         outcome = await self._store.transact(
             [Compare(LEADER_KEY, expected_revision)], [Put(LEADER_KEY, value, lease.lease_id)]
         )
--- a/packages/lycheeslip/tests/dispatch/forwarding_tests.py
+++ b/packages/lycheeslip/tests/dispatch/forwarding_tests.py
@@ -40,8 +40,10 @@
 from lycheeslip_common.workload.operator import OperatorConfig
 from lycheeslip_common.workload.times import DispatchTimes
 
-STEP = StepSpec(3, 500, 256, 2, 900, after=(0,), gang=True, label="a")
-SUBMISSION = JobSubmission("0123456789abcdef", "payload", (STEP, STEP), 5, 6, 7)
+STEP = StepSpec(3, 500, 256, 2, 900, gang=True, label="a")
+SUBMISSION = JobSubmission(
+    "0123456789abcdef", "payload", (STEP, STEP._replace(after=(0,))), 5, 6, 7
+)
 REQUESTS = [Submit(SUBMISSION), Cancel("a" * 16), QueryState("b" * 16), QueryPending()]
 OUTCOMES = [
     Accepted(),
@@ -140,11 +142,21 @@
 
 
 def test_directory_lists_the_leader_first_and_leaves_out_entries_that_could_not_help():
-    directory = EntryDirectory(["a:1"])
-    assert directory.others("b:1") == ["a:1"]
-    for address in ("b:1", "c:1", "d:1"):
+    seed, own, other, leader = (f"10.0.0.{number}:1" for number in range(1, 5))
+    directory = EntryDirectory([seed])
+    assert directory.others(own) == [seed]
+    for address in (own, other, leader):
         directory.add(address)
-    assert directory.helpers("b:1", "d:1") == ["d:1", "c:1"]
-    directory.avoid("d:1")
-    assert directory.helpers("b:1", "d:1") == ["c:1"]
-    assert set(directory.others("b:1")) == {"c:1", "d:1"}
+    assert directory.helpers(own, leader) == [leader, other]
+    directory.avoid(leader)
+    assert directory.helpers(own, leader) == [other]
+    assert set(directory.others(own)) == {other, leader}
+
+
+@pytest.mark.parametrize(
+    "address", ["", "10.0.0.1:70000", "10.0.0.1", "host:1", "10.0.0.1:" + "9" * 5_000]
+)
+def test_directory_passes_over_an_unusable_address(address):
+    directory = EntryDirectory()
+    directory.add(address)
+    assert directory.others("10.0.0.2:1") == []
--- a/packages/lycheeslip_common/lycheeslip_common/workload/jobs.py
+++ b/packages/lycheeslip_common/lycheeslip_common/workload/jobs.py
@@ -2,17 +2,22 @@
 
 from typing import NamedTuple
 
+from lycheeslip_common.utils.usable import parse_digits
+
 __all__ = [
     "Demand",
     "JobSpec",
+    "MAX_TASKS",
     "StepSpec",
     "TaskName",
     "demand_of",
     "parse_task_name",
+    "find_spec_fault",
     "format_task_name",
 ]
 
 TASK_NAME_PARTS = 4
+MAX_TASKS = 10_000  # over all steps and occurrences; keeps a job's record below 1 MB
 
 
 class Demand(NamedTuple):
@@ -105,9 +110,21 @@
     parts = text.split(".")
     if len(parts) != TASK_NAME_PARTS:
         return None
-    if not all(part.isascii() and part.isdigit() for part in parts[1:]):
+    occurrence, step, position = (parse_digits(part) for part in parts[1:])
+    if occurrence is None or step is None or position is None:
         return None
-    return TaskName(parts[0], int(parts[1]), int(parts[2]), int(parts[3]))
+    return TaskName(parts[0], occurrence, step, position)
+
+
+def find_spec_fault(spec: JobSpec) -> str:
+    """Return what makes it impossible to run `spec`, "" if nothing does."""
+    for number, step in enumerate(spec.steps):
+        if not all(0 <= earlier < number for earlier in step.after):
+            return f"step {number} is after a step that isn't earlier"
+        if min(step.task_count, step.cpu_milli, step.memory_mb, step.accelerators) < 0:
+            return f"step {number} has a negative amount"
+    tasks = sum(step.task_count for step in spec.steps) * spec.occurrence_count()
+    return "" if 0 < tasks <= MAX_TASKS else f"{tasks} tasks are not between 1 and {MAX_TASKS}"
 
 
 def demand_of(step: StepSpec) -> Demand:
