Forward calls that an entry without the store can't decide

Callers saw: an entry that alone had lost the store refused submissions and cancellations with 503 store_unreachable, on each retry, since the balancer sends a caller to the same entry. A job accepted by another entry in the meantime was shown as 404.

Cause: an entry decided by its own reach of the store only, though its status messages say which other entries reach it.

Change: the entry sends the call to a peer that reaches the store, over the existing session (ForwardedCall, ForwardedAnswer). The peer authenticates the digest of the caller's token and decides by its own configuration and limits; it never forwards. The job id follows from account and key and the record is created by compare-and-swap, so a second peer may be asked after a lost answer and finds the same record. A refusal after a lost answer or a lost write is answered as store_answer_lost, because only the last decision is known not to have run. Without a peer that reaches the store all is as before. Look-ups of a job go the same way, so that a caller can follow what it has just submitted. The decisions move from JobHandlers to JobCalls, which takes no request; a random idempotency key is kept in Submission, so that all peers asked get the same one.

--- a/packages/lycheeslip/lycheeslip/app.py
+++ b/packages/lycheeslip/lycheeslip/app.py
@@ -19,6 +19,7 @@
 from lycheeslip.entry.attempts import Attempts
 from lycheeslip.entry.blackboard import Blackboard
 from lycheeslip.entry.config_apply import ConfigApply
+from lycheeslip.entry.forwarding import Forwarding
 from lycheeslip.entry.history import History
 from lycheeslip.entry.job_store import JobStore
 from lycheeslip.entry.membership import Membership
@@ -30,9 +31,12 @@
 from lycheeslip.entry.store_sync import StoreSync
 from lycheeslip.entry.upkeep import Upkeep
 from lycheeslip.http.access import make_middleware
+from lycheeslip.http.forwarded import ForwardedCalls
+from lycheeslip.http.job_calls import JobCalls
 from lycheeslip.http.job_handlers import JobHandlers
 from lycheeslip.http.operator_handlers import OperatorHandlers
 from lycheeslip.http.submission import MAX_BODY_BYTES
+from lycheeslip.http.unrecorded import UnrecordedJobs
 
 __all__ = ["EntryApp", "run_entry"]
 
@@ -65,10 +69,12 @@
         self._sync = StoreSync(self.board, self._store, times.confirm_every_ms)
         self._membership = Membership(self.board, self._store, times.entry_lease_s)
         self._agents = AgentSessions(self.board, self._router, outcomes)
+        forwarding = Forwarding(self.board, self._router)
         self._peers = Peers(
             self.board,
             self._router,
             outcomes,
+            forwarding,
             settings.fleet_key,
             settings.routes,
             times.permit_ms,
@@ -90,7 +96,11 @@
             client_max_size=MAX_BODY_BYTES,
             middlewares=[make_middleware(self.board, settings.allow_remote_without_tokens)],
         )
-        JobHandlers(self.board, self._router, jobs, outcomes).add_routes(self._web)
+        unrecorded = UnrecordedJobs(self.board, self._router, jobs, outcomes)
+        calls = JobCalls(self.board, jobs, unrecorded)
+        allow_remote = settings.allow_remote_without_tokens
+        forwarding.decide = ForwardedCalls(self.board, calls, allow_remote).decide
+        JobHandlers(self.board, jobs, calls, forwarding).add_routes(self._web)
         operators = OperatorHandlers(self.board, self._router, config_apply, history.health)
         operators.add_routes(self._web)
         self._runner = web.AppRunner(
--- a/packages/lycheeslip/lycheeslip/config/auth.py
+++ b/packages/lycheeslip/lycheeslip/config/auth.py
@@ -18,6 +18,7 @@
     "bearer_token",
     "digest_token",
     "authenticate",
+    "authenticate_digest",
     "allows_anonymous",
     "may_act_for",
     "may_operate",
@@ -71,9 +72,13 @@
 
 def authenticate(config: FleetConfig, token: str) -> Caller:
     """Return the caller that `token` authenticates; compares it with every declared digest."""
+    return authenticate_digest(config, digest_token(token))
+
+
+def authenticate_digest(config: FleetConfig, digest: str) -> Caller:
+    """Return the caller whose token has this SHA-256 digest."""
     if allows_anonymous(config):
         return AnonymousCaller()
-    digest = digest_token(token)
     caller: Caller = UnauthenticatedCaller()
     for account in config.accounts_by_id.values():
         if _digests_match(account.token_sha256, digest):
--- a/packages/lycheeslip/lycheeslip/entry/peers.py
+++ b/packages/lycheeslip/lycheeslip/entry/peers.py
@@ -10,6 +10,8 @@
 from lycheeslip_common.wire.messages import (
     AttemptReport,
     FenceReply,
+    ForwardedAnswer,
+    ForwardedCall,
     Message,
     PeerPing,
     PeerPong,
@@ -22,6 +24,7 @@
 from lycheeslip_common.wire.session import Session, SessionError, dial
 
 from lycheeslip.entry.blackboard import Blackboard, PeerStatus
+from lycheeslip.entry.forwarding import Forwarding
 from lycheeslip.entry.outcomes import OutcomeRecorder
 from lycheeslip.entry.router import Router
 from lycheeslip.entry.workers import (
@@ -45,6 +48,7 @@
         board: Blackboard,
         router: Router,
         outcomes: OutcomeRecorder,
+        forwarding: Forwarding,
         fleet_key: str,
         routes: dict[str, str],
         permit_ms: int,
@@ -56,6 +60,7 @@
         self._board = board
         self._router = router
         self._outcomes = outcomes
+        self._forwarding = forwarding
         self._fleet_key = fleet_key
         self._ping_every_ms = permit_ms // PINGS_PER_PERMIT
         self._routes = routes
@@ -159,6 +164,10 @@
                 mark_worker_disconnected(
                     self._board, message.worker_id, message.incarnation, message.home_entry
                 )
+            case ForwardedCall():
+                self._forwarding.accept(session.node_id, message)
+            case ForwardedAnswer():
+                self._forwarding.deliver(session.node_id, message)
             case Relay(to_worker=""):
                 await self._handle_relayed(decode(message.frame))
             case Relay():
@@ -200,5 +209,6 @@
             return
         del self._router.sessions_by_peer[entry_id]
         self._board.peers_by_id.pop(entry_id, None)
+        self._forwarding.end_peer(entry_id)
         mark_entry_disconnected(self._board, entry_id)
         self._board.replan_requested.set()
--- a/packages/lycheeslip/lycheeslip/http/access.py
+++ b/packages/lycheeslip/lycheeslip/http/access.py
@@ -13,13 +13,14 @@
     UnauthenticatedCaller,
     authenticate,
     bearer_token,
+    digest_token,
     may_operate,
 )
 from lycheeslip.entry.blackboard import Blackboard
 from lycheeslip.http.body import UnreadableBodyError, read_body
 from lycheeslip.http.problems import problem
 
-__all__ = ["caller_of", "make_middleware"]
+__all__ = ["caller_of", "caller_refusal", "make_middleware", "token_digest_of"]
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 CALLER_KEY: web.RequestKey[Caller] = web.RequestKey("caller", object)  # type: ignore[arg-type]
@@ -37,8 +38,9 @@
         token = bearer_token(request.headers.get("Authorization", ""))
         caller = authenticate(board.config, token)
         request[CALLER_KEY] = caller
-        needs_tokens = not allow_remote_without_tokens and _is_remotely_reachable(board, caller)
-        refusal = _refusal(request, caller, needs_tokens)
+        refusal = _refusal(
+            request, caller, caller_refusal(board, caller, allow_remote_without_tokens)
+        )
         if refusal is None:
             return await _call_handler(board, request, handler)
         board.metrics.count(f"refuse.{refusal[1]}")
@@ -52,19 +54,35 @@
     return request[CALLER_KEY]
 
 
+def token_digest_of(request: web.Request) -> str:
+    """Return the SHA-256 digest of the request's bearer token."""
+    return digest_token(bearer_token(request.headers.get("Authorization", "")))
+
+
+def caller_refusal(
+    board: Blackboard, caller: Caller, allow_remote_without_tokens: bool
+) -> tuple[int, str] | None:
+    """Return status and reason if the caller may not use this entry at all, otherwise None."""
+    if not allow_remote_without_tokens and _is_remotely_reachable(board, caller):
+        return 403, "tokens_required"
+    if isinstance(caller, UnauthenticatedCaller):
+        return 401, "unauthenticated"
+    return None
+
+
 def _is_remotely_reachable(board: Blackboard, caller: Caller) -> bool:
     """Return whether a caller without a token can reach this entry from another machine."""
     host = board.info.http_address.rpartition(":")[0].strip("[]")
     return isinstance(caller, AnonymousCaller) and not ipaddress.ip_address(host).is_loopback
 
 
-def _refusal(request: web.Request, caller: Caller, needs_tokens: bool) -> tuple[int, str] | None:
+def _refusal(
+    request: web.Request, caller: Caller, refusal: tuple[int, str] | None
+) -> tuple[int, str] | None:
     if request.path in UNAUTHENTICATED_PATHS:
         return None
-    if needs_tokens:
-        return 403, "tokens_required"
-    if isinstance(caller, UnauthenticatedCaller):
-        return 401, "unauthenticated"
+    if refusal is not None:
+        return refusal
     needs_operator = request.path.startswith(OPERATOR_PATHS)
     if needs_operator and not may_operate(caller):
         return 403, "operators_only"
--- a/packages/lycheeslip/lycheeslip/http/problems.py
+++ b/packages/lycheeslip/lycheeslip/http/problems.py
@@ -17,7 +17,7 @@
 from lycheeslip_common.utils.clock import wall_ms
 from typing_extensions import TypedDict
 
-__all__ = ["ProblemItem", "problem", "store_problem", "verdict_status"]
+__all__ = ["ProblemItem", "problem", "retry_headers", "store_problem", "verdict_status"]
 
 PROBLEM_TYPE_PREFIX = "urn:lycheeslip:problem:"
 STORE_RETRY_MS = 2_000
@@ -55,17 +55,21 @@
     items = list(errors)
     if items:
         body["errors"] = items
-    headers = {}
-    if retry_in_ms:
-        headers["Retry-After"] = str(max(1, retry_in_ms // MILLISECONDS_PER_SECOND))
     return web.Response(
         status=status,
         text=json.dumps(body),
         content_type="application/problem+json",
-        headers=headers,
+        headers=retry_headers(retry_in_ms),
     )
 
 
+def retry_headers(retry_in_ms: int) -> dict[str, str]:
+    """Return the `Retry-After` header, none if a retry won't help."""
+    if not retry_in_ms:
+        return {}
+    return {"Retry-After": str(max(1, retry_in_ms // MILLISECONDS_PER_SECOND))}
+
+
 def store_problem(outcome: Unreachable) -> web.Response:
     """Return the error response of a request that failed because the store is unreachable."""
     if outcome.may_have_run:
--- a/packages/lycheeslip/lycheeslip/http/submission.py
+++ b/packages/lycheeslip/lycheeslip/http/submission.py
@@ -49,8 +49,9 @@
 
 
 class Submission(NamedTuple):
-    """A valid job submission."""
+    """A valid job submission; `key` is the caller's idempotency key or a random one."""
 
+    key: str
     job_id: str
     spec: JobSpec
     body_digest: str
@@ -88,7 +89,7 @@
     )
     key = idempotency_key or secrets.token_hex(RANDOM_KEY_BYTES)
     digest = sha256(json.dumps(document, sort_keys=True).encode()).hexdigest()
-    return Submission(derive_job_id(body.account, key), spec, digest)
+    return Submission(key, derive_job_id(body.account, key), spec, digest)
 
 
 def admission_problem(board: Blackboard, spec: JobSpec) -> web.Response | None:
--- a/packages/lycheeslip_common/lycheeslip_common/wire/messages.py
+++ b/packages/lycheeslip_common/lycheeslip_common/wire/messages.py
@@ -13,6 +13,7 @@
 __all__ = [
     "AnswerRecorded",
     "AttemptReport",
+    "CallKind",
     "Challenge",
     "Control",
     "ControlAction",
@@ -20,6 +21,8 @@
     "Fence",
     "FenceReply",
     "FenceStatus",
+    "ForwardedAnswer",
+    "ForwardedCall",
     "GangLease",
     "GangPhase",
     "GangPing",
@@ -324,6 +327,48 @@
     frame: bytes
 
 
+class CallKind(StrEnum):
+    """Call of a client that an entry may forward to another one."""
+
+    SUBMIT = "submit"
+    CANCEL = "cancel"
+    SHOW = "show"
+
+
+class ForwardedCall(NamedTuple):
+    """A client's call that the sending entry can't decide; its receiver never forwards it.
+
+    `subject` is the idempotency key of a submission, otherwise the job id. `token_sha256` is the
+    digest of the client's token. An entry whose configuration is older than `config_revision`
+    does not decide the call. A `deadline_remaining_ms` of 0 means that the job has no deadline.
+    """
+
+    request_id: int
+    kind: CallKind
+    subject: str
+    token_sha256: str
+    body: bytes
+    config_revision: int
+    wait_remaining_ms: int
+    deadline_remaining_ms: int
+
+
+class ForwardedAnswer(NamedTuple):
+    """Reply to `ForwardedCall`: the HTTP response for the client, if the call is `decided`.
+
+    A `may_have_run` of False proves that the call has had and will have no effect. The response
+    permits a retry in `retry_in_ms` (0: a retry won't help).
+    """
+
+    request_id: int
+    decided: bool
+    may_have_run: bool
+    status: int = 0
+    content_type: str = ""
+    body: bytes = b""
+    retry_in_ms: int = 0
+
+
 MESSAGE_TYPES: tuple[type, ...] = (
     Challenge,
     Hello,
@@ -348,6 +393,8 @@
     PeerPing,
     PeerPong,
     Relay,
+    ForwardedCall,
+    ForwardedAnswer,
 )
 
 Message = (
@@ -374,4 +421,6 @@
     | PeerPing
     | PeerPong
     | Relay
+    | ForwardedCall
+    | ForwardedAnswer
 )
--- a/packages/lycheeslip_common/tests/codec_tests.py
+++ b/packages/lycheeslip_common/tests/codec_tests.py
@@ -5,7 +5,15 @@
 from lycheeslip_common.structure.fleet import Grant, GrantState, WorkerInfo, WorkerState
 from lycheeslip_common.structure.jobs import AttemptRef, JobKind
 from lycheeslip_common.wire.codec import MalformedFrameError, decode, encode
-from lycheeslip_common.wire.messages import Fence, Ping, Release, WorkerUpdate
+from lycheeslip_common.wire.messages import (
+    CallKind,
+    Fence,
+    ForwardedAnswer,
+    ForwardedCall,
+    Ping,
+    Release,
+    WorkerUpdate,
+)
 
 GRANT = Grant("job", 1, 2, 0, "e1", "acct", JobKind.BULK, (0, 1), 2, 256, True, GrantState.RUNNING)
 INFO = WorkerInfo("w1", "r1", "z1", "rack", "127.0.0.1:1", 8, 60, 1000, 8)
@@ -16,6 +24,8 @@
     [
         Ping(12, 3),
         Release(AttemptRef("job", 1, 2), 0),
+        ForwardedCall(1, CallKind.SUBMIT, "k", "digest", b"{}", 2, 3, 4),
+        ForwardedAnswer(1, True, False, 429, "application/problem+json", b"{}", 5_000),
         WorkerUpdate(WorkerState(INFO, "i1", 4, False, (GRANT,)), "e1"),
     ],
 )
