Don't dial an entry with which a session is open

Seen: once an entry that had lost the store had lost its lease too, its sessions to all others were replaced 6 to 8 times a second, for as long as the outage lasted. Answers to calls forwarded in that time were lost, and its workers were shown as disconnected and connected in turn.

Cause: entries dial every permit holder without a lease, whatever its id, because it may not know whom to dial. One that has known its peers before goes on dialling those with a higher id. Each side closes the previous session when a new one opens.

Change: a dialler waits while a session to that entry is open. One that has died is closed by its missing pings.

--- a/packages/lycheeslip/lycheeslip/entry/peers.py
+++ b/packages/lycheeslip/lycheeslip/entry/peers.py
@@ -112,6 +112,10 @@
         backoff = Backoff()
         own_id = self._board.info.entry_id
         while True:
+            if info.entry_id in self._router.sessions_by_peer:
+                # Each new session replaces the previous one, so two diallers would do so for ever.
+                await asyncio.sleep(MEMBERSHIP_POLL_S)
+                continue
             try:
                 address = self._routes.get(info.session_address, info.session_address)
                 session = await dial(address, self._fleet_key, "entry", own_id)
--- a/tests/forwarded_calls_tests.py
+++ b/tests/forwarded_calls_tests.py
@@ -5,14 +5,14 @@
 import pytest
 import pytest_asyncio
 from lycheeslip.app import EntryApp
-from lycheeslip.entry.records import CONFIG_KEY, decode_job, encode_config, job_key
+from lycheeslip.entry.records import CONFIG_KEY, ENTRY_PREFIX, decode_job, encode_config, job_key
 from lycheeslip.entry.router import Router
 from lycheeslip_common.config.settings import EntrySettings, EntryTimes
 from lycheeslip_common.structure.jobs import derive_job_id
 from lycheeslip_common.utils.clock import wall_ms
 from lycheeslip_standins.platform_store import PlatformStore
 from lycheeslip_standins.proxy_route import ProxyRoute, RouteFaults
-from lycheeslip_standins.store_state import Range, Write
+from lycheeslip_standins.store_state import Deletion, Range, Write
 
 from tests.harness.callers import Callers, JobRequest
 from tests.harness.fleet import Fleet, FleetLayout
@@ -79,6 +79,14 @@
             if app.board.store_reachable:
                 await self.until(lambda board=app.board: board.config.revision == revision)
 
+    async def lapse_lease(self, number):
+        """End an entry's lease and wait until its peers know it."""
+        entry_id = f"e{number}"
+        self.platform.state.apply([Deletion(Range((ENTRY_PREFIX + entry_id).encode()))])
+        for app in self.apps:
+            if app.board.store_reachable:
+                await self.until(lambda board=app.board: entry_id not in board.entries_by_id)
+
     async def call(self, method, path, number=0, token="", key=KEY, **options):
         url = f"http://{self.apps[number].board.info.http_address}{path}"
         headers = {"Idempotency-Key": key}
@@ -332,3 +340,11 @@
     await fleet.until(lambda: all(app.board.jobs.by_id for app in fleet.apps[1:]))
     status, document = await fleet.call("GET", f"/v1/jobs/{JOB_ID}")
     assert (status, document["state"]) == (200, "pending")
+
+
+async def test_an_entry_whose_lease_has_lapsed_keeps_its_session(fleet):
+    await fleet.cut_store(0)
+    await fleet.lapse_lease(0)
+    session = fleet.apps[1]._router.sessions_by_peer["e0"]
+    await asyncio.sleep(1)
+    assert fleet.apps[1]._router.sessions_by_peer["e0"] is session
