Leave planning to entries that reach the store

Seen: while the entry that plans was cut off from the store, no recorded job was started anywhere, until its lease had lapsed.

Cause: the planner is chosen among all entries that hear each other. Without the store an entry leaves recorded jobs out of its plan, and the others leave the planning to it.

Change: the choice is made among the entries that reach the store by their last status, or among all if none does. Two planners for the time of a status message cost efficiency only, since agents and the record refuse the second start.

Evidence: test_an_entry_without_the_store_does_not_plan failed before the change (the cut-off entry is every entry's planner) and passes now. test_without_any_store_entries_agree_on_a_planner passes before and after, as a guard.

--- a/packages/lycheeslip/lycheeslip/entry/blackboard.py
+++ b/packages/lycheeslip/lycheeslip/entry/blackboard.py
@@ -120,3 +120,8 @@
         """Return this entry and the leased entries whose status it has received over a session."""
         own = self.info.entry_id
         return {own} | (self.peers_by_id.keys() & self.entries_by_id.keys())
+
+    def entries_with_store(self) -> set[str]:
+        """Return the entries that reached the store when this one last heard of them."""
+        peers = {peer for peer, status in self.peers_by_id.items() if status.store_reachable}
+        return peers | ({self.info.entry_id} if self.store_reachable else set())
--- a/packages/lycheeslip/lycheeslip/entry/planner.py
+++ b/packages/lycheeslip/lycheeslip/entry/planner.py
@@ -46,8 +46,12 @@
 
 
 def planner_id(board: Blackboard) -> str:
-    """Return the entry that plans recorded jobs, chosen among the entries reachable from here."""
-    return choose(PLANNER_KEY, board.reachable_entries())
+    """Return the entry that plans recorded jobs, chosen among the entries reachable from here.
+
+    Those that reach the store go first, since only they can record a start.
+    """
+    reachable = board.reachable_entries()
+    return choose(PLANNER_KEY, reachable & board.entries_with_store() or reachable)
 
 
 def is_planner(board: Blackboard) -> bool:
--- a/tests/forwarded_calls_tests.py
+++ b/tests/forwarded_calls_tests.py
@@ -5,6 +5,7 @@
 import pytest
 import pytest_asyncio
 from lycheeslip.app import EntryApp
+from lycheeslip.entry.planner import planner_id
 from lycheeslip.entry.records import CONFIG_KEY, ENTRY_PREFIX, decode_job, encode_config, job_key
 from lycheeslip.entry.router import Router
 from lycheeslip_common.config.settings import EntrySettings, EntryTimes
@@ -348,3 +349,16 @@
     session = fleet.apps[1]._router.sessions_by_peer["e0"]
     await asyncio.sleep(1)
     assert fleet.apps[1]._router.sessions_by_peer["e0"] is session
+
+
+async def test_an_entry_without_the_store_does_not_plan(fleet):
+    planner = planner_id(fleet.apps[0].board)
+    await fleet.cut_store(int(planner.removeprefix("e")))
+    planners = {planner_id(app.board) for app in fleet.apps}
+    assert len(planners) == 1
+    assert planner not in planners
+
+
+async def test_without_any_store_entries_agree_on_a_planner(fleet):
+    await fleet.cut_store(0, 1, 2)
+    assert len({planner_id(app.board) for app in fleet.apps}) == 1
