Don't call a job unknown while the store is not reached

Callers saw: 404 unknown_job with may_have_run false for a job that another entry had accepted, from an entry that had lost the store before and found no other entry to ask.

Cause: only an entry that had never loaded the store took into account that a job it doesn't know may exist. One that has lost the store hears of no new jobs either.

Change: such an entry answers 503 store_unreachable with may_have_run true to look-ups, cancellations and calls for answers.

Evidence: three cases (look-up, answer, cancellation) got 404 before the change and 503 with may_have_run true after it.

--- a/packages/lycheeslip/lycheeslip/http/job_calls.py
+++ b/packages/lycheeslip/lycheeslip/http/job_calls.py
@@ -14,7 +14,7 @@
 from lycheeslip.entry.job_store import Created, Declined, Existing, JobStore, Updated
 from lycheeslip.entry.job_table import TrackedJob
 from lycheeslip.http.documents import job_document
-from lycheeslip.http.problems import problem, store_problem
+from lycheeslip.http.problems import STORE_RETRY_MS, problem, store_problem
 from lycheeslip.http.submission import Submission, admission_problem
 from lycheeslip.http.unrecorded import UnrecordedJobs, wait_until_done
 
@@ -94,12 +94,17 @@
     def visible_job(self, caller: Caller, job_id: str) -> TrackedJob | web.Response:
         """Return the job, or a 404 response if the caller may not see it.
 
-        While the store is not loaded, an unknown job may exist and may have run.
+        While the store is not loaded or not reached, an unknown job may exist and may have run.
         """
         job = self._board.jobs.by_id.get(job_id)
         if job is None and not self._board.synced:
             detail = "This entry has not loaded the store yet."
             return problem(503, "not_synced", detail, may_have_run=True, retry_in_ms=SYNC_RETRY_MS)
+        if job is None and not self._board.store_reachable:
+            detail = "This entry doesn't reach the store, which may hold the job."
+            return problem(
+                503, "store_unreachable", detail, may_have_run=True, retry_in_ms=STORE_RETRY_MS
+            )
         if job is None or not may_act_for(caller, job.record["spec"].account):
             return problem(
                 404, "unknown_job", "The job does not exist or belongs to another account."
--- a/packages/lycheeslip/lycheeslip/http/problems.py
+++ b/packages/lycheeslip/lycheeslip/http/problems.py
@@ -17,7 +17,14 @@
 from lycheeslip_common.utils.clock import wall_ms
 from typing_extensions import TypedDict
 
-__all__ = ["ProblemItem", "problem", "retry_headers", "store_problem", "verdict_status"]
+__all__ = [
+    "ProblemItem",
+    "STORE_RETRY_MS",
+    "problem",
+    "retry_headers",
+    "store_problem",
+    "verdict_status",
+]
 
 PROBLEM_TYPE_PREFIX = "urn:lycheeslip:problem:"
 STORE_RETRY_MS = 2_000
--- a/tests/forwarded_calls_tests.py
+++ b/tests/forwarded_calls_tests.py
@@ -362,3 +362,21 @@
 async def test_without_any_store_entries_agree_on_a_planner(fleet):
     await fleet.cut_store(0, 1, 2)
     assert len({planner_id(app.board) for app in fleet.apps}) == 1
+
+
+@pytest.mark.parametrize("path", ["", "/answer"])
+async def test_a_job_that_no_entry_can_look_up_may_exist(fleet, path):
+    await fleet.cut_store(0)
+    assert (await fleet.submit(1))[0] == 202
+    await fleet.cut_store(0, 1, 2)
+    status, document = await fleet.call("GET", f"/v1/jobs/{JOB_ID}{path}")
+    assert (status, document["reason"]) == (503, "store_unreachable")
+    assert document["may_have_run"]
+
+
+async def test_a_cancellation_of_an_unknown_job_without_any_store_is_not_refused_for_good(fleet):
+    await fleet.cut_store(0)
+    assert (await fleet.submit(1))[0] == 202
+    await fleet.cut_store(0, 1, 2)
+    status, document = await fleet.call("DELETE", f"/v1/jobs/{JOB_ID}")
+    assert (status, document["may_have_run"]) == (503, True)
