Forward calls for answers too

Callers saw: an answer that was recorded couldn't be fetched (503 store_unreachable) at an entry that alone had lost the store, on each retry, although the job could be submitted and watched there.

Change: the call is forwarded like a look-up. An entry that has the store streams as before.

Evidence: both cases of test_an_answer_is_fetched_without_the_store got 503 before the change; they pass now.

--- a/packages/lycheeslip/lycheeslip/http/forwarded.py
+++ b/packages/lycheeslip/lycheeslip/http/forwarded.py
@@ -17,6 +17,7 @@
 __all__ = ["ForwardedCalls", "forwarded_response"]
 
 PROBLEM_TYPE = "application/problem+json"
+SENT_HEADERS = ("Content-Type", "Lycheeslip-Job", "Lycheeslip-Attempt", "Repr-Digest")
 
 
 class ForwardedCalls:
@@ -54,6 +55,8 @@
                 return await self._calls.cancel(caller, call.subject)
             case CallKind.SHOW:
                 return await self._calls.show(caller, call.subject, call.wait_remaining_ms)
+            case CallKind.ANSWER:
+                return await self._calls.answer(caller, call.subject, call.wait_remaining_ms)
 
     async def _submit(self, call: ForwardedCall, caller: Caller) -> web.Response | Unreachable:
         parsed = parse_submission(call.body, call.subject)
@@ -75,14 +78,12 @@
     return web.Response(
         status=answer.status,
         body=body,
-        content_type=answer.content_type,
-        charset="utf-8",
-        headers=retry_headers(answer.retry_in_ms),
+        headers=dict(answer.headers) | retry_headers(answer.retry_in_ms),
     )
 
 
 def _make_answer(request_id: int, response: web.Response) -> ForwardedAnswer:
-    body = (response.text or "").encode()
+    body = response.body if isinstance(response.body, bytes) else b""
     may_have_run, retry_in_ms = True, 0
     if response.content_type == PROBLEM_TYPE:
         document = json.loads(body)
@@ -94,7 +95,9 @@
         decided=True,
         may_have_run=may_have_run,
         status=response.status,
-        content_type=response.content_type,
+        headers=tuple(
+            (name, value) for name, value in response.headers.items() if name in SENT_HEADERS
+        ),
         body=body,
         retry_in_ms=retry_in_ms,
     )
--- a/packages/lycheeslip/lycheeslip/http/job_calls.py
+++ b/packages/lycheeslip/lycheeslip/http/job_calls.py
@@ -1,10 +1,12 @@
 """Decides submissions and cancellations and shows jobs, by what this entry and its store know."""
 
+import base64
 from functools import partial
 
 from aiohttp import web
 from lycheeslip_common.store.outcomes import Unreachable
 from lycheeslip_common.structure.jobs import JobRecord, JobState
+from lycheeslip_common.structure.verdicts import from_stored
 from lycheeslip_common.utils.clock import wall_ms
 from lycheeslip_common.utils.logs import log_event
 
@@ -14,11 +16,11 @@
 from lycheeslip.entry.job_store import Created, Declined, Existing, JobStore, Updated
 from lycheeslip.entry.job_table import TrackedJob
 from lycheeslip.http.documents import job_document
-from lycheeslip.http.problems import STORE_RETRY_MS, problem, store_problem
+from lycheeslip.http.problems import STORE_RETRY_MS, problem, store_problem, verdict_status
 from lycheeslip.http.submission import Submission, admission_problem
 from lycheeslip.http.unrecorded import UnrecordedJobs, wait_until_done
 
-__all__ = ["JobCalls", "job_response"]
+__all__ = ["JobCalls", "answer_headers", "chunk_problem"]
 
 SYNC_RETRY_MS = 1_000
 
@@ -91,6 +93,44 @@
         await wait_until_done(self._board, job_id, wait_ms)
         return job_response(self._board, job_id)
 
+    async def answered_job(
+        self, caller: Caller, job_id: str, wait_ms: int
+    ) -> TrackedJob | web.Response:
+        """Return a job that has an answer, after waiting, or the response to one that has none."""
+        visible = self.visible_job(caller, job_id)
+        if isinstance(visible, web.Response):
+            return visible
+        await wait_until_done(self._board, job_id, wait_ms)
+        job = self._board.jobs.by_id.get(job_id)
+        if job is None:
+            return problem(404, "unknown_job", "The job is no longer stored.")
+        stored = job.record["verdict"]
+        if stored is None:
+            return job_response(self._board, job_id, 202)
+        verdict = from_stored(stored)
+        status = verdict_status(verdict)
+        if status != 200:
+            return problem(
+                status, verdict.reason, verdict.detail, may_have_run=verdict.may_have_run
+            )
+        return job
+
+    async def answer(self, caller: Caller, job_id: str, wait_ms: int) -> web.Response | Unreachable:
+        """Return the response with a job's complete answer."""
+        job = await self.answered_job(caller, job_id, wait_ms)
+        if isinstance(job, web.Response):
+            return job
+        record = job.record
+        content = b""
+        for index in range(record["answer_chunks"]):
+            chunk = await self._jobs.read_answer_chunk(job_id, record["attempt"], index)
+            if isinstance(chunk, Unreachable):
+                return chunk
+            if chunk is None:
+                return chunk_problem(None)
+            content += chunk
+        return web.Response(body=content, headers=answer_headers(record))
+
     def visible_job(self, caller: Caller, job_id: str) -> TrackedJob | web.Response:
         """Return the job, or a 404 response if the caller may not see it.
 
@@ -159,3 +199,32 @@
     if job is None:
         return problem(404, "unknown_job", "The job is no longer stored.")
     return web.json_response(job_document(board, job), status=status)
+
+
+def answer_headers(record: JobRecord) -> dict[str, str]:
+    """Return the headers that are sent with the answer of a job."""
+    digest = base64.b64encode(bytes.fromhex(record["answer_digest"])).decode()
+    return {
+        "Content-Type": "application/octet-stream",
+        "Lycheeslip-Job": record["job_id"],
+        "Lycheeslip-Attempt": str(record["attempt"]),
+        "Repr-Digest": f"sha-256=:{digest}:",
+    }
+
+
+def chunk_problem(chunk: Unreachable | None) -> web.Response:
+    """Return the response for an answer of which a chunk is gone or can't be read."""
+    if chunk is None:
+        return problem(
+            410,
+            "answer_forgotten",
+            "The retention period of the answer has ended.",
+            may_have_run=True,
+        )
+    return problem(
+        503,
+        "store_unreachable",
+        "The answer is recorded but can't be read from the store at present.",
+        may_have_run=True,
+        retry_in_ms=STORE_RETRY_MS,
+    )
--- a/packages/lycheeslip/lycheeslip/http/job_handlers.py
+++ b/packages/lycheeslip/lycheeslip/http/job_handlers.py
@@ -1,10 +1,7 @@
 """HTTP handlers that submit, show, list and cancel jobs and return their answers."""
 
-import base64
-
 from aiohttp import web
 from lycheeslip_common.store.outcomes import Unreachable
-from lycheeslip_common.structure.verdicts import from_stored
 from lycheeslip_common.utils.clock import monotonic_ms
 from lycheeslip_common.wire.messages import CallKind
 
@@ -16,10 +13,9 @@
 from lycheeslip.http.access import caller_of, token_digest_of
 from lycheeslip.http.documents import job_document
 from lycheeslip.http.forwarded import forwarded_response
-from lycheeslip.http.job_calls import JobCalls, job_response
-from lycheeslip.http.problems import problem, store_problem, verdict_status
+from lycheeslip.http.job_calls import JobCalls, answer_headers, chunk_problem
+from lycheeslip.http.problems import problem, store_problem
 from lycheeslip.http.submission import parse_submission
-from lycheeslip.http.unrecorded import wait_until_done
 
 __all__ = ["JobHandlers"]
 
@@ -97,26 +93,18 @@
     async def answer(self, request: web.Request) -> web.StreamResponse:
         """Stream a job's complete answer."""
         wait_ms = _wait_ms(request)
-        job = self._calls.visible_job(caller_of(request), request.match_info["job_id"])
         if isinstance(wait_ms, web.Response):
             return wait_ms
-        if isinstance(job, web.Response):
-            return job
-        job_id = job.record["job_id"]
-        await wait_until_done(self._board, job_id, wait_ms)
-        current = self._board.jobs.by_id.get(job_id)
-        if current is None:
-            return problem(404, "unknown_job", "The job is no longer stored.")
-        record = current.record
-        if record["verdict"] is None:
-            return job_response(self._board, job_id, 202)
-        verdict = from_stored(record["verdict"])
-        status = verdict_status(verdict)
-        if status != 200:
-            return problem(
-                status, verdict.reason, verdict.detail, may_have_run=verdict.may_have_run
-            )
-        return await self._stream_answer(request, current)
+        wait_until_ms = monotonic_ms() + wait_ms
+        job_id = request.match_info["job_id"]
+        if self._lacks_store(job_id):
+            call = Call(CallKind.ANSWER, job_id, token_digest_of(request), wait_until_ms)
+            outcome = await self._forward(call, Unreachable(False))
+            if isinstance(outcome, web.Response):
+                return outcome
+        remaining_ms = max(0, wait_until_ms - monotonic_ms())
+        job = await self._calls.answered_job(caller_of(request), job_id, remaining_ms)
+        return job if isinstance(job, web.Response) else await self._stream_answer(request, job)
 
     async def list_jobs(self, request: web.Request) -> web.StreamResponse:
         """List the jobs visible to the caller, newest first."""
@@ -165,22 +153,14 @@
 
     async def _stream_answer(self, request: web.Request, job: TrackedJob) -> web.StreamResponse:
         record = job.record
-        digest = base64.b64encode(bytes.fromhex(record["answer_digest"])).decode()
-        response = web.StreamResponse(
-            headers={
-                "Content-Type": "application/octet-stream",
-                "Lycheeslip-Job": record["job_id"],
-                "Lycheeslip-Attempt": str(record["attempt"]),
-                "Repr-Digest": f"sha-256=:{digest}:",
-            }
-        )
+        response = web.StreamResponse(headers=answer_headers(record))
         response.content_length = record["answer_length"]
         for index in range(record["answer_chunks"]):
             chunk = await self._jobs.read_answer_chunk(record["job_id"], record["attempt"], index)
             if not isinstance(chunk, bytes):
                 if response.prepared:
                     raise ConnectionResetError("an answer chunk can't be read from the store")
-                return _chunk_problem(chunk)
+                return chunk_problem(chunk)
             if not response.prepared:
                 await response.prepare(request)
             await response.write(chunk)
@@ -190,23 +170,6 @@
         return response
 
 
-def _chunk_problem(chunk: Unreachable | None) -> web.Response:
-    if chunk is None:
-        return problem(
-            410,
-            "answer_forgotten",
-            "The retention period of the answer has ended.",
-            may_have_run=True,
-        )
-    return problem(
-        503,
-        "store_unreachable",
-        "The answer is recorded but can't be read from the store at present.",
-        may_have_run=True,
-        retry_in_ms=2_000,
-    )
-
-
 def _wait_ms(request: web.Request) -> int | web.Response:
     return _query_integer(request, "wait_ms", 0, MAX_WAIT_MS)
 
--- a/packages/lycheeslip_common/lycheeslip_common/wire/messages.py
+++ b/packages/lycheeslip_common/lycheeslip_common/wire/messages.py
@@ -333,6 +333,7 @@
     SUBMIT = "submit"
     CANCEL = "cancel"
     SHOW = "show"
+    ANSWER = "answer"
 
 
 class ForwardedCall(NamedTuple):
@@ -356,15 +357,15 @@
 class ForwardedAnswer(NamedTuple):
     """Reply to `ForwardedCall`: the HTTP response for the client, if the call is `decided`.
 
-    A `may_have_run` of False proves that the call has had and will have no effect. The response
-    permits a retry in `retry_in_ms` (0: a retry won't help).
+    A `may_have_run` of False proves that the call has had and will have no effect. `headers` belong
+    to the response. A retry is worthwhile in `retry_in_ms` (0: it won't help).
     """
 
     request_id: int
     decided: bool
     may_have_run: bool
     status: int = 0
-    content_type: str = ""
+    headers: tuple[tuple[str, str], ...] = ()
     body: bytes = b""
     retry_in_ms: int = 0
 
--- a/packages/lycheeslip_common/tests/codec_tests.py
+++ b/packages/lycheeslip_common/tests/codec_tests.py
@@ -25,7 +25,7 @@
         Ping(12, 3),
         Release(AttemptRef("job", 1, 2), 0),
         ForwardedCall(1, CallKind.SUBMIT, "k", "digest", b"{}", 2, 3, 4),
-        ForwardedAnswer(1, True, False, 429, "application/problem+json", b"{}", 5_000),
+        ForwardedAnswer(1, True, False, 429, (("a", "b"),), b"{}", 5),
         WorkerUpdate(WorkerState(INFO, "i1", 4, False, (GRANT,)), "e1"),
     ],
 )
--- a/tests/forwarded_calls_tests.py
+++ b/tests/forwarded_calls_tests.py
@@ -5,11 +5,21 @@
 import pytest
 import pytest_asyncio
 from lycheeslip.app import EntryApp
+from lycheeslip.entry import lifecycle
 from lycheeslip.entry.planner import planner_id
-from lycheeslip.entry.records import CONFIG_KEY, ENTRY_PREFIX, decode_job, encode_config, job_key
+from lycheeslip.entry.records import (
+    CONFIG_KEY,
+    ENTRY_PREFIX,
+    answer_key,
+    decode_job,
+    encode_config,
+    encode_job,
+    job_key,
+)
 from lycheeslip.entry.router import Router
 from lycheeslip_common.config.settings import EntrySettings, EntryTimes
-from lycheeslip_common.structure.jobs import derive_job_id
+from lycheeslip_common.structure.jobs import JobKind, JobSpec, Shape, derive_job_id
+from lycheeslip_common.structure.verdicts import Answered
 from lycheeslip_common.utils.clock import wall_ms
 from lycheeslip_standins.platform_store import PlatformStore
 from lycheeslip_standins.proxy_route import ProxyRoute, RouteFaults
@@ -88,6 +98,23 @@
             if app.board.store_reachable:
                 await self.until(lambda board=app.board: entry_id not in board.entries_by_id)
 
+    async def write_answered_job(self, answer):
+        """Record a job with its answer in two chunks, and wait until the others know it."""
+        spec = JobSpec("a", JobKind.BULK, Shape())
+        record = lifecycle.new_record(JOB_ID, spec, "", "e1", 1)
+        done = lifecycle.finish(record, Answered(), 5) | {
+            "attempt": 1,
+            "answer_digest": sha256(answer).hexdigest(),
+            "answer_length": len(answer),
+            "answer_chunks": 2,
+        }
+        half = len(answer) // 2
+        for index, chunk in enumerate((answer[:half], answer[half:])):
+            self.platform.state.apply([Write(answer_key(JOB_ID, 1, index).encode(), chunk)])
+        self.platform.state.apply([Write(job_key(JOB_ID).encode(), encode_job(done))])
+        for app in self.apps[1:]:
+            await self.until(lambda board=app.board: JOB_ID in board.jobs.by_id)
+
     async def call(self, method, path, number=0, token="", key=KEY, **options):
         url = f"http://{self.apps[number].board.info.http_address}{path}"
         headers = {"Idempotency-Key": key}
@@ -380,3 +407,22 @@
     await fleet.cut_store(0, 1, 2)
     status, document = await fleet.call("DELETE", f"/v1/jobs/{JOB_ID}")
     assert (status, document["may_have_run"]) == (503, True)
+
+
+@pytest.mark.parametrize("is_known", [True, False])
+async def test_an_answer_is_fetched_without_the_store(fleet, is_known):
+    if not is_known:
+        await fleet.cut_store(0)
+    answer = bytes(range(256)) * 4_096
+    await fleet.write_answered_job(answer)
+    if is_known:
+        await fleet.until(lambda: JOB_ID in fleet.apps[0].board.jobs.by_id)
+        await fleet.cut_store(0)
+    url = f"http://{fleet.apps[0].board.info.http_address}/v1/jobs/{JOB_ID}/answer"
+    async with fleet.http.get(url) as response:
+        assert response.status == 200
+        assert await response.read() == answer
+        assert response.headers["Lycheeslip-Job"] == JOB_ID
+        assert response.headers["Lycheeslip-Attempt"] == "1"
+        assert response.headers["Repr-Digest"].startswith("sha-256=:")
+        assert response.content_type == "application/octet-stream"
