Count the wait of a call from its arrival

Seen: an entry asked to decide a submission began the caller's wait only after its write, so with a slow store the answer came later than the sender waits for it (1.7 s for a wait of 1 s and a write of 0.7 s) and was counted as lost.

Cause: the remaining time was kept as a length of time until the wait began.

Change: it becomes a deadline of the monotonic clock when the call arrives, at the asked entry and for direct requests.

The test about entries with an older configuration guards what was so before.

--- a/packages/lycheeslip/lycheeslip/http/forwarded.py
+++ b/packages/lycheeslip/lycheeslip/http/forwarded.py
@@ -4,7 +4,7 @@
 
 from aiohttp import web
 from lycheeslip_common.store.outcomes import Unreachable
-from lycheeslip_common.utils.clock import wall_ms
+from lycheeslip_common.utils.clock import monotonic_ms, wall_ms
 from lycheeslip_common.wire.messages import CallKind, ForwardedAnswer, ForwardedCall
 
 from lycheeslip.config.auth import Caller, authenticate_digest
@@ -45,20 +45,23 @@
 
     async def _decide(self, call: ForwardedCall) -> web.Response | Unreachable:
         caller = authenticate_digest(self._board.config, call.token_sha256)
+        wait_until_ms = monotonic_ms() + call.wait_remaining_ms
         refusal = caller_refusal(self._board, caller, self._allow_remote_without_tokens)
         if refusal is not None:
             return problem(refusal[0], refusal[1], "The request did not run.")
         match call.kind:
             case CallKind.SUBMIT:
-                return await self._submit(call, caller)
+                return await self._submit(call, caller, wait_until_ms)
             case CallKind.CANCEL:
                 return await self._calls.cancel(caller, call.subject)
             case CallKind.SHOW:
-                return await self._calls.show(caller, call.subject, call.wait_remaining_ms)
+                return await self._calls.show(caller, call.subject, wait_until_ms)
             case CallKind.ANSWER:
-                return await self._calls.answer(caller, call.subject, call.wait_remaining_ms)
+                return await self._calls.answer(caller, call.subject, wait_until_ms)
 
-    async def _submit(self, call: ForwardedCall, caller: Caller) -> web.Response | Unreachable:
+    async def _submit(
+        self, call: ForwardedCall, caller: Caller, wait_until_ms: int
+    ) -> web.Response | Unreachable:
         parsed = parse_submission(call.body, call.subject)
         if isinstance(parsed, web.Response):
             return parsed
@@ -66,7 +69,7 @@
         deadline_at_ms = wall_ms() + remaining_ms if remaining_ms else 0
         spec = parsed.spec._replace(deadline_at_ms=deadline_at_ms)
         submission = parsed._replace(spec=spec)
-        return await self._calls.submit(caller, submission, call.wait_remaining_ms)
+        return await self._calls.submit(caller, submission, wait_until_ms)
 
 
 def forwarded_response(answer: ForwardedAnswer) -> web.Response:
--- a/packages/lycheeslip/lycheeslip/http/job_calls.py
+++ b/packages/lycheeslip/lycheeslip/http/job_calls.py
@@ -7,7 +7,7 @@
 from lycheeslip_common.store.outcomes import Unreachable
 from lycheeslip_common.structure.jobs import JobRecord, JobState
 from lycheeslip_common.structure.verdicts import from_stored
-from lycheeslip_common.utils.clock import wall_ms
+from lycheeslip_common.utils.clock import monotonic_ms, wall_ms
 from lycheeslip_common.utils.logs import log_event
 
 from lycheeslip.config.auth import Caller, may_act_for
@@ -26,7 +26,10 @@
 
 
 class JobCalls:
-    """Handles the calls of authenticated callers; Unreachable means that the store decided none."""
+    """Handles calls of authenticated callers; Unreachable means that the store decided none.
+
+    A `wait_until_ms` is monotonic time.
+    """
 
     def __init__(self, board: Blackboard, jobs: JobStore, unrecorded: UnrecordedJobs) -> None:
         """Read jobs from `board` and write them through `jobs`."""
@@ -35,10 +38,10 @@
         self._unrecorded = unrecorded
 
     async def submit(
-        self, caller: Caller, submission: Submission, wait_ms: int
+        self, caller: Caller, submission: Submission, wait_until_ms: int
     ) -> web.Response | Unreachable:
         """Record a new job, or find the record of a repeated submission."""
-        known = await self._respond_if_known(caller, submission, wait_ms)
+        known = await self._respond_if_known(caller, submission, wait_until_ms)
         if known is not None:
             return known
         if not self._board.store_reachable:
@@ -48,23 +51,24 @@
         match outcome:
             case Created():
                 log_event("job_accepted", job=submission.job_id, account=submission.spec.account)
-                return await self._wait_and_respond(submission.job_id, wait_ms)
+                return await self._wait_and_respond(submission.job_id, wait_until_ms)
             case Existing(existing):
-                return await self._respond_to_repeat(existing, submission, wait_ms)
+                return await self._respond_to_repeat(existing, submission, wait_until_ms)
             case Unreachable():
                 return outcome
 
     async def serve_without_store(
-        self, caller: Caller, submission: Submission, wait_ms: int
+        self, caller: Caller, submission: Submission, wait_until_ms: int
     ) -> web.Response:
         """Serve a repeatable job on the open connection if the request waits for it.
 
         Any other job is refused.
         """
-        known = await self._respond_if_known(caller, submission, wait_ms)
+        known = await self._respond_if_known(caller, submission, wait_until_ms)
         if known is not None:
             return known
-        if not submission.spec.repeatable or not wait_ms:
+        wait_ms = wait_until_ms - monotonic_ms()
+        if not submission.spec.repeatable or wait_ms <= 0:
             return store_problem(Unreachable(False))
         response = await self._unrecorded.serve(self._new_record(submission), wait_ms)
         return (
@@ -85,22 +89,22 @@
                 log_event("cancel_requested", job=job_id)
                 return job_response(self._board, job_id, 202)
 
-    async def show(self, caller: Caller, job_id: str, wait_ms: int) -> web.Response:
-        """Return a job's document, after waiting at most `wait_ms` for the job to be done."""
+    async def show(self, caller: Caller, job_id: str, wait_until_ms: int) -> web.Response:
+        """Return a job's document, after waiting for the job to be done."""
         job = self.visible_job(caller, job_id)
         if isinstance(job, web.Response):
             return job
-        await wait_until_done(self._board, job_id, wait_ms)
+        await wait_until_done(self._board, job_id, wait_until_ms - monotonic_ms())
         return job_response(self._board, job_id)
 
     async def answered_job(
-        self, caller: Caller, job_id: str, wait_ms: int
+        self, caller: Caller, job_id: str, wait_until_ms: int
     ) -> TrackedJob | web.Response:
-        """Return a job that has an answer, after waiting, or the response to one that has none."""
+        """Return a job once it has an answer, or the response if it has none by then."""
         visible = self.visible_job(caller, job_id)
         if isinstance(visible, web.Response):
             return visible
-        await wait_until_done(self._board, job_id, wait_ms)
+        await wait_until_done(self._board, job_id, wait_until_ms - monotonic_ms())
         job = self._board.jobs.by_id.get(job_id)
         if job is None:
             return problem(404, "unknown_job", "The job is no longer stored.")
@@ -115,9 +119,11 @@
             )
         return job
 
-    async def answer(self, caller: Caller, job_id: str, wait_ms: int) -> web.Response | Unreachable:
+    async def answer(
+        self, caller: Caller, job_id: str, wait_until_ms: int
+    ) -> web.Response | Unreachable:
         """Return the response with a job's complete answer."""
-        job = await self.answered_job(caller, job_id, wait_ms)
+        job = await self.answered_job(caller, job_id, wait_until_ms)
         if isinstance(job, web.Response):
             return job
         record = job.record
@@ -152,7 +158,7 @@
         return job
 
     async def _respond_if_known(
-        self, caller: Caller, submission: Submission, wait_ms: int
+        self, caller: Caller, submission: Submission, wait_until_ms: int
     ) -> web.Response | None:
         """Return the response to a refused or repeated submission, None for a new job."""
         if not may_act_for(caller, submission.spec.account):
@@ -162,20 +168,20 @@
             return problem(503, "not_synced", detail, retry_in_ms=SYNC_RETRY_MS)
         existing = self._board.jobs.by_id.get(submission.job_id)
         if existing is not None:
-            return await self._respond_to_repeat(existing.record, submission, wait_ms)
+            return await self._respond_to_repeat(existing.record, submission, wait_until_ms)
         return admission_problem(self._board, submission.spec)
 
     async def _respond_to_repeat(
-        self, record: JobRecord, submission: Submission, wait_ms: int
+        self, record: JobRecord, submission: Submission, wait_until_ms: int
     ) -> web.Response:
         if record["body_digest"] != submission.body_digest:
             detail = "The idempotency key belongs to an earlier request with another body."
             return problem(409, "key_reused", detail)
         self._board.metrics.count("job.repeated_submission")
-        return await self._wait_and_respond(record["job_id"], wait_ms)
+        return await self._wait_and_respond(record["job_id"], wait_until_ms)
 
-    async def _wait_and_respond(self, job_id: str, wait_ms: int) -> web.Response:
-        await wait_until_done(self._board, job_id, wait_ms)
+    async def _wait_and_respond(self, job_id: str, wait_until_ms: int) -> web.Response:
+        await wait_until_done(self._board, job_id, wait_until_ms - monotonic_ms())
         job = self._board.jobs.by_id.get(job_id)
         if job is None or not job.is_recorded:
             # The answer of an unrecorded job goes only to the connection that submitted it.
--- a/packages/lycheeslip/lycheeslip/http/job_handlers.py
+++ b/packages/lycheeslip/lycheeslip/http/job_handlers.py
@@ -57,7 +57,7 @@
         caller = caller_of(request)
         outcome: web.Response | Unreachable = Unreachable(False)
         if not self._lacks_store(parsed.job_id):
-            outcome = await self._calls.submit(caller, parsed, wait_ms)
+            outcome = await self._calls.submit(caller, parsed, wait_until_ms)
         if isinstance(outcome, Unreachable):
             call = Call(
                 kind=CallKind.SUBMIT,
@@ -72,8 +72,7 @@
             return outcome
         if outcome.may_have_run:
             return store_problem(outcome)
-        remaining_ms = max(0, wait_until_ms - monotonic_ms())
-        return await self._calls.serve_without_store(caller, parsed, remaining_ms)
+        return await self._calls.serve_without_store(caller, parsed, wait_until_ms)
 
     async def show(self, request: web.Request) -> web.StreamResponse:
         """Return a job's document, after waiting at most `wait_ms` for the job to be done."""
@@ -87,8 +86,7 @@
             outcome = await self._forward(call, Unreachable(False))
             if isinstance(outcome, web.Response):
                 return outcome
-        remaining_ms = max(0, wait_until_ms - monotonic_ms())
-        return await self._calls.show(caller_of(request), job_id, remaining_ms)
+        return await self._calls.show(caller_of(request), job_id, wait_until_ms)
 
     async def answer(self, request: web.Request) -> web.StreamResponse:
         """Stream a job's complete answer."""
@@ -102,8 +100,7 @@
             outcome = await self._forward(call, Unreachable(False))
             if isinstance(outcome, web.Response):
                 return outcome
-        remaining_ms = max(0, wait_until_ms - monotonic_ms())
-        job = await self._calls.answered_job(caller_of(request), job_id, remaining_ms)
+        job = await self._calls.answered_job(caller_of(request), job_id, wait_until_ms)
         return job if isinstance(job, web.Response) else await self._stream_answer(request, job)
 
     async def list_jobs(self, request: web.Request) -> web.StreamResponse:
--- a/tests/forwarded_calls_tests.py
+++ b/tests/forwarded_calls_tests.py
@@ -10,6 +10,7 @@
 from lycheeslip.entry.records import (
     CONFIG_KEY,
     ENTRY_PREFIX,
+    JOB_PREFIX,
     answer_key,
     decode_job,
     encode_config,
@@ -20,9 +21,10 @@
 from lycheeslip_common.config.settings import EntrySettings, EntryTimes
 from lycheeslip_common.structure.jobs import JobKind, JobSpec, Shape, derive_job_id
 from lycheeslip_common.structure.verdicts import Answered
-from lycheeslip_common.utils.clock import wall_ms
+from lycheeslip_common.utils.clock import monotonic_ms, wall_ms
 from lycheeslip_standins.platform_store import PlatformStore
 from lycheeslip_standins.proxy_route import ProxyRoute, RouteFaults
+from lycheeslip_standins.store_faults import StoreFaults
 from lycheeslip_standins.store_state import Deletion, Range, Write
 
 from tests.harness.callers import Callers, JobRequest
@@ -339,6 +341,25 @@
     assert events.count("started") == 1
 
 
+async def test_entries_with_an_older_configuration_decline_to_decide(fleet):
+    await fleet.cut_store(0)
+    board = fleet.apps[0].board
+    board.applied = board.applied._replace(config=board.config._replace(revision=1))
+    status, document = await fleet.submit()
+    assert (status, document["reason"]) == (503, "store_unreachable")
+    assert not document["may_have_run"]
+    assert fleet.records() == {}
+    assert board.metrics.counts["forward.declined"] == 2
+
+
+async def test_the_wait_of_a_forwarded_call_includes_the_time_of_the_write(fleet):
+    await fleet.cut_store(0)
+    fleet.platform.set_faults(StoreFaults(delay_ms=700, delay_writes_of_prefix=JOB_PREFIX))
+    started_ms = monotonic_ms()
+    assert (await fleet.submit(wait_ms=1_000))[0] == 202
+    assert monotonic_ms() - started_ms < 1_450
+
+
 @pytest.mark.parametrize("is_known", [True, False])
 async def test_a_cancellation_without_the_store_is_decided_by_another_entry(fleet, is_known):
     if not is_known:
