--- a/packages/lycheeslip/tests/peers_tests.py
+++ b/packages/lycheeslip/tests/peers_tests.py
@@ -4,6 +4,7 @@
 from contextlib import asynccontextmanager
 
 from lycheeslip.entry.blackboard import Blackboard
+from lycheeslip.entry.forwarding import Forwarding
 from lycheeslip.entry.peers import Peers
 from lycheeslip.entry.router import Router
 from lycheeslip_common.structure.fleet import EntryInfo
@@ -51,7 +52,8 @@
     joined = asyncio.Event()
     board = Blackboard(entry_info("e1"), Metrics())
     board.entries_by_id["e2"] = entry_info("e2", ODD_ADDRESS)
-    peers = Peers(board, Router(board), None, KEY, {}, 2_500)
+    router = Router(board)
+    peers = Peers(board, router, None, Forwarding(board, router), KEY, {}, 2_500)
     async with listening_peer(joined) as usable:
 
         async def follow_the_record():
@@ -66,7 +68,8 @@
 async def test_session_to_a_peer_is_opened_again_after_an_unexpected_error():
     joined = asyncio.Event()
     board = Blackboard(entry_info("e1"), Metrics())
-    peers = Peers(board, Router(board), None, KEY, {}, 2_500)
+    router = Router(board)
+    peers = Peers(board, router, None, Forwarding(board, router), KEY, {}, 2_500)
 
     async def fail(session):
         raise RuntimeError("unexpected")
