--- a/packages/lycheeslip/lycheeslip/dispatch/leadership.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/leadership.py
@@ -52,7 +52,7 @@
         self._is_leader_in_doubt = asyncio.Event()
         self._announced: Redirect | None = None
         self._ask_again_at_ms = 0
-        self._doubted_epoch = 0
+        self._doubted_epoch = -1
         self._renewal: asyncio.Task[None] | None = None
         self._board = board
         self._store = store
@@ -247,6 +247,7 @@
             await asyncio.wait({renewal})
         finally:
             renewal.cancel()
+            self._end_term("failed")  # has ended already unless a controller failed
         if not renewal.cancelled():
             renewal.result()  # raises a failure to the supervisor, which logs it
 
