Notice the return of a silent store within half a second

Cause: during a silent outage an entry waits in a watch of 2.3 s, so it learns of the return only when a call that began before it has timed out.

Change: while the store is lost, an entry asks for the configuration with 0.3 s for an answer, again after 0.15 s, and returns to the watch once it gets one.

--- a/packages/lycheeslip/lycheeslip/dispatch/operator_sync.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/operator_sync.py
@@ -22,6 +22,8 @@
 
 RETRY_FIRST_S = 0.1  # a configuration must take effect within 2 s, store faults included
 RETRY_LIMIT_S = 0.5
+PROBE_TIMEOUT_S = 0.3  # a slow store answers within this; a watch would take seconds to fail
+PROBE_PAUSE_S = 0.15
 EARLY_RESPONSE_MS = 100  # a watch that ends more than this early confirms only its start time
 
 
@@ -60,6 +62,9 @@
         backoff = Backoff(RETRY_FIRST_S, RETRY_LIMIT_S)
         revision = 0  # all keys must be read before the next watch
         while True:
+            if self._board.is_store_lost and not await self.confirm(PROBE_TIMEOUT_S):
+                await asyncio.sleep(PROBE_PAUSE_S)
+                continue
             if revision == 0:
                 revision = await self._read_all()
                 outcome: object = revision or None
@@ -83,6 +88,7 @@
         for item in result.items:
             self._apply_change(item, False)
         self._confirm_as_of(requested_at)
+        self._update_store_state(True, "")
         return True
 
     async def refresh(self) -> bool:
--- a/tests/dispatch/configuration_tests.py
+++ b/tests/dispatch/configuration_tests.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from tests.harness.broken_store import BrokenStore, Failure
 from tests.harness.platform_cell import TIMES, Cell
 
 ONE = {"count": 1, "cpu": 1000, "mem_mb": 100, "gpu": 1}
@@ -122,3 +123,27 @@
     await cell.until(lambda: cell.entries[0].board.config is not None)
     status, _ = await cell.call("POST", PATH, BODY, time_ms=200)
     assert status == 200
+
+
+async def test_return_of_a_silent_store_is_noticed_before_the_call_in_progress_times_out(
+    cell: Cell,
+):
+    entry = cell.entries[0]
+    started = asyncio.Event()
+    for name in ("changes", "read"):
+        call = getattr(entry.store, name)
+
+        async def note_start(key, *arguments, call=call):
+            if key.startswith("op/"):
+                started.set()
+            return await call(key, *arguments)
+
+        setattr(entry.store, name, note_start)
+    async with BrokenStore(Failure.SILENT) as broken:
+        broken.cut_off(entry.store)
+        await cell.until(lambda: entry.board.is_store_lost)
+        started.clear()
+        await started.wait()
+        broken.restore()
+        async with asyncio.timeout(0.6):
+            await cell.until(lambda: not entry.board.is_store_lost)
--- a/tests/harness/broken_store.py
+++ b/tests/harness/broken_store.py
@@ -25,7 +25,7 @@
         self._failure = failure
         self._servers: list[asyncio.Server] = []
         self._writers: set[asyncio.StreamWriter] = set()
-        self._real_url_by_client: dict[PlatformStore, str] = {}
+        self._real_url_by_store: dict[PlatformStore, str] = {}
 
     async def __aenter__(self) -> "BrokenStore":
         """Listen on a free port."""
@@ -37,9 +37,8 @@
         return self
 
     async def __aexit__(self, *_: object) -> None:
-        """Connect the clients to the real store again, and close the listener."""
-        for client, url in self._real_url_by_client.items():
-            client.client.base_url = url
+        """Restore all clients, and close the listener."""
+        self.restore()
         for writer in self._writers:
             writer.transport.abort()
         for server in self._servers:
@@ -47,9 +46,14 @@
 
     def cut_off(self, store: PlatformStore) -> None:
         """Send the calls of `store` here from now on."""
-        self._real_url_by_client[store] = store.client.base_url
+        self._real_url_by_store[store] = store.client.base_url
         store.client.base_url = f"http://{self.address}"
 
+    def restore(self) -> None:
+        """Send all calls to the real store again; those in progress still fail."""
+        for store, url in self._real_url_by_store.items():
+            store.client.base_url = url
+
     async def _fail(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
         await reader.read(1)
