Apply reads and changes of the operators' keys in their order

Change: the revision up to which keys are applied is one for both. An older read is left out, and so is a change that a read has covered.

--- a/packages/lycheeslip/lycheeslip/dispatch/operator_sync.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/operator_sync.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
-from lycheeslip_common.store.outcomes import KeyValue, Unreachable
+from lycheeslip_common.store.outcomes import KeyValue, ReadResult, Unreachable
 from lycheeslip_common.store.port import ChangedKeys, HistoryLost, KeyValueStore
 from lycheeslip_common.utils.clock import steady_ms
 from lycheeslip_common.utils.logs import log_event, log_warning
@@ -50,6 +50,7 @@
         self._board = board
         self._store = store
         self._keys = keys
+        self._revision = 0  # up to which changes are applied; 0: all keys must be read
         self._unusable = UnusableKeys(lambda: board.counters.count("unusable_values", "config"))
 
     @property
@@ -60,24 +61,14 @@
     async def run(self) -> None:
         """Read the operators' keys, then watch for their changes, until cancelled."""
         backoff = Backoff(RETRY_FIRST_S, RETRY_LIMIT_S)
-        revision = 0  # all keys must be read before the next watch
         while True:
             if self._board.is_store_lost and not await self.confirm(PROBE_TIMEOUT_S):
                 await asyncio.sleep(PROBE_PAUSE_S)
                 continue
-            if revision == 0:
-                revision = await self._read_all()
-                outcome: object = revision or None
+            if await (self._watch() if self._revision else self.refresh()):
+                backoff.reset()
             else:
-                outcome = await self._watch(revision)
-                revision = outcome if isinstance(outcome, int) else revision
-                if isinstance(outcome, HistoryLost):
-                    revision = 0
-                    continue
-            if outcome is None:
                 await asyncio.sleep(backoff.next_delay_s())
-            else:
-                backoff.reset()
 
     async def confirm(self, timeout_s: float) -> bool:
         """Read the configuration from the store now; returns whether the store answered."""
@@ -91,53 +82,60 @@
         self._update_store_state(True, "")
         return True
 
-    async def refresh(self) -> bool:
-        """Read all operators' keys from the store now; returns whether the store answered."""
-        return await self._read_all() != 0
-
     def apply(self, item: KeyValue) -> None:
         """Apply an operator's key that another store call or the leader returned."""
         self._apply_change(item, False)
 
-    async def _read_all(self) -> int:
-        """Apply all operators' keys; returns their revision, 0 if the store didn't answer."""
+    async def refresh(self) -> bool:
+        """Read all operators' keys from the store now; returns whether the store answered.
+
+        An answer that is older than what the watch has applied meanwhile is left out.
+        """
         requested_at = steady_ms()
         result = await self._store.read_prefix(self._keys.prefix)
         if isinstance(result, Unreachable):
             self._update_store_state(False, result.detail)
-            return 0
+            return False
         self._update_store_state(True, "")
+        if result.revision >= self._revision:
+            self._replace_all(result)
+        if self._board.config is not None:
+            self._confirm_as_of(requested_at)
+        return True
+
+    def _replace_all(self, result: ReadResult) -> None:
+        self._revision = result.revision
         zones_before = set(self._board.evacuated_zones)
         self._board.evacuated_zones.clear()
         for item in result.items:
             self._apply_change(item, False)
         for zone in zones_before - self._board.evacuated_zones:
             log_event("zone_in_service", zone=zone, revision=result.revision)
-        if self._board.config is not None:
-            self._confirm_as_of(requested_at)
-        return result.revision
 
-    async def _watch(self, revision: int) -> int | HistoryLost | None:
-        """Apply the changes after `revision`; returns the new revision, None without an answer."""
+    async def _watch(self) -> bool:
+        """Apply the next changes; returns whether the store answered."""
         requested_at = steady_ms()
         wait_ms = self._board.times.config_watch_ms
-        outcome = await self._store.changes(self._keys.prefix, revision, wait_ms)
+        outcome = await self._store.changes(self._keys.prefix, self._revision, wait_ms)
         match outcome:
             case ChangedKeys(events, new_revision):
                 self._update_store_state(True, "")
                 for event in events:
-                    item = KeyValue(event.key, event.value, event.mod_revision)
-                    self._apply_change(item, event.deleted)
+                    if event.mod_revision > self._revision:  # a read meanwhile had it otherwise
+                        item = KeyValue(event.key, event.value, event.mod_revision)
+                        self._apply_change(item, event.deleted)
                 waited_ms = steady_ms() - requested_at
                 is_full_wait = not events and waited_ms >= wait_ms - EARLY_RESPONSE_MS
                 self._confirm_as_of(requested_at + (wait_ms - EARLY_RESPONSE_MS) * is_full_wait)
-                return max(revision, new_revision)
+                self._revision = max(self._revision, new_revision)
+                return True
             case HistoryLost():
-                log_warning("operator_history_lost", revision=revision)
-                return outcome
+                log_warning("operator_history_lost", revision=self._revision)
+                self._revision = 0
+                return True
             case Unreachable(_, detail):
                 self._update_store_state(False, detail)
-                return None
+                return False
 
     def _confirm_as_of(self, at_ms: int) -> None:
         self._board.confirmed_at_ms = max(self._board.confirmed_at_ms, at_ms)
