Tie what a leader serves and ends to its term

A link opened in one term was served in the next. The key is now taken over on condition of the old term, then the old lease is revoked until that is confirmed, and the time of the last extension counts from there. * An announcement that came while the doubt of the leader was looked into was lost; an announcement without a usable address is ignored. * A leader that can't load for two leases releases its term. * A leader lists all entries that it knows, not just those linked at the moment, and agents keep their seeds behind the list (shown by a script: an agent that was linked first knew the lost leader only).

--- a/packages/lycheeslip/lycheeslip/dispatch/entry.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/entry.py
@@ -105,13 +105,16 @@
         await self._advice.close()
 
     async def _begin_term(self) -> bool:
-        board = self.board
+        board, term = self.board, self.board.leadership
+        board.is_loaded = False
         board.jobs.clear()
         board.workers.clear()
         self._dispatcher.begin_term()
-        # zones are not part of what a leader confirms to followers
+        # an entry without the store may have missed an evacuation: leaders confirm versions only
         if not await self._operator.refresh() or not await self._loader.load():
             return False
+        if board.leadership is not term:
+            return False
         board.is_loaded = True
         self._term_tasks = [
             asyncio.create_task(supervise(controller, self.board.counters))
--- a/packages/lycheeslip/lycheeslip/dispatch/entry_directory.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/entry_directory.py
@@ -12,7 +12,7 @@
 
 
 class EntryDirectory:
-    """Addresses learned from leaders, or the seeds of the settings until there are any."""
+    """Addresses learned from leaders, then the seeds of the settings."""
 
     def __init__(self, seeds: Sequence[str] = ()) -> None:
         """Start with `seeds`, which may name entries that no longer exist."""
@@ -30,11 +30,11 @@
         self._avoid_until_ms[address] = steady_ms() + AVOID_MS
 
     def others(self, own_address: str) -> list[str]:
-        """Return all known addresses but `own_address`."""
+        """Return all known addresses but `own_address`, also those to avoid."""
         now = steady_ms()
         self._forget_at_ms = {a: at for a, at in self._forget_at_ms.items() if at > now}
-        known = [address for address in self._forget_at_ms if address != own_address]
-        return known or [address for address in self._seeds if address != own_address]
+        known = dict.fromkeys((*self._forget_at_ms, *self._seeds))
+        return [address for address in known if address != own_address]
 
     def helpers(self, own_address: str, leader_address: str) -> list[str]:
         """Return the entries that may be asked to decide a call, the leader first."""
--- a/packages/lycheeslip/lycheeslip/dispatch/leadership.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/leadership.py
@@ -13,6 +13,7 @@
 from lycheeslip_common.store.port import KeyValueStore, LeaseEnded, LeaseGranted
 from lycheeslip_common.utils.clock import steady_ms
 from lycheeslip_common.utils.logs import log_event, log_warning
+from lycheeslip_common.utils.usable import is_usable_address
 from lycheeslip_common.workload.fleet import Redirect
 from lycheeslip_common.workload.leader import decode_leader, encode_leader
 
@@ -28,6 +29,7 @@
 READ_TIMEOUT_S = 0.4  # a reachable store answers in 4 ms
 TAKEOVER_RETRY_S = 1.0  # the store is unreachable here too; lets the leader renew first
 ASK_TIMEOUT_S = 0.3  # other entries answer within a few ms
+LOAD_LEASES = 2  # a reachable store takes a few calls of a few ms
 ASK_PERIOD_MS = 1_000  # a leader announces itself too, so this finds only what that has missed
 
 
@@ -49,10 +51,10 @@
         `notify_lease_in_doubt` notifies followers that this leader can't renew its lease.
         """
         self._notify_lease_in_doubt = notify_lease_in_doubt
-        self._is_leader_in_doubt = asyncio.Event()
+        self._followed_changed = asyncio.Event()  # the followed leader is in doubt or replaced
         self._announced: Redirect | None = None
         self._ask_again_at_ms = 0
-        self._doubted_epoch = -1
+        self._predecessor_lease_id = 0
         self._renewal: asyncio.Task[None] | None = None
         self._board = board
         self._store = store
@@ -67,12 +69,12 @@
             if self._announced is None:
                 await asyncio.sleep(RETRY_S)
 
-    async def release(self) -> None:
+    async def release(self, reason: str = "leaving") -> None:
         """Revoke the lease, so that another entry can lead at once."""
         term = self._board.leadership
         if term is None:
             return
-        self._end_term("leaving")
+        self._end_term(reason)
         try:
             async with asyncio.timeout(RELEASE_TIMEOUT_S):
                 await self._store.revoke(term.lease_id)
@@ -101,7 +103,7 @@
             log_warning("leader_record_unusable", revision=item.mod_revision)
             self._board.counters.count("unusable_values", "leader_record")
         if leader is None or leader[1] == self._board.address:
-            await self._take_over_unled_term(item.mod_revision)
+            await self._take_over_unled_term(item)
             return
         await self._follow_leader(Redirect(leader[1], item.mod_revision))
 
@@ -139,25 +141,27 @@
         board = self._board
         if leader.epoch <= board.leader_epoch or leader.address == board.address:
             return
+        if not is_usable_address(leader.address):
+            return
         self._announced = leader
         if board.leadership is not None:
             self._end_term("replaced", leader)
         board.leader_address, board.leader_epoch = leader
-        self._is_leader_in_doubt.set()
+        self._followed_changed.set()
 
-    async def _take_over_unled_term(self, epoch: int) -> None:
+    async def _take_over_unled_term(self, record: KeyValue) -> None:
         """Succeed a term that nobody leads although its record is there.
 
         Another writer replaced the record by one that names no leader; or the term was of this
         address and has ended, as this process stepped down while the store was unreachable, or its
         predecessor at the same address led.
         """
-        if await self._acquire(epoch, self._board.times.leader_lease_ms, epoch):
+        if await self._acquire(record.mod_revision, record.lease_id):
             await self._serve_term()
 
     async def _follow_or_take_over(self, address: str, epoch: int) -> bool:
         """Follow a leader until its link or term ends; returns whether this entry took over."""
-        self._is_leader_in_doubt.clear()
+        self._followed_changed.clear()
         tasks = {
             asyncio.create_task(self._follow(address)),
             asyncio.create_task(self._take_over_when_in_doubt(epoch)),
@@ -174,8 +178,7 @@
 
     def on_leader_in_doubt(self) -> None:
         """Handle the notice that the followed leader can't renew its lease."""
-        self._doubted_epoch = self._board.leader_epoch
-        self._is_leader_in_doubt.set()
+        self._followed_changed.set()
 
     async def _take_over_when_in_doubt(self, epoch: int) -> None:
         """Return once the leader of term `epoch` was replaced, by this entry or another.
@@ -184,39 +187,29 @@
         expire: the leader's writes are conditional on its term.
         """
         while True:
-            await self._is_leader_in_doubt.wait()
+            await self._followed_changed.wait()
+            self._followed_changed.clear()
             if self._announced is not None:
                 return
             result = await self._store.read(LEADER_KEY, READ_TIMEOUT_S)
             if isinstance(result, Unreachable) or self._board.is_leaving:
                 await asyncio.sleep(TAKEOVER_RETRY_S)
-                self._is_leader_in_doubt.clear()
+                self._followed_changed.clear()
+                if self._announced is not None:
+                    return
                 continue
-            self._is_leader_in_doubt.clear()
             record = next((item for item in result.items if item.mod_revision == epoch), None)
-            if record is None or await self._succeed(record):
+            if record is None or await self._acquire(epoch, record.lease_id):
                 return
 
-    async def _succeed(self, record: KeyValue) -> bool:
-        """Take over from a leader in doubt; its lease ends first, so that it can't renew it."""
-        await self._store.revoke(record.lease_id)
-        return await self._acquire(0, self._board.times.leader_lease_ms, record.mod_revision)
-
     async def _campaign(self) -> None:
-        """Lead if there is no leader.
-
-        If the last one was in doubt, its lease may have been revoked rather than expired.
-        """
-        was_in_doubt = self._doubted_epoch == self._board.leader_epoch
-        if await self._acquire(0, self._board.times.leader_lease_ms if was_in_doubt else 0):
+        if await self._acquire(0, 0):
             await self._serve_term()
 
-    async def _acquire(
-        self, expected_revision: int, predecessor_lease_ms: int, succeeded: int = 0
-    ) -> bool:
+    async def _acquire(self, expected_revision: int, predecessor_lease_id: int) -> bool:
         """Write the leader key if its revision is `expected_revision` (0: the key is absent).
 
-        `succeeded` is the epoch of a predecessor whose lease has not expired.
+        The lease of a predecessor may not have expired; 0 if there is none.
         """
         requested_at = steady_ms()
         lease = await self._store.grant(self._board.times.leader_lease_ms)
@@ -233,36 +226,53 @@
         if epoch < self._board.leader_epoch:  # the write is old news: this process was suspended
             await self._store.revoke(lease.lease_id)
             return False
+        predecessor_lease_ms = self._board.times.leader_lease_ms if expected_revision else 0
         self._board.leadership = Leadership(
             epoch, lease.lease_id, requested_at + lease.ttl_ms, now + predecessor_lease_ms
         )
+        self._predecessor_lease_id = predecessor_lease_id
         self._board.leader_address, self._board.leader_epoch = self._board.address, epoch
-        log_event("leader_elected", epoch=epoch, node=self._board.node, succeeded=succeeded)
+        log_event("leader_elected", epoch=epoch, node=self._board.node, succeeded=expected_revision)
         return True
 
     async def _serve_term(self) -> None:
         renewal = self._renewal = asyncio.create_task(self._renew_lease())
+        ending = asyncio.create_task(self._end_predecessor())
         try:
             await self._load_term()
             await asyncio.wait({renewal})
         finally:
             renewal.cancel()
+            ending.cancel()
             self._end_term("failed")  # has ended already unless a controller failed
         if not renewal.cancelled():
             renewal.result()  # raises a failure to the supervisor, which logs it
 
+    async def _end_predecessor(self) -> None:
+        """Revoke the predecessor's lease, which it could renew and so take its term for valid."""
+        term, lease_id = self._board.leadership, self._predecessor_lease_id
+        while lease_id and term is not None and self._board.leadership is term:
+            outcome = await self._store.revoke(lease_id)
+            term.predecessor_until_ms = steady_ms() + self._board.times.leader_lease_ms
+            if outcome is None:
+                return
+            await asyncio.sleep(RETRY_S)
+
     async def _load_term(self) -> None:
-        """Load the leader's state, with retries while the store doesn't answer."""
-        while self._board.leadership is not None:
+        """Load the leader's state, with retries; another entry may be able to if this one can't."""
+        term = self._board.leadership
+        give_up_at_ms = steady_ms() + LOAD_LEASES * self._board.times.leader_lease_ms
+        while term is not None and self._board.leadership is term:
             if await self._lead():
-                await self._announce_term()
+                await self._announce_term(Redirect(self._board.address, term.epoch))
                 return
+            if steady_ms() > give_up_at_ms:
+                await self.release("not_loaded")
             await asyncio.sleep(RETRY_S)
 
-    async def _announce_term(self) -> None:
+    async def _announce_term(self, leader: Redirect) -> None:
         """Tell all known entries who leads; the predecessor may have no other way to learn it."""
         board = self._board
-        leader = Redirect(board.leader_address, board.leader_epoch)
         await asyncio.gather(
             *(
                 announce_leader(address, board.node, leader)
--- a/packages/lycheeslip/lycheeslip/dispatch/links.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/links.py
@@ -113,13 +113,16 @@
             await self._serve_peer(link)
             return
         link.post(Redirect(board.leader_address, board.leader_epoch))
-        if board.leadership is None or not board.is_loaded:
+        term = board.leadership
+        if term is None or not board.is_loaded:
             await asyncio.sleep(0.05)  # lets the redirect be sent before the link is closed
             return
         self._links.add(link)
         try:
-            while board.leadership is not None:
+            while True:
                 message = await link.receive(board.times.link_timeout_ms / 1_000)
+                if board.leadership is not term:
+                    return
                 self._handle(link, message)
         except (LinkClosedError, InvalidMessageError) as error:
             if link.role == "agent":
@@ -214,10 +217,10 @@
 
     def _send_entry_addresses(self, link: Link) -> None:
         board = self._board
-        linked = sorted(set(self._entry_address_by_link.values()))
-        for address in linked:
+        for address in self._entry_address_by_link.values():
             board.entries.add(address)
-        link.post(EntryAddresses((board.address, *linked)))
+        others = board.entries.others(board.address)
+        link.post(EntryAddresses((board.address, *others)))
 
     def _relay_config(self, link: Link, known_version: int) -> None:
         """Send the configuration to an entry with an older one; it may not reach the store."""
--- a/packages/lycheeslip/tests/dispatch/forwarding_tests.py
+++ b/packages/lycheeslip/tests/dispatch/forwarding_tests.py
@@ -147,10 +147,10 @@
     assert directory.others(own) == [seed]
     for address in (own, other, leader):
         directory.add(address)
-    assert directory.helpers(own, leader) == [leader, other]
+    assert directory.helpers(own, leader) == [leader, other, seed]
     directory.avoid(leader)
-    assert directory.helpers(own, leader) == [other]
-    assert set(directory.others(own)) == {other, leader}
+    assert directory.helpers(own, leader) == [other, seed]
+    assert set(directory.others(own)) == {other, leader, seed}
 
 
 @pytest.mark.parametrize(
--- a/packages/lycheeslip_agent/lycheeslip_agent/dispatch/leader_link.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/dispatch/leader_link.py
@@ -45,10 +45,11 @@
     ) -> None:
         """`find_leader` reads (address, epoch) from the store; `seeds` are entry addresses.
 
-        The addresses that leaders send replace the seeds.
+        The addresses that leaders send go before the seeds.
         """
         self._board = board
         self._orders = orders
+        self._seeds = tuple(seeds)
         self._entry_addresses = list(seeds)
         self._dialer = Dialer("agent", board.node)
         self._silent_address = ""
@@ -153,7 +154,7 @@
                 if lifetime == board.lifetime:
                     board.last_recorded_end = max(board.last_recorded_end, number)
             case EntryAddresses(addresses):
-                self._entry_addresses = list(addresses)
+                self._entry_addresses = list(dict.fromkeys((*addresses, *self._seeds)))
             case Redirect(address, _):
                 self._redirect_address = address
                 return False
--- a/tests/dispatch/lifecycle_tests.py
+++ b/tests/dispatch/lifecycle_tests.py
@@ -4,6 +4,7 @@
 
 import pytest
 from lycheeslip_common.store.outcomes import Unreachable
+from lycheeslip_common.workload.fleet import EntryAddresses
 
 from tests.harness.platform_cell import TIMES, Cell, assert_stays_true
 
@@ -378,7 +379,7 @@
     await cell.until(lambda: old.board.leader_epoch == other.board.leader_epoch)
 
 
-async def no_announcement() -> None:
+async def no_announcement(leader: object) -> None:
     return
 
 
@@ -431,3 +432,25 @@
         writer.transport.abort()
 
     return await asyncio.start_server(ignore, "127.0.0.1", 0)
+
+
+async def test_term_that_ends_while_it_loads_serves_no_agents(cell: Cell):
+    old = cell.leader()
+    assert old is not None
+    load = old.entry._loader.load
+
+    async def load_and_lose_the_term() -> bool:
+        is_loaded = await load()
+        old.entry._election._end_term("replaced")
+        return is_loaded
+
+    old.entry._loader.load = load_and_lose_the_term
+    assert not await old.entry._begin_term()
+    assert not old.board.is_loaded
+
+
+async def test_agent_keeps_its_seeds_when_a_new_leader_knows_no_other_entry(cell: Cell):
+    link = cell.agents[0].agent._link
+    link._seeds = ("10.0.0.1:1",)
+    link._handle(EntryAddresses(("10.0.0.2:1",)))
+    assert link._entry_addresses == ["10.0.0.2:1", "10.0.0.1:1"]
