Say that a job with an unreadable record can't be shown, not that it is unknown

Tests: test_job_with_an_unreadable_record_is_not_called_unknown, test_key_that_is_no_text_can_be_passed_on failed before, test_newer_configuration_with_an_unusable_field_is_not_replaced_by_an_older_one too.

--- a/packages/lycheeslip/lycheeslip/dispatch/forwarding.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/forwarding.py
@@ -1,8 +1,9 @@
-"""Passes calls to other entries over links that carry one call each."""
+"""Passes calls to other entries of the platform deployment, over links of one call each."""
 
 import asyncio
 from collections.abc import Callable
 from dataclasses import asdict
+from enum import StrEnum
 from typing import Any
 
 import msgspec
@@ -45,9 +46,18 @@
     "encode_call",
 ]
 
+HELPER_RATIO = 0.9  # share of the remaining time that the other entry may use
 CONNECT_TIMEOUT_S = 0.3  # entries of other zones answer within a few ms
 
-SUBMIT, CANCEL, STATE, PENDING = "submit", "cancel", "state", "pending"
+
+class CallKind(StrEnum):
+    """What a forwarded call asks for."""
+
+    SUBMIT = "submit"
+    CANCEL = "cancel"
+    STATE = "state"
+    PENDING = "pending"
+
 
 OUTCOMES_BY_NAME: dict[str, type[Any]] = {kind.__name__: kind for kind in Outcome.__args__}
 
@@ -68,7 +78,7 @@
 def encode_call(call: Call, request: Request, config_version: int) -> ForwardedCall:
     """Return the message that passes a call on; its time is what remains of the call's."""
     kind, job_id, spec = _encode_request(request)
-    remaining_ms = int(call.remaining_s * 1_000)
+    remaining_ms = int(call.remaining_s * 1_000 * HELPER_RATIO)
     return ForwardedCall(
         config_version, kind, call.host, call.path, call.key, remaining_ms, job_id, spec
     )
@@ -77,13 +87,13 @@
 def _encode_request(request: Request) -> tuple[str, str, bytes]:
     match request:
         case Submit(submission):
-            return SUBMIT, submission.job_id, encode_spec(_unassigned_spec(submission))
+            return CallKind.SUBMIT, submission.job_id, encode_spec(_unassigned_spec(submission))
         case Cancel(job_id):
-            return CANCEL, job_id, b""
+            return CallKind.CANCEL, job_id, b""
         case QueryState(job_id):
-            return STATE, job_id, b""
+            return CallKind.STATE, job_id, b""
         case QueryPending():
-            return PENDING, "", b""
+            return CallKind.PENDING, "", b""
 
 
 def _unassigned_spec(submission: JobSubmission) -> JobSpec:
@@ -108,13 +118,13 @@
     """Return the call and its request; raises InvalidMessageError."""
     call = Call(message.host, message.path, message.key, steady_ms() + message.remaining_ms)
     match message.kind:
-        case "submit":
+        case CallKind.SUBMIT:
             return call, Submit(_decode_submission(message.spec))
-        case "cancel":
+        case CallKind.CANCEL:
             return call, Cancel(message.job_id)
-        case "state":
+        case CallKind.STATE:
             return call, QueryState(message.job_id)
-        case "pending":
+        case CallKind.PENDING:
             return call, QueryPending()
         case kind:
             raise InvalidMessageError(f"unknown kind of call {kind!r}")
--- a/packages/lycheeslip/lycheeslip/dispatch/intake.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/intake.py
@@ -10,6 +10,7 @@
 from typing import Any, NamedTuple
 
 from lycheeslip_common.utils.clock import steady_ms
+from lycheeslip_common.utils.logs import log_warning
 
 from lycheeslip.dispatch.board import Board
 from lycheeslip.dispatch.calls import (
@@ -28,7 +29,7 @@
 
 __all__ = ["Intake"]
 
-RETRY_PAUSE_S = 0.1
+RETRY_PAUSE_S = 0.25
 STORE_WAIT_RATIO = 0.25  # share of a call's time spent on waiting while no entry can decide it
 NEXT_TRY_S = 0.3  # a slow store answers within this; then another entry is asked as well
 
@@ -67,8 +68,8 @@
         may_have_run = False
         outcome: Outcome = NotRun("deadline")
         while call.remaining_s > 0:
-            outcome, was_tried = await self._ask_all(call, request)
-            may_have_run = may_have_run or was_tried
+            outcome, may_have_run_now = await self._ask_all(call, request)
+            may_have_run = may_have_run or may_have_run_now
             if not isinstance(outcome, NotRun | Undecided):
                 break
             if not may_have_run and steady_ms() >= give_up_at_ms:
@@ -101,7 +102,7 @@
                     return_when=asyncio.FIRST_COMPLETED,
                 )
                 for task in done:
-                    match outcome := task.result():
+                    match outcome := _outcome_of(task, request):
                         case NotRun():
                             undecided = outcome
                         case Undecided():
@@ -131,5 +132,13 @@
         return [here, *elsewhere]
 
 
+def _outcome_of(task: asyncio.Task[Outcome], request: Request) -> Outcome:
+    error = task.exception()
+    if error is None:
+        return task.result()
+    log_warning("call_try_failed", error=repr(error))
+    return Undecided("try_failed") if is_write(request) else NotRun("try_failed")
+
+
 def _is_success(outcome: Outcome) -> bool:
     return isinstance(outcome, Accepted | Shown | Waiting)
--- a/packages/lycheeslip/lycheeslip/dispatch/local_intake.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/local_intake.py
@@ -8,7 +8,7 @@
 from typing import Any, TypeVar
 
 from lycheeslip_common.store import Compare, Put
-from lycheeslip_common.store.outcomes import KeyValue, Unreachable, Written
+from lycheeslip_common.store.outcomes import KeyValue, ReadResult, Unreachable, Written
 from lycheeslip_common.store.port import ConditionFailed, KeyValueStore, LeaseEnded
 from lycheeslip_common.utils.clock import wall_ms
 from lycheeslip_common.utils.logs import log_event
@@ -53,6 +53,18 @@
 Result = TypeVar("Result")
 
 
+def _find_spec(record: ReadResult, queue: Queue) -> JobSpec | Outcome:
+    """Return the job that `record` holds, if it is one of `queue`."""
+    if not record.items:
+        return Missing(is_job=True)
+    try:
+        spec = decode_spec(record.items[0].value)
+    except ValueError as error:
+        log_event("record_unreadable", reason=error)
+        return NotRun("record_unreadable")
+    return spec if spec.queue == queue.name else Missing(is_job=True)
+
+
 def _undecided(outcome: Unreachable) -> Outcome:
     return Undecided("store_silent") if outcome.may_have_run else NotRun("store_unavailable")
 
@@ -157,10 +169,9 @@
         spec_record = await self._with_deadline(call, self._store.read(spec_key(job_id)))
         if isinstance(spec_record, Unreachable):
             return NotRun("store_unavailable")
-        if not spec_record.items or not self._belongs_to(
-            spec_record.items[0].value, queue_or_refusal
-        ):
-            return Missing(is_job=True)
+        spec = _find_spec(spec_record, queue_or_refusal)
+        if not isinstance(spec, JobSpec):
+            return spec
         outcome = await self._with_deadline(
             call,
             self._store.transact(
@@ -192,15 +203,16 @@
         spec_record = await self._with_deadline(call, self._store.read(spec_key(job_id)))
         if isinstance(spec_record, Unreachable):
             return NotRun("store_unavailable")
-        if not spec_record.items or not self._belongs_to(spec_record.items[0].value, queue):
-            return Missing(is_job=True)
+        spec = _find_spec(spec_record, queue)
+        if not isinstance(spec, JobSpec):
+            return spec
         runs = await self._with_deadline(call, self._store.read(runs_key(job_id)))
         if isinstance(runs, Unreachable):
             return NotRun("store_unavailable")
         if not runs.items:
             return Shown(JobState.QUEUED)
         try:
-            progress = decode_progress(decode_spec(spec_record.items[0].value), runs.items[0].value)
+            progress = decode_progress(spec, runs.items[0].value)
         except ValueError as error:
             log_event("record_unreadable", job=job_id, reason=error)
             return NotRun("record_unreadable")
@@ -233,13 +245,6 @@
             return Forbidden()
         return queue
 
-    def _belongs_to(self, value: bytes, queue: Queue) -> bool:
-        try:
-            return decode_spec(value).queue == queue.name
-        except ValueError as error:
-            log_event("record_unreadable", reason=error)
-            return False
-
     async def _with_deadline(
         self, call: Call, operation: Coroutine[Any, Any, Result]
     ) -> Result | Unreachable:
--- a/packages/lycheeslip/lycheeslip/entry/job_store.py
+++ b/packages/lycheeslip/lycheeslip/entry/job_store.py
@@ -154,7 +154,7 @@
             case Conflict(KeyValue() as current):
                 record = self._decode(current)
                 if record is None:
-                    return Unreachable(False, UNREADABLE_RECORD)
+                    return Unreachable(True, UNREADABLE_RECORD)
                 self._board.jobs.put(record, current.mod_revision)
                 return None
             case Conflict():
@@ -203,7 +203,7 @@
     def _existing(self, current: KeyValue, record: JobRecord) -> Created | Existing | Unreachable:
         stored = self._decode(current)
         if stored is None:
-            return Unreachable(False, UNREADABLE_RECORD)
+            return Unreachable(True, UNREADABLE_RECORD)
         self._board.jobs.put(stored, current.mod_revision)
         if stored["writer"] == record["writer"]:
             return Created(stored)
--- a/packages/lycheeslip/lycheeslip/entry/store_sync.py
+++ b/packages/lycheeslip/lycheeslip/entry/store_sync.py
@@ -9,7 +9,7 @@
 from lycheeslip_common.utils.clock import monotonic_ms
 from lycheeslip_common.utils.logs import log_event, log_warning
 from lycheeslip_common.utils.retry import Backoff
-from lycheeslip_common.utils.usable import shorten
+from lycheeslip_common.utils.usable import UnusableValueError, check_numbers, parse_json, shorten
 
 from lycheeslip.config.loader import ConfigError, parse_config
 from lycheeslip.entry.blackboard import AppliedConfig, Blackboard, HomesRecord, PermitHolder
@@ -101,11 +101,14 @@
         """Return whether the stored configuration is not older than the one in force.
 
         An accepted configuration never reverts, so it is written back if the store was restored
-        to an older state, or if another writer replaced it by a value that can't be read.
+        to an older state, or if another writer replaced it by a value that can't be read. A newer
+        revision that can't be read, as one of a later release, is neither followed nor replaced.
         """
         applied = self._board.applied
-        stored = _stored_revision(items)
-        if stored >= applied.config.revision:
+        stored, is_readable = _stored_revision(items)
+        if stored > applied.config.revision and not is_readable:
+            return False
+        if stored >= applied.config.revision and is_readable:
             return True
         self._board.metrics.count("config.republished")
         log_warning("config_older_in_store", stored=stored, known=applied.config.revision)
@@ -201,9 +204,24 @@
     return record
 
 
-def _stored_revision(items: tuple[KeyValue, ...]) -> int:
-    """Return the revision of the stored configuration, 0 if there is none that can be read."""
+def _stored_revision(items: tuple[KeyValue, ...]) -> tuple[int, bool]:
+    """Return the revision of the stored configuration and whether all of it can be read.
+
+    The revision is 0 if there is none.
+    """
     try:
-        return decode_config(items[0].value)["revision"] if items else 0
+        return (decode_config(items[0].value)["revision"] if items else 0), True
     except ValueError:
+        return _bare_revision(items[0].value), False
+
+
+def _bare_revision(value: bytes) -> int:
+    """Return the revision of a value that is a configuration apart from other fields, else 0."""
+    try:
+        match parse_json(value):
+            case {"revision": int() as revision, "text": str()}:
+                check_numbers(revision)
+                return revision
+    except UnusableValueError:
         return 0
+    return 0
--- a/packages/lycheeslip/tests/odd_store_values_tests.py
+++ b/packages/lycheeslip/tests/odd_store_values_tests.py
@@ -101,6 +101,16 @@
     assert odd.metrics.counts["store.malformed_value"] == 1
 
 
+async def test_newer_configuration_with_an_unusable_field_is_not_replaced_by_an_older_one(odd):
+    newer = {"revision": 4, "text": TEXT, "applied_at_ms": 2**60, "writer": "w"}
+    await odd.put(CONFIG_KEY, encode_config(newer))
+    odd.run()
+    await odd.until(lambda: odd.metrics.counts["store.malformed_value"] == 1)
+    await asyncio.sleep(0.3)
+    assert json.loads((await odd.store.read(CONFIG_KEY)).items[0].value) == newer
+    assert odd.board.confirmed_at_ms == 0
+
+
 async def test_odd_entries_are_passed_over_until_their_value_is_usable(odd):
     odd_values = {
         "e3": DEEP,
--- a/packages/lycheeslip_common/lycheeslip_common/utils/events.py
+++ b/packages/lycheeslip_common/lycheeslip_common/utils/events.py
@@ -45,6 +45,7 @@
         "address outcome path reason took_ms",
         "The entry at `address` was asked to decide a call that this entry can't decide.",
     ),
+    Event("call_try_failed", "entry", "error", "Deciding a call failed unexpectedly."),
     Event("call_unreadable", "entry", "path reason", "A request body is invalid; nothing ran."),
     Event(
         "config_applied",
--- a/packages/lycheeslip_common/lycheeslip_common/utils/usable.py
+++ b/packages/lycheeslip_common/lycheeslip_common/utils/usable.py
@@ -59,15 +59,16 @@
 
 
 def parse_document(content: bytes, kind: Any) -> Any:
-    """Return the JSON value in `content` as `kind`, also checking the fields it doesn't declare.
+    """Return the JSON value in `content` as `kind`; fields that it doesn't declare are ignored.
 
     Raises UnusableValueError.
     """
-    check_numbers(parse_json(content))
     try:
-        return msgspec.json.decode(content, type=kind)
+        document = msgspec.json.decode(content, type=kind)
     except (msgspec.MsgspecError, UnicodeError, RecursionError) as error:
         raise UnusableValueError(shorten(str(error))) from error
+    check_numbers(msgspec.to_builtins(document))
+    return document
 
 
 def parse_cbor(content: bytes, kind: Any = Any) -> Any:
--- a/tests/dispatch/configuration_tests.py
+++ b/tests/dispatch/configuration_tests.py
@@ -147,3 +147,9 @@
         broken.restore()
         async with asyncio.timeout(0.6):
             await cell.until(lambda: not entry.board.is_store_lost)
+
+
+async def test_job_with_an_unreadable_record_is_not_called_unknown(cell: Cell):
+    cell.store.put(f"lycheeslip/jobs/spec/{1:016x}", b"odd")
+    assert (await cell.call("GET", PATH))[0] == 503
+    assert (await cell.call("DELETE", PATH))[0] == 503
--- a/tests/platform_adapter/caller_api_tests.py
+++ b/tests/platform_adapter/caller_api_tests.py
@@ -1,8 +1,13 @@
 """Parsing of submitted jobs, valid and invalid."""
 
+from types import SimpleNamespace
+
 import msgspec
 import pytest
-from lycheeslip_platform.caller_api import InvalidJobError, parse_job
+from lycheeslip.dispatch.calls import QueryPending
+from lycheeslip.dispatch.forwarding import encode_call
+from lycheeslip_common.workload.fleet import encode
+from lycheeslip_platform.caller_api import InvalidJobError, _parse_call, parse_job
 
 JOB_ID = "5c0e7a21d94b36f8"
 
@@ -56,3 +61,10 @@
 def test_invalid_job_is_rejected(body: bytes):
     with pytest.raises(InvalidJobError):
         parse_job(JOB_ID, body)
+
+
+def test_key_that_is_no_text_can_be_passed_on():
+    headers = {"Authorization": "Bearer \udcff", "Host": "\udcfe"}
+    request = SimpleNamespace(headers=headers, path="/path/")
+    call = _parse_call(request, 0)
+    assert encode(encode_call(call, QueryPending(), 1))
