Answer a call that nobody can decide after a quarter of its time, also if it may have run

The caller learns more from an early answer with a time to come back, and its next try asks every entry again.

--- a/packages/lycheeslip/lycheeslip/dispatch/intake.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/intake.py
@@ -60,8 +60,7 @@
     async def answer(self, call: Call, request: Request) -> Outcome:
         """Return the outcome of a call.
 
-        While no entry can decide it, a write waits a quarter of its time, and all of it if it may
-        have been stored, which only another try can tell.
+        While no entry can decide it, a write is tried again for a quarter of its time.
         """
         wait_ratio = STORE_WAIT_RATIO if is_write(request) else 0
         give_up_at_ms = steady_ms() + call.remaining_s * wait_ratio * 1_000
@@ -72,7 +71,7 @@
             may_have_run = may_have_run or may_have_run_now
             if not isinstance(outcome, NotRun | Undecided):
                 break
-            if not may_have_run and steady_ms() >= give_up_at_ms:
+            if steady_ms() >= give_up_at_ms:
                 break
             await asyncio.sleep(RETRY_PAUSE_S)
         if may_have_run and not _is_success(outcome):
