Let agents leave an entry that alone has lost the store

Callers saw an accepted job stay `pending` with the waiting reason `no_permit` although two of three entries reached the store.

Cause: a job that another entry has accepted is placed at a worker whose home is the entry without the store. That entry can't extend its permits while a peer reaches the store, so it answers pings with no remaining time, and the agent refuses the reservation. The agent stayed, because its session worked and the entry went on naming itself among the live entries, whose order decides the home. The planner retried the placement for as long as the entry was cut off.

Entries now name to agents only the live entries that reach the store, or all of them if none is known to reach it. An agent whose entry isn't named moves within 1 s after its last permit has ended, to the first named entry that it can reach. It doesn't return for 30 s, unless the new entry isn't named either and no other one can be reached. A loss of the store that ends before the last permit does moves no agent, and neither does an outage for all entries. How entries decide on permits is unchanged, as are the messages.

--- a/packages/lycheeslip/lycheeslip/app.py
+++ b/packages/lycheeslip/lycheeslip/app.py
@@ -120,7 +120,7 @@
             settings.fleet_key,
             settings.node_id,
             self._serve_session,
-            self.board.live_entries,
+            self.board.home_entries,
             self.board.metrics,
         )
         await self._runner.setup()
--- a/packages/lycheeslip/lycheeslip/entry/agent_sessions.py
+++ b/packages/lycheeslip/lycheeslip/entry/agent_sessions.py
@@ -117,7 +117,7 @@
 
     def _pong(self, worker_id: str, ping: Ping) -> Pong:
         remaining_ms = max(0, self._board.permit_until_ms - monotonic_ms())
-        entries = self._board.live_entries()
+        entries = self._board.home_entries()
         changed = entries != self._sent_entries_by_worker.get(worker_id)
         self._sent_entries_by_worker[worker_id] = entries
         return Pong(
--- a/packages/lycheeslip/lycheeslip/entry/blackboard.py
+++ b/packages/lycheeslip/lycheeslip/entry/blackboard.py
@@ -118,6 +118,16 @@
         """Return the entries that hold a lease in the store, this one included."""
         return tuple(sorted(self.entries_by_id.values()))
 
+    def home_entries(self) -> tuple[EntryInfo, ...]:
+        """Return the live entries that agents may choose as their home.
+
+        These are the ones that reach the store, because only those permit starts while any does.
+        If none is known to reach it, all live entries are returned.
+        """
+        entries = self.live_entries()
+        with_store = self.entries_with_store()
+        return tuple(info for info in entries if info.entry_id in with_store) or entries
+
     def reachable_entries(self) -> set[str]:
         """Return this entry and the leased entries whose status it has received over a session."""
         own = self.info.entry_id
--- a/packages/lycheeslip_agent/lycheeslip_agent/sessions.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/sessions.py
@@ -34,6 +34,9 @@
 FAILED_ENTRY_RETRY_MS = 5_000
 MIN_MOVE_DELAY_S = 5.0
 MAX_MOVE_DELAY_S = 10.0
+MIN_HOME_CHECK_S = 0.2
+MAX_HOME_CHECK_S = 1.0
+AVOIDED_ENTRY_RETRY_MS = 30_000
 BATCH_DELAY_S = 0.01
 
 
@@ -53,6 +56,7 @@
         self._messages = messages
         self._backoff = Backoff(first_s=0.05, limit_s=2.0)
         self._retry_at_ms_by_address: dict[str, int] = {}
+        self._avoided_until_ms_by_entry: dict[str, int] = {}
         self._announced_gangs: set[MemberKey] = set()
         self._last_received_ms = 0
         self._next_session: Session | None = None
@@ -136,15 +140,39 @@
             log_event("session_moves", from_entry=session.node_id)
 
     def _preferred_over(self, session: Session) -> EntryInfo | None:
-        """Return the most preferred entry, unless the session has it or it has failed recently."""
-        best = next(iter(self._ranked()), None)
-        if best is None or best.entry_id == session.node_id or not self._is_usable(best):
-            return None
-        return best
+        """Return the most preferred usable entry, None if the session has a better one or it."""
+        for entry in self._ranked():
+            if entry.entry_id == session.node_id:
+                return None
+            if self._is_usable(entry):
+                return entry
+        return None
 
     def _is_usable(self, entry: EntryInfo) -> bool:
-        retry_at_ms = self._retry_at_ms_by_address.get(entry.session_address, 0)
-        return monotonic_ms() >= retry_at_ms
+        """Return whether an entry has neither failed recently nor been left without a permit."""
+        avoided_until_ms = self._avoided_until_ms_by_entry.get(entry.entry_id, 0)
+        return not self._has_failed(entry) and monotonic_ms() >= avoided_until_ms
+
+    def _has_failed(self, entry: EntryInfo) -> bool:
+        return monotonic_ms() < self._retry_at_ms_by_address.get(entry.session_address, 0)
+
+    def _next_home(self, session: Session, must_leave: bool) -> EntryInfo | None:
+        """Return the entry to move to; one left before is better than one without a permit."""
+        best = self._preferred_over(session)
+        if best is None and must_leave:
+            best = next((entry for entry in self._ranked() if not self._has_failed(entry)), None)
+        return best
+
+    def _is_listed(self, session: Session) -> bool:
+        return session.node_id in self._board.entries_by_id
+
+    def _must_leave(self, session: Session) -> bool:
+        """Return whether this entry has lost the store alone, and its last permit has ended.
+
+        An entry that reaches the store again before then keeps its agents.
+        """
+        is_permitted = monotonic_ms() < self._board.permit.deadline_ms
+        return not self._is_listed(session) and not is_permitted
 
     async def _receive(self, session: Session) -> None:
         while True:
@@ -177,11 +205,12 @@
     async def _move_to_preferred(self, session: Session) -> None:
         """End this session once one to a preferred entry is open.
 
-        The random delay keeps the agents from moving all at once.
+        The random delays keep the agents from moving all at once.
         """
         while True:
-            await asyncio.sleep(random.uniform(MIN_MOVE_DELAY_S, MAX_MOVE_DELAY_S))
-            best = self._preferred_over(session)
+            await self._wait_to_move(session)
+            must_leave = self._must_leave(session)
+            best = self._next_home(session, must_leave)
             if best is None:
                 continue
             address = best.session_address
@@ -190,8 +219,23 @@
             except SessionError:
                 self._retry_at_ms_by_address[address] = monotonic_ms() + FAILED_ENTRY_RETRY_MS
                 continue
+            if must_leave:
+                # The entry would be preferred again as soon as it reaches the store for a moment.
+                avoided_until_ms = monotonic_ms() + AVOIDED_ENTRY_RETRY_MS
+                self._avoided_until_ms_by_entry[session.node_id] = avoided_until_ms
+                self._board.metrics.count("session.left_without_permit")
             raise _MoveError
 
+    async def _wait_to_move(self, session: Session) -> None:
+        """Wait for a long random delay, or until the entry must be left."""
+        delay_s = random.uniform(MIN_MOVE_DELAY_S, MAX_MOVE_DELAY_S)
+        move_at_ms = monotonic_ms() + round(delay_s * 1000)
+        while True:
+            await asyncio.sleep(random.uniform(MIN_HOME_CHECK_S, MAX_HOME_CHECK_S))
+            is_due = monotonic_ms() >= move_at_ms and self._is_listed(session)
+            if is_due or self._must_leave(session):
+                return
+
     async def _announce(self, session: Session) -> None:
         board = self._board
         while True:
--- a/packages/lycheeslip_common/lycheeslip_common/wire/messages.py
+++ b/packages/lycheeslip_common/lycheeslip_common/wire/messages.py
@@ -62,7 +62,7 @@
 
 
 class Welcome(NamedTuple):
-    """Listener's acceptance, with its own proof and the live entries that it knows."""
+    """Listener's acceptance, with its own proof and the entries that an agent may choose."""
 
     node_id: str
     proof: str
@@ -80,7 +80,8 @@
     """Reply to a `Ping`, carrying the zone permit.
 
     The permit expires `permit_remaining_ms` after `echo_ms` on the agent's own clock, so that
-    network delay can only shorten it. 0 means that no start is permitted.
+    network delay can only shorten it. 0 means that no start is permitted. `entries` are those that
+    an agent may choose as its home, empty if they have not changed.
     """
 
     echo_ms: int
