--- a/tests/dispatch/cut_off_entry_tests.py
+++ b/tests/dispatch/cut_off_entry_tests.py
@@ -1,7 +1,7 @@
 """Tests of an entry that the store turns away while it serves the others."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 import pytest
 import pytest_asyncio
@@ -57,19 +57,11 @@
     assert cell.starts() == {TASK: [1]}
 
 
-async def test_submission_at_a_follower_without_the_store_is_accepted_by_another_entry(
-    cell: Cell, broken_store: BrokenStore
-):
-    number = follower_number(cell)
-    broken_store.cut_off(cell.entries[number].store)
-    assert await submit_in_time(cell, number) == 200
-    await assert_runs_once(cell)
-
-
-async def test_submission_at_a_leader_without_the_store_is_accepted_by_another_entry(
-    cell: Cell, broken_store: BrokenStore
+@pytest.mark.parametrize("number_of", [follower_number, leader_number])
+async def test_submission_at_an_entry_without_the_store_is_accepted_by_another_entry(
+    cell: Cell, broken_store: BrokenStore, number_of: Callable[[Cell], int]
 ):
-    number = leader_number(cell)
+    number = number_of(cell)
     broken_store.cut_off(cell.entries[number].store)
     assert await submit_in_time(cell, number) == 200
     await assert_runs_once(cell)
