Record at most as many jobs in one call as the store takes

Each later leader gets stuck in the same way.

A call takes 32 entries, and conditions, writes and deletions count together; a batch of 28 jobs has 57. The refusal is final, and the leader repeats it. The stand-in allowed twice as many, so no test could see it. Older than this incident: the limit was 28 jobs from the start. It needs 16 jobs that change while a write takes long, so it shows on large deployments and after outages.

Change: 15 jobs a call; the stand-in counts as the platform does.

The test failed before (no job completed in 15 s).

--- a/packages/lycheeslip/lycheeslip/dispatch/recorder.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/recorder.py
@@ -19,7 +19,8 @@
 
 __all__ = ["Recorder"]
 
-MAX_JOBS_PER_WRITE = 28  # the store takes 32 entries per call, one of them the leader key
+MAX_ENTRIES = 32  # conditions, writes and deletions that the store takes in one call
+MAX_JOBS_PER_WRITE = (MAX_ENTRIES - 1) // 2  # a condition and a write each, and the leader key
 MAX_DELETED_JOBS = 9  # three keys each
 RETRY_FIRST_S = 0.05
 RETRY_LIMIT_S = 0.5
--- a/packages/lycheeslip_standins/lycheeslip_standins/platform/store.py
+++ b/packages/lycheeslip_standins/lycheeslip_standins/platform/store.py
@@ -202,7 +202,7 @@
 
     def _transaction(self, body: dict[str, Any]) -> web.Response:
         conditions, writes, deleted_keys = body["expected_rev"], body["writes"], body["remove"]
-        if len(conditions) + len(writes) + len(deleted_keys) > 2 * MAX_ENTRIES:
+        if len(conditions) + len(writes) + len(deleted_keys) > MAX_ENTRIES:
             return web.Response(status=400)
         for row in conditions:
             item = self.items.get(row["key"])
--- a/tests/dispatch/lifecycle_tests.py
+++ b/tests/dispatch/lifecycle_tests.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+from lycheeslip.dispatch.keys import RUNS_PREFIX
 from lycheeslip_common.store.outcomes import Unreachable
 from lycheeslip_common.workload.fleet import EntryAddresses
 
@@ -454,3 +455,23 @@
     link._seeds = ("10.0.0.1:1",)
     link._handle(EntryAddresses(("10.0.0.2:1",)))
     assert link._entry_addresses == ["10.0.0.2:1", "10.0.0.1:1"]
+
+
+async def test_many_jobs_that_change_at_once_are_recorded(cell: Cell):
+    """The store refuses a call with too many entries, however often it is repeated."""
+    leader = cell.leader()
+    assert leader is not None
+    transact, may_record = leader.store.transact, asyncio.Event()
+
+    async def wait_to_record(compares, puts, deletes=()):
+        if any(put.key.startswith(RUNS_PREFIX) for put in puts):
+            await may_record.wait()
+        return await transact(compares, puts, deletes)
+
+    leader.store.transact = wait_to_record
+    small = {"count": 1, "cpu": 10, "mem_mb": 1, "gpu": 0}
+    paths = [await cell.submit(number, small) for number in range(40)]
+    await cell.until(lambda: sum(job.is_dirty for job in leader.board.jobs.values()) > 30)
+    may_record.set()
+    for path in paths:
+        await cell.until_state(path, "completed")
