Measure how long runs still take, and log it with the notice of leaving workers

The planner knows a run's length only by its declaration, and the logs don't show when a worker said that it leaves.

--- a/packages/lycheeslip_agent/lycheeslip_agent/dispatch/agent.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/dispatch/agent.py
@@ -13,6 +13,7 @@
 from lycheeslip_agent.dispatch.orders import OrderExecutor
 from lycheeslip_agent.dispatch.pacing import Pacer
 from lycheeslip_agent.dispatch.probe import WorkerProbe
+from lycheeslip_agent.dispatch.sampler import ProgressSampler
 from lycheeslip_agent.dispatch.worker_port import WorkerPort
 
 __all__ = ["DispatchAgent"]
@@ -38,6 +39,7 @@
         orders = OrderExecutor(board, worker, self.lists)
         self._pacer = Pacer(board, worker)
         self._probe = WorkerProbe(board, worker)
+        self._sampler = ProgressSampler(board, worker)
         self._link = LeaderLink(board, orders, seeds, find_leader)
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -51,6 +53,7 @@
                 self._link.run,
                 self._pacer.run,
                 self._probe.run,
+                self._sampler.run,
             )
         ]
 
--- a/packages/lycheeslip_agent/lycheeslip_agent/dispatch/board.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/dispatch/board.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Iterator
+from typing import NamedTuple
 
 from lycheeslip_common.utils.clock import steady_ms
 from lycheeslip_common.utils.counters import Counters
@@ -19,11 +20,18 @@
 
 from lycheeslip_agent.dispatch.worker_port import WorkerStatus
 
-__all__ = ["Board"]
+__all__ = ["Board", "RunForecast"]
 
 MAX_REPORTED_CRASHES = 8  # a worker takes seconds to return, and a leader that long to be elected
 
 
+class RunForecast(NamedTuple):
+    """When a run will be done, on the agent's clock, and the duration of the whole run."""
+
+    done_at_ms: int
+    whole_run_ms: int
+
+
 class Board:
     """Blackboard on which the dispatch controllers of one agent share their state.
 
@@ -43,6 +51,7 @@
         self.crashed_at_ms: dict[Lifetime, int] = {}
         self.has_run_lists = False
         self.running: dict[str, RunningRun] = {}
+        self.forecasts: dict[tuple[str, int], RunForecast] = {}
         self.ended: tuple[EndedRun, ...] = ()
         self.last_recorded_end = 0
         self.epoch = 0
@@ -104,13 +113,20 @@
             worker_status.memory_mb,
             worker_status.accelerators,
             worker_status.is_ready,
-            tuple(self.running.values()),
+            tuple(self._with_forecast(run) for run in self.running.values()),
             tuple(end for end in self.ended if end.number > self.last_recorded_end),
             worker_status.remaining_ms,
             tuple(self.pending_starts),
             self._crashes(),
         )
 
+    def _with_forecast(self, run: RunningRun) -> RunningRun:
+        forecast = self.forecasts.get((run.task, run.run))
+        if forecast is None:
+            return run
+        remaining_ms = max(0, forecast.done_at_ms - steady_ms())
+        return run._replace(remaining_ms=remaining_ms, whole_run_ms=forecast.whole_run_ms)
+
     def record_crash(self, lifetime: Lifetime) -> None:
         """Record that a lifetime has just crashed; the latest `MAX_REPORTED_CRASHES` are kept."""
         self.crashed_at_ms[lifetime] = steady_ms()
--- a/packages/lycheeslip_agent/lycheeslip_agent/dispatch/lists.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/dispatch/lists.py
@@ -59,6 +59,14 @@
             sequence=0, remaining_ms=0
         ):
             board.report_due.set()
+        was_ready = board.worker_status is None or board.worker_status.is_ready
+        if was_ready and not worker_status.is_ready:
+            log_event(
+                "worker_draining",
+                lifetime=worker_status.lifetime,
+                remaining_ms=worker_status.remaining_ms,
+                running=len(board.running),
+            )
         board.worker_status = worker_status
         board.is_worker_gone = False
         return True
--- a/packages/lycheeslip_common/lycheeslip_common/utils/events.py
+++ b/packages/lycheeslip_common/lycheeslip_common/utils/events.py
@@ -235,6 +235,14 @@
         "A run ended; `job_state` is the result. Causes `lost` and `crashed` are inferred, others"
         " are reported.",
     ),
+    Event(
+        "run_forecast",
+        "agent",
+        "progress remaining_ms run task whole_run_ms",
+        "The estimate of when a run will be done is new or has changed. While the run makes little"
+        " progress `remaining_ms` is a lower bound; `whole_run_ms` is at its best speed (-1: not"
+        " known yet).",
+    ),
     Event(
         "run_preempted",
         "leader",
@@ -292,6 +300,12 @@
         "lifetime running silence_ms starting",
         "The worker's process ended without notice while the agent lived on.",
     ),
+    Event(
+        "worker_draining",
+        "agent",
+        "lifetime remaining_ms running",
+        "The worker announced that it will leave, in `remaining_ms` at the earliest.",
+    ),
     Event("worker_gone", "agent", "lifetime running", "The worker's process ended."),
     Event(
         "worker_known",
--- a/packages/lycheeslip_common/lycheeslip_common/workload/fleet.py
+++ b/packages/lycheeslip_common/lycheeslip_common/workload/fleet.py
@@ -85,8 +85,10 @@
 class RunningRun(NamedTuple):
     """A run that the backend server lists as running.
 
-    `load` covers the last half second: the tail latency in milliseconds of a run that serves
-    requests, otherwise the processor time used in thousandths of a core.
+    `progress` is in percent. `load` covers the last half second: the tail latency in milliseconds
+    of a run that serves requests, otherwise the processor time used in thousandths of a core.
+    The agent adds what it measured (-1: not known yet): `remaining_ms` until the run is done at its
+    present speed, and `whole_run_ms`, the time that the whole run takes at the best speed seen.
     """
 
     task: str
@@ -94,6 +96,8 @@
     checkpoint: str
     progress: int
     load: int = 0
+    remaining_ms: int = -1
+    whole_run_ms: int = -1
 
 
 class EndedRun(NamedTuple):
--- a/packages/lycheeslip_standins/lycheeslip_standins/platform/worker.py
+++ b/packages/lycheeslip_standins/lycheeslip_standins/platform/worker.py
@@ -45,7 +45,7 @@
 class Run:
     """One run; `began_at` and `ends_at` are in seconds of the monotonic clock.
 
-    `percent` is the pace last requested and `load` the load to report; neither affects the run.
+    Its progress was `done_percent` at `began_at`, when it got its present speed. `percent` is the pace last requested and `load` the load to report; neither affects the run.
     """
 
     task: str
@@ -56,6 +56,17 @@
     checkpoint: str = ""
     percent: int = 100
     load: int = 0
+    done_percent: float = 0.0
+
+    def progress(self, now: float) -> float:
+        """Return the progress in percent at `now`."""
+        share = min(1.0, (now - self.began_at) / max(1e-3, self.ends_at - self.began_at))
+        return self.done_percent + (100 - self.done_percent) * share
+
+    def slow_down(self, factor: float, now: float) -> None:
+        """Let the rest of the run take `factor` times as long."""
+        self.done_percent, self.began_at = self.progress(now), now
+        self.ends_at = now + (self.ends_at - now) * factor
 
 
 @dataclass(slots=True)
@@ -77,6 +88,8 @@
         self.born_ms = int(time.time() * 1_000)
         self.state = "ready"
         self.capacity = {"cpu": 64_000, "mem_mb": 262_144, "gpu": 8}
+        self.remaining_ms = 0
+        self.slowdown = 1.0
         self.crashes = 0
         self.faults = WorkerFaults()
         self.calls: Counter[str] = Counter()
@@ -132,6 +145,12 @@
             task.cancel()
         await self._listener.stop()
 
+    def slow_down(self, factor: float) -> None:
+        """Let all runs, also those started later, take `factor` times as long from now on."""
+        self.slowdown *= factor
+        for run in self.runs.values():
+            run.slow_down(factor, time.monotonic())
+
     def restart_empty(self) -> None:
         """Simulate a restart under the same id: a later `born_ms`, and all state is lost."""
         self.born_ms = max(self.born_ms + 1, int(time.time() * 1_000))
@@ -165,6 +184,7 @@
             "slots": 8,
             "state": self.state,
             "cold_remaining_ms": 0,
+            "remaining_ms": self.remaining_ms,
             "capacity": self.capacity,
             "labels": ["a", self.rack],
             "clock_ms": self._clock_ms(),
@@ -214,7 +234,11 @@
                     await self._end_event.wait()
             except TimeoutError:
                 pass
-        running = [[run.task, run.run, run.checkpoint, 0, run.load] for run in self.runs.values()]
+        now = time.monotonic()
+        running = [
+            [run.task, run.run, run.checkpoint, int(run.progress(now)), run.load]
+            for run in self.runs.values()
+        ]
         return self._reply({"born": self.born_ms, "running": running, "ended": self._ended[:500]})
 
     async def _start(self, request: web.BaseRequest, body: dict[str, Any]) -> web.Response:
@@ -241,7 +265,7 @@
         self._extend_hold(body)
         now = time.monotonic()
         crashes = body["spec"] == CRASH_PAYLOAD
-        work_s = MAX_HOLD_MS if crashes else int(body["spec"] or 0) / 1_000
+        work_s = MAX_HOLD_MS if crashes else int(body["spec"] or 0) / 1_000 * self.slowdown
         self.runs[task] = Run(task, run, work_s, now, now + work_s, body.get("checkpoint", ""))
         self.started.by_task.setdefault(task, []).append(run)
         if crashes:
