Weigh a wait for runs to end against the slack that it takes

Cause: a run that ends within the wait budget cost nothing, so a wait was always the cheapest way, whatever a stop cost and whatever the waiting job lost by it.

Change: a wait counts for as large a share of the unit's work as it takes of its slack. For each group of workers the eviction is searched with the wait and without, and the cheaper is taken. What is affordable is still decided by the cost of the stops alone.

test_urgent_unit_does_not_spend_its_slack_to_spare_runs_that_have_just_begun failed before. Two tests of the wait built units with a wait budget and no slack, which can't be; the builder now gives them twice the budget as slack, as the planner does.

--- a/packages/lycheeslip/lycheeslip/dispatch/reclaim.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/reclaim.py
@@ -32,9 +32,14 @@
 
 
 class Eviction(NamedTuple):
-    """Victims to stop and the workers then used; `cost` is that of all victims."""
+    """Victims to stop and the workers then used; `cost` is that of all victims.
+
+    Runs that end within `patience_ms` are waited for instead; the wait counts as `wait_cost`.
+    """
 
     cost: float
+    wait_cost: float
+    patience_ms: float
     workers: list[WorkerCapacity]
     victims: list[Victim]
 
@@ -49,11 +54,11 @@
     stopped for it is lost already, and runs that were to end by themselves may only be late.
     Returns whether capacity is being freed.
     """
-    claimed_eviction = _eviction(
-        unit, [worker for worker in usable_workers if worker.node in unit.claimed_nodes], preempted
-    )
-    options = [claimed_eviction, _cheapest_eviction(unit, usable_workers, preempted)]
-    best = min(filter(None, options), key=lambda option: option.cost, default=None)
+    claimed_group = [worker for worker in usable_workers if worker.node in unit.claimed_nodes]
+    claimed_eviction = _cheapest_eviction(unit, [claimed_group], preempted)
+    groups = list(candidate_groups(unit, usable_workers))
+    options = [claimed_eviction, _cheapest_eviction(unit, groups, preempted)]
+    best = min(filter(None, options), key=_total_cost, default=None)
     if best is None:
         return False
     max_cost = unit.work * unit.max_loss_ratio
@@ -69,23 +74,32 @@
     for victim in best.victims:
         preempted.add(victim.key)
         for worker, placed_run in victim.runs:
-            if is_affordable and not _ends_in_time(unit, placed_run):
+            if is_affordable and not _ends_in_time(placed_run, best.patience_ms):
                 plan.stops.append(Preemption(worker, placed_run, unit))
     return True
 
 
 def _cheapest_eviction(
-    unit: Unit, usable_workers: Sequence[WorkerCapacity], preempted: set[VictimKey]
+    unit: Unit, groups: Sequence[Sequence[WorkerCapacity]], preempted: set[VictimKey]
 ) -> Eviction | None:
+    """Return the eviction that costs least, with and without a wait for runs to end."""
     options = [
-        _eviction(unit, group, preempted) for group in candidate_groups(unit, usable_workers)
+        _eviction(unit, group, preempted, patience_ms)
+        for group in groups
+        for patience_ms in {0.0, unit.wait_budget_ms}
     ]
-    found = [option for option in options if option is not None]
-    return min(found, key=lambda option: option.cost, default=None)
+    return min(filter(None, options), key=_total_cost, default=None)
+
+
+def _total_cost(eviction: Eviction) -> float:
+    return eviction.cost + eviction.wait_cost
 
 
 def _victims(
-    unit: Unit, group: Sequence[WorkerCapacity], preempted: set[VictimKey]
+    unit: Unit,
+    group: Sequence[WorkerCapacity],
+    preempted: set[VictimKey],
+    patience_ms: float,
 ) -> list[Victim]:
     """Return the preemptible victims for `unit`, least cost first.
 
@@ -100,7 +114,7 @@
     victims = [
         Victim(
             key,
-            max(_cost(unit, run) for _, run in members),
+            max(_cost(unit, run, patience_ms) for _, run in members),
             tuple(members),
         )
         for key, members in runs.items()
@@ -108,8 +122,8 @@
     return sorted(victims, key=lambda victim: victim.cost)
 
 
-def _cost(unit: Unit, placed_run: PlacedRun) -> float:
-    if _ends_in_time(unit, placed_run):
+def _cost(unit: Unit, placed_run: PlacedRun, patience_ms: float) -> float:
+    if _ends_in_time(placed_run, patience_ms):
         return 0.0
     return placed_run.loss + (0.0 if _can_start_later(unit, placed_run) else placed_run.delay_cost)
 
@@ -119,9 +133,23 @@
     return unit.frees_at_ms < placed_run.latest_start_ms
 
 
-def _ends_in_time(unit: Unit, placed_run: PlacedRun) -> bool:
-    """Return whether a run ends within the wait budget of `unit` without a further stop."""
-    return placed_run.is_stopping or placed_run.remaining_ms < unit.wait_budget_ms
+def _ends_in_time(placed_run: PlacedRun, patience_ms: float) -> bool:
+    """Return whether a run ends within `patience_ms` without a further stop."""
+    return placed_run.is_stopping or placed_run.remaining_ms < patience_ms
+
+
+def _wait_cost(unit: Unit, victims: Sequence[Victim], patience_ms: float) -> float:
+    """Return what the wait for the victims that aren't stopped counts for, in core-seconds.
+
+    A unit that waits for all of its slack puts all of its own work at risk.
+    """
+    waits_ms = [
+        run.remaining_ms
+        for victim in victims
+        for _, run in victim.runs
+        if not run.is_stopping and run.remaining_ms < patience_ms
+    ]
+    return unit.work * max(waits_ms, default=0.0) / max(1.0, unit.slack_ms)
 
 
 def _is_preemptible_for(unit: Unit, placed_run: PlacedRun) -> bool:
@@ -148,12 +176,15 @@
 
 
 def _eviction(
-    unit: Unit, group: Sequence[WorkerCapacity], preempted: set[VictimKey]
+    unit: Unit,
+    group: Sequence[WorkerCapacity],
+    preempted: set[VictimKey],
+    patience_ms: float,
 ) -> Eviction | None:
     """Return low-cost victims without which `unit` fits into `group`, None if there are none."""
     trial = EvictionTrial(unit, group)
     chosen: list[Victim] = []
-    for victim in _victims(unit, group, preempted):
+    for victim in _victims(unit, group, preempted, patience_ms):
         if trial.fits:
             break
         trial.evict(victim)
@@ -166,7 +197,9 @@
         if not trial.fits:
             trial.evict(victim)
             needed.append(victim)
-    return Eviction(sum(victim.cost for victim in needed), trial.workers(), needed)
+    cost = sum(victim.cost for victim in needed)
+    wait_cost = _wait_cost(unit, needed, patience_ms)
+    return Eviction(cost, wait_cost, patience_ms, trial.workers(), needed)
 
 
 class EvictionTrial:
--- a/packages/lycheeslip/tests/dispatch/builders.py
+++ b/packages/lycheeslip/tests/dispatch/builders.py
@@ -52,6 +52,7 @@
         "is_guaranteed": False,
         "is_gang": members > 1,
         "work": 10.0,
+        "slack_ms": 2 * fields.get("wait_budget_ms", 0.0),
     }
     return Unit(**{**values, **fields})
 
--- a/packages/lycheeslip/tests/dispatch/reclaim_tests.py
+++ b/packages/lycheeslip/tests/dispatch/reclaim_tests.py
@@ -82,3 +82,15 @@
 
     assert stopped(150.0) == ["bulk"]
     assert stopped(250.0) == ["urgent"]
+
+
+def test_urgent_unit_does_not_spend_its_slack_to_spare_runs_that_have_just_begun():
+    urgent = unit(accelerators=8, priority=0, work=478, slack_ms=3_600, wait_budget_ms=1_700)
+
+    def stops(loss: float, remaining_ms: float) -> int:
+        runs = [placed_run(f"r{n}", 1, 2, loss, remaining_ms=remaining_ms) for n in range(8)]
+        return len(plan_round([urgent], [worker("n1", free=0, placed_runs=runs)]).stops)
+
+    assert stops(loss=1.5, remaining_ms=1_600) == 8
+    assert stops(loss=40, remaining_ms=1_600) == 0
+    assert stops(loss=1.5, remaining_ms=50) == 0
