Measure long runs over their whole length, and slowed ones within a second

A window of 1.5 s is too short for a run of 22 s, whose speed was a lower bound all the time, and reports of runs of hours would have changed at each percent. The speed is now that of the last 8 % of progress, however long they took; what the last second allows is a bound beside it, so that a run that is slowed down or stands still is seen as soon as before.

--- a/packages/lycheeslip_agent/lycheeslip_agent/dispatch/forecast.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/dispatch/forecast.py
@@ -7,15 +7,20 @@
 DONE_PERCENT = 100
 MIN_GAIN_PERCENT = 8  # progress is rounded to whole percents, so the speed is off by an eighth
 MIN_SPAN_MS = 250
-MAX_SPAN_MS = 1_500  # a change of speed shows within this time
-MIN_BOUND_SPAN_MS = 1_000  # with less progress than that, only a bound of the speed is known
+BOUND_SPAN_MS = 1_000  # a run that is slowed down or stands still shows within this time
+SLOWED_RATIO = 1.3  # a run that takes so much longer than it did at first has been slowed down
 
 
 class Forecast(NamedTuple):
-    """Estimates for a run: the time until it is done, and the duration of the whole run."""
+    """Estimates for a run: the time until it is done, and the duration of a whole run.
+
+    The first is a lower bound (`is_bound`) while the run has made too little progress to tell; the
+    second is -1 until then, and doesn't grow if the run is slowed down.
+    """
 
     remaining_ms: int
     whole_run_ms: int
+    is_bound: bool = False
 
 
 class Sample(NamedTuple):
@@ -26,49 +31,63 @@
 
 
 class RunSpeed:
-    """The recent and the best speed of one run.
-
-    While a run makes little progress its remaining time is a lower bound.
-    """
+    """The recent speed of one run, and its speed before it was slowed down."""
 
     def __init__(self) -> None:
         """Start without samples."""
         self._first: Sample | None = None
-        self._recent: list[Sample] = []
+        self._last: Sample | None = None
+        self._marks: list[Sample] = []  # the first sample of each percentage, as far as needed
         self._whole_run_ms = -1
 
     def add(self, clock_ms: int, percent: int) -> None:
-        """Add the progress at `clock_ms`; older samples than the last are ignored."""
-        sample = Sample(clock_ms, min(percent, DONE_PERCENT))
-        if self._recent and clock_ms <= self._recent[-1].clock_ms:
+        """Add the progress at `clock_ms`; a sample that is older than the last is ignored."""
+        if self._last is not None and clock_ms <= self._last.clock_ms:
             return
+        sample = Sample(clock_ms, min(percent, DONE_PERCENT))
+        if self._last is None or sample.percent != self._last.percent:
+            self._marks.append(sample)
+        self._last = sample
         self._first = self._first or sample
-        self._recent.append(sample)
-        self._recent = [one for one in self._recent if clock_ms - one.clock_ms <= MAX_SPAN_MS]
-        gain = percent - self._first.percent
+        oldest_ms = min(self._base(sample).clock_ms, self._before_bound_span(sample).clock_ms)
+        self._marks = [mark for mark in self._marks if mark.clock_ms >= oldest_ms]
+        gain = sample.percent - self._first.percent
         span_ms = clock_ms - self._first.clock_ms
         if gain >= MIN_GAIN_PERCENT and span_ms >= MIN_SPAN_MS:
             whole_run_ms = span_ms * DONE_PERCENT // gain
-            is_best = self._whole_run_ms < 0 or whole_run_ms < self._whole_run_ms
-            self._whole_run_ms = whole_run_ms if is_best else self._whole_run_ms
+            if self._whole_run_ms < 0 or whole_run_ms < self._whole_run_ms * SLOWED_RATIO:
+                self._whole_run_ms = whole_run_ms  # measured over a longer time than the last
 
     def forecast(self) -> Forecast | None:
         """Return the forecast as of the last sample, or None while too little is known."""
-        if len(self._recent) < 2:
+        if self._last is None:
             return None
-        last = self._recent[-1]
-        base = self._base(last)
+        last, base = self._last, self._base(self._last)
         gain, span_ms = last.percent - base.percent, last.clock_ms - base.clock_ms
-        if gain < MIN_GAIN_PERCENT:
-            if span_ms < MIN_BOUND_SPAN_MS:
-                return None
-            gain = max(0, gain) + 1
-        return Forecast((DONE_PERCENT - last.percent) * span_ms // gain, self._whole_run_ms)
+        bound_ms = self._bound_ms(last)
+        if gain < MIN_GAIN_PERCENT or span_ms < MIN_SPAN_MS:
+            return Forecast(bound_ms, self._whole_run_ms, True) if bound_ms else None
+        remaining_ms = (DONE_PERCENT - last.percent) * span_ms // gain
+        return Forecast(max(remaining_ms, bound_ms), self._whole_run_ms)
+
+    def _bound_ms(self, last: Sample) -> int:
+        """Return the least remaining time that the progress of the last second allows, or 0."""
+        before = self._before_bound_span(last)
+        if last.clock_ms - before.clock_ms < BOUND_SPAN_MS:
+            return 0
+        return (DONE_PERCENT - last.percent) * BOUND_SPAN_MS // (last.percent - before.percent + 1)
+
+    def _before_bound_span(self, last: Sample) -> Sample:
+        """Return the latest mark that is at least `BOUND_SPAN_MS` old, else the oldest one."""
+        for mark in reversed(self._marks):
+            if last.clock_ms - mark.clock_ms >= BOUND_SPAN_MS:
+                return mark
+        return self._marks[0]
 
     def _base(self, last: Sample) -> Sample:
-        """Return the latest sample that is far enough from `last`, else the oldest one."""
-        for sample in reversed(self._recent[:-1]):
-            is_far = last.clock_ms - sample.clock_ms >= MIN_SPAN_MS
-            if is_far and last.percent - sample.percent >= MIN_GAIN_PERCENT:
-                return sample
-        return self._recent[0]
+        """Return the latest mark that is far enough from `last`, else the oldest one."""
+        for mark in reversed(self._marks):
+            is_far = last.clock_ms - mark.clock_ms >= MIN_SPAN_MS
+            if is_far and last.percent - mark.percent >= MIN_GAIN_PERCENT:
+                return mark
+        return self._marks[0]
--- a/packages/lycheeslip_agent/lycheeslip_agent/dispatch/sampler.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/dispatch/sampler.py
@@ -71,8 +71,7 @@
         key = (run.task, run.run)
         done_at_ms = steady_ms() + speed.remaining_ms
         known = self._board.forecasts.get(key)
-        change_ms = max(MIN_CHANGE_MS, MIN_CHANGE_RATIO * speed.remaining_ms)
-        if known is not None and abs(done_at_ms - known.done_at_ms) <= change_ms:
+        if known is not None and not _has_changed(known, done_at_ms, speed):
             return
         self._board.forecasts[key] = RunForecast(done_at_ms, speed.whole_run_ms)
         self._board.report_due.set()
@@ -84,3 +83,14 @@
             remaining_ms=speed.remaining_ms,
             whole_run_ms=speed.whole_run_ms,
         )
+
+
+def _has_changed(known: RunForecast, done_at_ms: int, speed: Forecast) -> bool:
+    """Return whether a forecast is worth a report; a bound is only if it is above what is known."""
+    change_ms = max(MIN_CHANGE_MS, MIN_CHANGE_RATIO * speed.remaining_ms)
+    if speed.is_bound:
+        return done_at_ms > known.done_at_ms + change_ms
+    return (
+        abs(done_at_ms - known.done_at_ms) > change_ms
+        or abs(speed.whole_run_ms - known.whole_run_ms) > change_ms
+    )
--- a/packages/lycheeslip_common/lycheeslip_common/utils/events.py
+++ b/packages/lycheeslip_common/lycheeslip_common/utils/events.py
@@ -240,8 +240,8 @@
         "agent",
         "progress remaining_ms run task whole_run_ms",
         "The estimate of when a run will be done is new or has changed. While the run makes little"
-        " progress `remaining_ms` is a lower bound; `whole_run_ms` is at its best speed (-1: not"
-        " known yet).",
+        " progress `remaining_ms` is a lower bound; `whole_run_ms` is what a whole run takes if"
+        " nothing slows it down (-1: not known yet).",
     ),
     Event(
         "run_preempted",
--- a/packages/lycheeslip_common/lycheeslip_common/workload/fleet.py
+++ b/packages/lycheeslip_common/lycheeslip_common/workload/fleet.py
@@ -88,7 +88,7 @@
     `progress` is in percent. `load` covers the last half second: the tail latency in milliseconds
     of a run that serves requests, otherwise the processor time used in thousandths of a core.
     The agent adds what it measured (-1: not known yet): `remaining_ms` until the run is done at its
-    present speed, and `whole_run_ms`, the time that the whole run takes at the best speed seen.
+    present speed, and `whole_run_ms`, the time that a whole run takes if nothing slows it down.
     """
 
     task: str
--- a/packages/lycheeslip_standins/lycheeslip_standins/platform/worker.py
+++ b/packages/lycheeslip_standins/lycheeslip_standins/platform/worker.py
@@ -45,7 +45,8 @@
 class Run:
     """One run; `began_at` and `ends_at` are in seconds of the monotonic clock.
 
-    Its progress was `done_percent` at `began_at`, when it got its present speed. `percent` is the pace last requested and `load` the load to report; neither affects the run.
+    Its progress was `done_percent` at `began_at`, when it got its present speed. `percent` is the
+    pace last requested and `load` the load to report; neither affects the run.
     """
 
     task: str
