Plan by measured run times and by the objective of the whole job

Callers saw urgent jobs late whose declared run time was wrong, and jobs that could wait served before jobs that could not.

Change: the run time of a step is the lower median of what its runs have shown, the declared one only while none is measured. The latest start follows from the job's chain, wide steps in waves (for what is left in whole waves), less 0.15 s until callers see the end. A job's age is kept on the leader's steady clock. Units of a later step wait for an unreserved worker from when they are ready.

--- a/packages/lycheeslip/lycheeslip/dispatch/board.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/board.py
@@ -71,18 +71,23 @@
     """A job with the store revision of its progress record (0: none yet).
 
     `recorded_state` is the state in that record, the only one returned to callers;
-    `loaded_at_ms` is when this leader loaded the job, on its steady clock; `stopping` are the
-    task name and the run number of each run that is being stopped.
+    `loaded_at_ms` is when this leader loaded the job, on its steady clock, `age_at_load_ms` after
+    its acceptance. `ready_at_ms` is since when this leader knows that a step may start, by
+    occurrence and step. `stopping` are the task name and the run number of each run that is being
+    stopped. `measured_run_ms` are the run times that workers' reports show.
     """
 
     progress: JobProgress
     revision: int
     recorded_state: JobState
     loaded_at_ms: int
+    age_at_load_ms: int = 0
     is_dirty: bool = False
     is_being_written: bool = False
     has_newer_checkpoint: bool = False
     stopping: set[tuple[str, int]] = field(default_factory=set)
+    ready_at_ms: dict[tuple[int, int], int] = field(default_factory=dict)
+    measured_run_ms: dict[TaskKey, int] = field(default_factory=dict)
 
     @property
     def shown(self) -> Shown:
@@ -168,6 +173,17 @@
             return None
         return FoundTask(name.job_id, job, name.key)
 
+    def remaining_run_times(self) -> dict[tuple[str, int], float]:
+        """Return the time in ms until each run is done that is measured, by task and run."""
+        now_ms = steady_ms()
+        return {
+            (run.task, run.run): max(0, run.remaining_ms - (now_ms - view.heard_at_ms))
+            for view in self.workers.values()
+            if view.link is not None
+            for run in view.report.running
+            if run.remaining_ms >= 0
+        }
+
     @property
     def is_leader(self) -> bool:
         """Whether this entry leads by its local state, without a read from the store."""
--- a/packages/lycheeslip/lycheeslip/dispatch/dispatcher.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/dispatcher.py
@@ -4,7 +4,7 @@
 
 from lycheeslip_common.utils.clock import steady_ms, wall_ms
 from lycheeslip_common.utils.logs import log_event
-from lycheeslip_common.workload.fleet import EndCause, OrderResult, WorkerReport
+from lycheeslip_common.workload.fleet import EndCause, OrderResult, RunningRun, WorkerReport
 from lycheeslip_common.workload.jobs import Demand
 from lycheeslip_common.workload.link import Link
 from lycheeslip_common.workload.progress import open_occurrences
@@ -162,6 +162,7 @@
         if view.lifetime is not None and view.lifetime != report.lifetime:
             view.lost_lifetime_at_ms = steady_ms()
             view.backoff_until_ms = 0  # the new lifetime has rejected nothing
+        is_only_forecast = _without_forecasts(report) == _without_forecasts(view.report)
         has_shrunk = any(
             now < before
             for now, before in zip(_capacity(report), _capacity(view.report), strict=True)
@@ -170,6 +171,7 @@
         self._run_ends.end_older_lifetimes(node, report)
         for run in report.running:
             self._update_checkpoint(run.task, run.run, run.checkpoint)
+            self._record_run_time(run)
         self._run_ends.apply_reported_ends(view, report)
         if has_shrunk or is_new_link:
             self._run_stopper.withdraw_starts_over_capacity(report)
@@ -177,7 +179,13 @@
             self._run_ends.reset_acknowledgement(report.lifetime)
             self._run_starter.resend(view, report)
         self._run_stopper.stop_superseded(view, report)
-        self._board.planning_needed.set()
+        if is_new_link or not is_only_forecast:
+            self._board.planning_needed.set()
+
+    def _record_run_time(self, run: RunningRun) -> None:
+        found = self._board.find_task(run.task)
+        if found is not None and run.whole_run_ms > 0:
+            found.job.measured_run_ms[found.key] = run.whole_run_ms
 
     def _update_checkpoint(self, task_name: str, run: int, checkpoint: str) -> None:
         found = self._board.find_task(task_name)
@@ -215,5 +223,14 @@
         self._run_ends.end_run(*found, result.run, EndCause.STOPPED, "")
 
 
+def _without_forecasts(report: WorkerReport) -> WorkerReport:
+    """Return `report` without what changes all the time and decides nothing before it is due."""
+    running = tuple(
+        run._replace(progress=0, load=0, remaining_ms=-1, whole_run_ms=-1, checkpoint="")
+        for run in report.running
+    )
+    return report._replace(running=running, remaining_ms=0)
+
+
 def _capacity(report: WorkerReport) -> Demand:
     return Demand(report.cpu_milli, report.memory_mb, report.accelerators)
--- a/packages/lycheeslip/lycheeslip/dispatch/loader.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/loader.py
@@ -25,6 +25,7 @@
 
 RETRY_FIRST_S = 0.1
 RETRY_LIMIT_S = 0.5
+MAX_AGE_MS = 24 * 3_600_000  # a job that waits for longer has missed any latency objective
 WATCH_WAIT_MS = 2_000  # a stalled connection is detected well within a job's latency objective
 
 
@@ -57,7 +58,7 @@
         progress_by_id = {item.key.removeprefix(RUNS_PREFIX): item for item in runs.items}
         for item in jobs.items:
             if item.key.startswith(SPEC_PREFIX):
-                self._add_job(item, progress_by_id)
+                self._add_job(item, progress_by_id, MAX_AGE_MS)
         for item in jobs.items:
             if item.key.startswith(CANCEL_PREFIX):
                 self._cancel_job(item.key.removeprefix(CANCEL_PREFIX))
@@ -99,12 +100,18 @@
     def apply(self, item: KeyValue) -> None:
         """Apply a specification or a cancellation, read from the store or sent by its writer."""
         if item.key.startswith(SPEC_PREFIX):
-            self._add_job(item, {})
+            self._add_job(item, {}, WATCH_WAIT_MS)
         elif item.key.startswith(CANCEL_PREFIX):
             self._cancel_job(item.key.removeprefix(CANCEL_PREFIX))
         self._board.planning_needed.set()
 
-    def _add_job(self, item: KeyValue, progress_by_id: dict[str, KeyValue]) -> None:
+    def _add_job(
+        self, item: KeyValue, progress_by_id: dict[str, KeyValue], max_age_ms: int
+    ) -> None:
+        """Add a job that was accepted at most `max_age_ms` ago.
+
+        That bounds the error if the clocks of two entries differ.
+        """
         job_id = item.key.removeprefix(SPEC_PREFIX)
         if job_id in self._board.jobs:
             return
@@ -113,6 +120,7 @@
             if spec.job_id != job_id:
                 raise ValueError("the record is of another job")
             job = self._build_stored_job(spec, progress_by_id.get(job_id))
+            job.age_at_load_ms = min(max(0, wall_ms() - spec.accepted_at_ms), max_age_ms)
         except ValueError as error:
             if self._unusable.add(job_id, item.mod_revision):
                 log_warning("record_unreadable", job=job_id, reason=error)
--- a/packages/lycheeslip/lycheeslip/dispatch/occupancy.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/occupancy.py
@@ -3,11 +3,11 @@
 from lycheeslip_common.utils.clock import steady_ms, wall_ms
 from lycheeslip_common.workload.fleet import Lifetime
 from lycheeslip_common.workload.jobs import Demand, StepSpec, demand_of, format_task_name
-from lycheeslip_common.workload.operator import Queue
 from lycheeslip_common.workload.progress import TaskKey
 
 from lycheeslip.dispatch.board import Board, StoredJob, WorkerView
 from lycheeslip.dispatch.isolation import must_run_isolated
+from lycheeslip.dispatch.objective import Objectives, waiting_since_ms
 from lycheeslip.dispatch.placement_model import URGENT_PRIORITY, PlacedRun, WorkerCapacity
 from lycheeslip.dispatch.work import (
     MAX_OVERRUN_RATIO,
@@ -15,8 +15,6 @@
     guaranteed_accounts,
     is_costly_to_stop,
     is_guaranteed,
-    start_slack_ms,
-    waiting_since_ms,
 )
 
 __all__ = ["build_worker_capacities"]
@@ -79,13 +77,16 @@
 def _placed_runs_by_lifetime(board: Board) -> dict[Lifetime, list[PlacedRun]]:
     now = wall_ms()
     guaranteed = guaranteed_accounts(board)
-    queues = {queue.name: queue for queue in board.config.queues} if board.config else {}
+    objectives = Objectives(board)
+    remaining_by_run = board.remaining_run_times()
     result: dict[Lifetime, list[PlacedRun]] = {}
     for job_id, job in board.jobs.items():
         for key, task in job.progress.placed():
             if task.lifetime is not None:
-                queue = queues.get(job.progress.spec.queue)
-                placed_run = _placed_run(job_id, job, key, queue, now, guaranteed)
+                placed_run = _placed_run(job_id, job, key, objectives, now, guaranteed)
+                measured_ms = remaining_by_run.get((placed_run.task, placed_run.run))
+                if measured_ms is not None:
+                    placed_run = placed_run._replace(remaining_ms=measured_ms)
                 result.setdefault(task.lifetime, []).append(placed_run)
     return result
 
@@ -94,7 +95,7 @@
     job_id: str,
     job: StoredJob,
     key: TaskKey,
-    queue: Queue | None,
+    objectives: Objectives,
     now_ms: int,
     guaranteed: frozenset[str],
 ) -> PlacedRun:
@@ -107,7 +108,8 @@
     elapsed_s = max(0, now_ms - task.started_at_ms) / 1_000
     # tasks with checkpoints save them once a second
     lost_work_s = min(elapsed_s, 1.0) if step.checkpointing else elapsed_s
-    latest_start_ms = waiting_since_ms(spec, key[0]) + start_slack_ms(queue, step)
+    times = objectives.step_times(job, key[0], key[1])
+    latest_start_ms = waiting_since_ms(job, key[0]) + times.run_slack_ms
     is_ending = job.progress.has_ended or (name, task.run) in job.stopping
     return PlacedRun(
         job_id,
@@ -122,20 +124,20 @@
         step.gang,
         is_guaranteed(job.progress, guaranteed),
         is_costly_to_stop(spec, step),
-        _remaining_ms(step, elapsed_s * 1_000),
+        _remaining_ms(step, times.run_ms, elapsed_s * 1_000),
         step.max_unavailable > 0,
         # an urgent job that is late counts for as much as its own work
-        cores * step.estimate_ms / 1_000 if spec.priority == URGENT_PRIORITY else 0.0,
+        cores * times.run_ms / 1_000 if spec.priority == URGENT_PRIORITY else 0.0,
         latest_start_ms,
         must_run_isolated(job.progress, key, now_ms),
     )
 
 
-def _remaining_ms(step: StepSpec, elapsed_ms: float) -> float:
+def _remaining_ms(step: StepSpec, run_ms: float, elapsed_ms: float) -> float:
     """Estimate the time to completion; infinite for long-running and far overdue runs."""
-    if step.long_running or elapsed_ms > step.estimate_ms * MAX_OVERRUN_RATIO:
+    if step.long_running or elapsed_ms > run_ms * MAX_OVERRUN_RATIO:
         return float("inf")
-    return max(0.0, step.estimate_ms - elapsed_ms)
+    return max(0.0, run_ms - elapsed_ms)
 
 
 def _allocate_unrecorded_runs(board: Board, view: WorkerView, worker: WorkerCapacity) -> None:
--- a/packages/lycheeslip/lycheeslip/dispatch/waiting.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/waiting.py
@@ -4,12 +4,13 @@
 from collections.abc import Mapping
 
 from lycheeslip_common.utils.clock import steady_ms, wall_ms
-from lycheeslip_common.workload.jobs import StepSpec, demand_of
+from lycheeslip_common.workload.jobs import demand_of
 from lycheeslip_common.workload.operator import Queue
 from lycheeslip_common.workload.progress import TaskKey, waiting_units
 
 from lycheeslip.dispatch.board import Board, StepAdvice, StoredJob
 from lycheeslip.dispatch.isolation import must_start_isolated
+from lycheeslip.dispatch.objective import Objectives, StepTimes, waiting_since_ms
 from lycheeslip.dispatch.placement_model import Advice, StepKey, Unit, UnitKey, WorkerCapacity
 from lycheeslip.dispatch.work import (
     MAX_OVERRUN_RATIO,
@@ -17,11 +18,9 @@
     guaranteed_accounts,
     is_costly_to_stop,
     is_guaranteed,
-    start_slack_ms,
-    waiting_since_ms,
 )
 
-__all__ = ["accelerator_reserve", "build_units"]
+__all__ = ["accelerator_reserve", "build_unit", "build_units"]
 
 SLACK_RATIO = 0.5  # usable part of the slack to the latency objective; estimates are off by half
 MAX_WAIT_MS = 8_000  # longest wait for a worker outside the reserve while capacity is not scarce
@@ -31,7 +30,6 @@
 LATE_MAX_LOSS_RATIO = 1.0  # a late urgent job loses four fifths of its value
 SCARCE_UTILIZATION = 0.6  # from this share of a service's accelerators in use, capacity is scarce
 IDLE_UTILIZATION = 0.5  # below this share most capacity is idle
-LATE_LIMIT_RATIO = 3  # multiple of a job's latency objective up to which a late result has value
 
 
 def build_units(
@@ -40,12 +38,14 @@
     """Return all gangs and tasks that are ready to start, with the `claims` of earlier rounds."""
     guaranteed = guaranteed_accounts(board)
     utilization_by_service = _utilization_by_service(workers)
+    objectives = Objectives(board)
     units = []
     for job_id, job in board.jobs.items():
-        for step, members in waiting_units(job.progress):
-            units.append(
-                _unit(board, job_id, job, step, members, guaranteed, utilization_by_service)
-            )
+        for _, members in waiting_units(job.progress):
+            times = objectives.step_times(job, *members[0][:2])
+            unit = build_unit(board, job_id, job, members, times, guaranteed)
+            may_wait = _may_wait(job, unit, utilization_by_service.get(unit.service, 0.0))
+            units.append(unit._replace(may_wait=may_wait))
     return [
         unit._replace(claimed_nodes=claims[unit.key]) if unit.key in claims else unit
         for unit in units
@@ -58,27 +58,34 @@
     return max((account.guaranteed for account in accounts), default=0)
 
 
-def _latest_start_ms(slack_ms: float, step: StepSpec, since_ms: int) -> float:
+def _latest_start_ms(times: StepTimes, since_ms: int) -> float:
     """Return the Unix time in ms by which a unit waiting since `since_ms` should start.
 
     A unit that can't meet its latency objective any more gives way to those that can, until its
     result would be too late to be of value. Past that, the oldest unit comes first again.
     """
     now_ms = wall_ms()
-    objective_ms = slack_ms + step.estimate_ms
-    in_time_ms = since_ms + slack_ms
-    late_ms = since_ms + LATE_LIMIT_RATIO * objective_ms - step.estimate_ms
-    return next((limit for limit in (in_time_ms, late_ms) if now_ms <= limit), since_ms)
+    limits = (since_ms + times.slack_ms, since_ms + times.late_slack_ms)
+    return next((limit for limit in limits if now_ms <= limit), since_ms)
 
 
-def _may_wait(queue: Queue | None, step: StepSpec, since_ms: int, utilization: float) -> bool:
-    """Return whether a unit waiting since `since_ms` may wait longer for an unreserved worker."""
-    limit_ms = start_slack_ms(queue, step) * SLACK_RATIO
+def _ready_at_ms(job: StoredJob, unit: Unit) -> int:
+    """Return since when this leader knows that a unit's step may start, on its steady clock."""
+    return job.ready_at_ms.setdefault((unit.occurrence, unit.step), steady_ms())
+
+
+def _may_wait(job: StoredJob, unit: Unit, utilization: float) -> bool:
+    """Return whether a unit may wait longer for an unreserved worker."""
+    now_ms = wall_ms()
+    ready_ms = unit.waiting_since_ms
+    if job.progress.spec.steps[unit.step].after:
+        ready_ms = now_ms - (steady_ms() - _ready_at_ms(job, unit))
+    limit_ms = (unit.waiting_since_ms + unit.slack_ms - ready_ms) * SLACK_RATIO
     if utilization < IDLE_UTILIZATION:
         limit_ms = min(limit_ms, MAX_IDLE_WAIT_MS)
     elif utilization < SCARCE_UTILIZATION:
         limit_ms = min(limit_ms, MAX_WAIT_MS)
-    return wall_ms() - since_ms < limit_ms
+    return now_ms - ready_ms < limit_ms
 
 
 def _utilization_by_service(workers: list[WorkerCapacity]) -> dict[str, float]:
@@ -103,25 +110,23 @@
     return Advice(frozenset(valid), frozenset(decisions.tickets), frozenset(decisions.denied))
 
 
-def _unit(
+def build_unit(
     board: Board,
     job_id: str,
     job: StoredJob,
-    step: StepSpec,
     members: list[TaskKey],
+    times: StepTimes,
     guaranteed: frozenset[str],
-    utilization_by_service: Mapping[str, float],
 ) -> Unit:
+    """Return the unit of these tasks of a step, without a claim or a wait for the reserve."""
     spec = job.progress.spec
     occurrence, step_number, _ = members[0]
+    step = spec.steps[step_number]
     first_task = job.progress.tasks[members[0]]
     queue = board.config.queue_named(spec.queue) if board.config else None
     service = queue.service if queue else spec.service  # a removed queue keeps its last service
-    since_ms = waiting_since_ms(spec, occurrence)
-    waited_ms = wall_ms() - since_ms if spec.occurrences else steady_ms() - job.loaded_at_ms
-    slack_ms = start_slack_ms(queue, step)
-    wait_budget_ms = max(0.0, min(board.times.reclaim_wait_ms, slack_ms * SLACK_RATIO) - waited_ms)
-    return Unit(
+    since_ms = waiting_since_ms(job, occurrence)
+    unit = Unit(
         job_id=job_id,
         occurrence=occurrence,
         step=step_number,
@@ -138,14 +143,26 @@
         avoided_workers=frozenset(first_task.failed_on),
         is_guaranteed=is_guaranteed(job.progress, guaranteed),
         is_gang=step.gang,
-        work=cores_of(demand_of(step)) * len(members) * step.estimate_ms / 1_000,
-        slack_ms=slack_ms,
-        frees_at_ms=wall_ms() + step.estimate_ms * MAX_OVERRUN_RATIO,
-        latest_start_ms=_latest_start_ms(slack_ms, step, since_ms),
+        work=cores_of(demand_of(step)) * len(members) * times.run_ms / 1_000,
+        slack_ms=times.slack_ms,
+        frees_at_ms=wall_ms() + times.run_ms * MAX_OVERRUN_RATIO,
+        latest_start_ms=_latest_start_ms(times, since_ms),
         is_costly_to_stop=is_costly_to_stop(spec, step),
-        wait_budget_ms=wait_budget_ms,
-        max_loss_ratio=EARLY_MAX_LOSS_RATIO if wait_budget_ms else LATE_MAX_LOSS_RATIO,
-        may_wait=_may_wait(queue, step, since_ms, utilization_by_service.get(service, 0.0)),
         advice=_advice(board, queue, (job_id, occurrence, step_number)),
         is_isolated=must_start_isolated(job.progress, members[0], wall_ms()),
     )
+    wait_budget_ms = _wait_budget_ms(board, job, unit)
+    return unit._replace(
+        wait_budget_ms=wait_budget_ms,
+        max_loss_ratio=EARLY_MAX_LOSS_RATIO if wait_budget_ms else LATE_MAX_LOSS_RATIO,
+    )
+
+
+def _wait_budget_ms(board: Board, job: StoredJob, unit: Unit) -> float:
+    """Return how long an urgent unit may still wait for runs that are about to end."""
+    now_ms = steady_ms()
+    ready_ms = _ready_at_ms(job, unit)
+    waited_before_ms = wall_ms() - unit.waiting_since_ms - (now_ms - ready_ms)
+    slack_ms = max(0.0, unit.slack_ms - max(0, waited_before_ms))
+    limit_ms = min(board.times.reclaim_wait_ms, slack_ms * SLACK_RATIO)
+    return max(0.0, limit_ms - (now_ms - ready_ms))
--- a/packages/lycheeslip/lycheeslip/dispatch/work.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/work.py
@@ -1,9 +1,8 @@
-"""Computes the size, the slack, the guarantee and the cost of a stop of jobs and their tasks."""
+"""Computes the size, the guarantee and the cost of a stop of jobs and their tasks."""
 
 from collections import Counter
 
 from lycheeslip_common.workload.jobs import Demand, JobSpec, StepSpec
-from lycheeslip_common.workload.operator import Queue
 from lycheeslip_common.workload.progress import JobProgress
 
 from lycheeslip.dispatch.board import Board
@@ -15,8 +14,6 @@
     "guaranteed_accounts",
     "is_costly_to_stop",
     "is_guaranteed",
-    "start_slack_ms",
-    "waiting_since_ms",
 ]
 
 MAX_OVERRUN_RATIO = 1.5  # run time as a multiple of the estimate past which the estimate is ignored
@@ -27,18 +24,6 @@
     return demand.cpu_milli / 1_000 + demand.accelerators * ACCELERATOR_CORES
 
 
-def start_slack_ms(queue: Queue | None, step: StepSpec) -> float:
-    """Return the start delay in ms within which a unit still meets its latency objective."""
-    if queue is None or step.long_running:
-        return 0.0
-    return (queue.stretch - 1) * step.estimate_ms + queue.objective_ms
-
-
-def waiting_since_ms(spec: JobSpec, occurrence: int) -> int:
-    """Return the Unix time in ms since when callers wait for an occurrence of a job."""
-    return max(spec.accepted_at_ms, spec.due_at_ms(occurrence))
-
-
 def is_costly_to_stop(spec: JobSpec, step: StepSpec) -> bool:
     """Return whether a stop loses the run's work.
 
--- a/packages/lycheeslip/tests/dispatch/builders.py
+++ b/packages/lycheeslip/tests/dispatch/builders.py
@@ -94,7 +94,7 @@
     steps = (StepSpec(**{**fields, **step}),)
     accepted_ms = wall_ms() - waited_ms
     spec = JobSpec(job_id, "q", "a", "s", priority, 4, "", steps, accepted_ms)
-    job = StoredJob(JobProgress(spec), 0, JobState.QUEUED, steady_ms())
+    job = StoredJob(JobProgress(spec), 0, JobState.QUEUED, steady_ms(), waited_ms)
     open_occurrences(job.progress, wall_ms())
     board.jobs[job_id] = job
     return job
--- a/packages/lycheeslip/tests/dispatch/occupancy_tests.py
+++ b/packages/lycheeslip/tests/dispatch/occupancy_tests.py
@@ -3,6 +3,7 @@
 import pytest
 from lycheeslip.dispatch.board import Board, StepAdvice, Ticket
 from lycheeslip.dispatch.isolation import ISOLATION_MS, MAX_ISOLATION_WAIT_MS
+from lycheeslip.dispatch.objective import SHOW_MS
 from lycheeslip.dispatch.occupancy import (
     QUARANTINE_FAILURES,
     RECENT_CRASH_MS,
@@ -89,7 +90,7 @@
     board.config = board.config._replace(
         queues=(board.config.queues[0]._replace(stretch=1.5, objective_ms=250),)
     )
-    slack_ms, objective_ms = 750, 1_750  # of an estimate of 1,000 ms
+    slack_ms, objective_ms = 750 - SHOW_MS, 1_750  # of an estimate of 1,000 ms
 
     def latest_start_after(waited_ms: int) -> float:
         add_job(board, waited_ms=waited_ms, estimate_ms=1_000)
@@ -97,7 +98,7 @@
         return unit.latest_start_ms - unit.waiting_since_ms
 
     assert latest_start_after(slack_ms - 100) == slack_ms
-    assert latest_start_after(slack_ms + 100) == 3 * objective_ms - 1_000
+    assert latest_start_after(slack_ms + 100) == 3 * objective_ms - 1_000 - SHOW_MS
     assert latest_start_after(3 * objective_ms) == 0
 
 
