Move runs that would be lost or late where they are

Cause: nothing looked at a run once it was placed.

Change: an urgent run is stopped to start again elsewhere if its worker leaves before it is done, or if it is slow and late, and it is in time elsewhere; other work only if it is lost for certain. It needs a free worker, or, if urgent, runs that it may preempt. Workers on which a run takes twice what its own earlier speed or its step's other runs ask for are used last for 6 s; those split over racks or off their data's rack don't count. No task moves more than twice.

--- a/packages/lycheeslip/lycheeslip/dispatch/board.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/board.py
@@ -1,6 +1,7 @@
 """Shared state of an entry's dispatch: configuration, leadership, jobs and workers."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from typing import NamedTuple
@@ -9,7 +10,7 @@
 from lycheeslip_common.utils.clock import steady_ms
 from lycheeslip_common.utils.counters import Counters
 from lycheeslip_common.workload.fleet import Lifetime, WorkerReport
-from lycheeslip_common.workload.jobs import parse_task_name
+from lycheeslip_common.workload.jobs import format_task_name, parse_task_name
 from lycheeslip_common.workload.link import Link
 from lycheeslip_common.workload.operator import OperatorConfig
 from lycheeslip_common.workload.progress import JobProgress, JobState, TaskKey, TaskProgress
@@ -49,6 +50,7 @@
 
     `failures` counts its recent failed runs; it gets no new runs before `backoff_until_ms`.
     `lost_lifetime_at_ms` is when a lifetime of the worker was last found to have ended (0: never).
+    It counts as slow until `slow_until_ms`.
     """
 
     node: str
@@ -59,6 +61,7 @@
     last_failure_at_ms: int = 0
     backoff_until_ms: int = 0
     lost_lifetime_at_ms: int = 0
+    slow_until_ms: int = 0
 
     @property
     def lifetime(self) -> Lifetime | None:
@@ -74,7 +77,8 @@
     `loaded_at_ms` is when this leader loaded the job, on its steady clock, `age_at_load_ms` after
     its acceptance. `ready_at_ms` is since when this leader knows that a step may start, by
     occurrence and step. `stopping` are the task name and the run number of each run that is being
-    stopped. `measured_run_ms` are the run times that workers' reports show.
+    stopped. `measured_run_ms` are the run times that workers' reports show; `relocations` counts
+    the runs of a task that were stopped to start again elsewhere.
     """
 
     progress: JobProgress
@@ -88,6 +92,11 @@
     stopping: set[tuple[str, int]] = field(default_factory=set)
     ready_at_ms: dict[tuple[int, int], int] = field(default_factory=dict)
     measured_run_ms: dict[TaskKey, int] = field(default_factory=dict)
+    relocations: Counter[TaskKey] = field(default_factory=Counter)
+
+    def task_name(self, key: TaskKey) -> str:
+        """Return the name of a task as workers know it."""
+        return format_task_name(self.progress.spec.job_id, key)
 
     @property
     def shown(self) -> Shown:
@@ -162,6 +171,7 @@
         self.workers: dict[str, WorkerView] = {}
         self.advice: dict[StepKey, StepAdvice] = {}
         self.is_loaded = False
+        self.is_view_complete = True
         self.is_leaving = False
         self.planning_needed = asyncio.Event()
 
--- a/packages/lycheeslip/lycheeslip/dispatch/dispatcher.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/dispatcher.py
@@ -4,7 +4,7 @@
 
 from lycheeslip_common.utils.clock import steady_ms, wall_ms
 from lycheeslip_common.utils.logs import log_event
-from lycheeslip_common.workload.fleet import EndCause, OrderResult, RunningRun, WorkerReport
+from lycheeslip_common.workload.fleet import EndCause, OrderResult, WorkerReport
 from lycheeslip_common.workload.jobs import Demand
 from lycheeslip_common.workload.link import Link
 from lycheeslip_common.workload.progress import open_occurrences
@@ -17,6 +17,8 @@
 from lycheeslip.dispatch.placement import plan_round
 from lycheeslip.dispatch.placement_model import DeclinedPreemption, UnitKey
 from lycheeslip.dispatch.recorder import Recorder
+from lycheeslip.dispatch.relocation import relocate
+from lycheeslip.dispatch.running import record_speed, running_units
 from lycheeslip.dispatch.starts import RunStarter
 from lycheeslip.dispatch.stops import RunStopper
 from lycheeslip.dispatch.waiting import accelerator_reserve, build_units
@@ -91,12 +93,16 @@
         self._run_ends.end_lost_runs(began)
         self._run_stopper.stop_obsolete()
         self._record_checkpoints(began)
+        self._board.is_view_complete = self._is_view_complete(began)
         if self._is_config_confirmed():
             workers = build_worker_capacities(self._board)
             units = build_units(self._board, workers, self._claims.current())
             plan = plan_round(
-                units, workers, accelerator_reserve(self._board), self._is_view_complete(began)
+                units, workers, accelerator_reserve(self._board), self._board.is_view_complete
             )
+            if self._board.is_view_complete:
+                for running in relocate(running_units(self._board), workers, plan):
+                    self._run_stopper.relocate(running)
             for unit, chosen in plan.starts:
                 self._run_starter.start_unit(unit, chosen)
             for preemption in plan.stops:
@@ -171,7 +177,7 @@
         self._run_ends.end_older_lifetimes(node, report)
         for run in report.running:
             self._update_checkpoint(run.task, run.run, run.checkpoint)
-            self._record_run_time(run)
+            record_speed(self._board, view, run)
         self._run_ends.apply_reported_ends(view, report)
         if has_shrunk or is_new_link:
             self._run_stopper.withdraw_starts_over_capacity(report)
@@ -182,11 +188,6 @@
         if is_new_link or not is_only_forecast:
             self._board.planning_needed.set()
 
-    def _record_run_time(self, run: RunningRun) -> None:
-        found = self._board.find_task(run.task)
-        if found is not None and run.whole_run_ms > 0:
-            found.job.measured_run_ms[found.key] = run.whole_run_ms
-
     def _update_checkpoint(self, task_name: str, run: int, checkpoint: str) -> None:
         found = self._board.find_task(task_name)
         if found is None or not checkpoint:
--- a/packages/lycheeslip/lycheeslip/dispatch/occupancy.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/occupancy.py
@@ -71,6 +71,7 @@
         total,
         *total,
         failures=min(view.failures + bool(has_crashed_recently), MAX_COUNTED_FAILURES),
+        is_slow=steady_ms() < view.slow_until_ms,
     )
 
 
--- a/packages/lycheeslip/lycheeslip/dispatch/packing.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/packing.py
@@ -60,8 +60,8 @@
     return is_off_data or (unit.same_rack and len(racks) > 1)
 
 
-def _rank(unit: Unit, worker: WorkerCapacity) -> tuple[int, int, bool, bool, int, str]:
-    """Return a sort key: data rack, healthy workers, reserve, then the best fit.
+def _rank(unit: Unit, worker: WorkerCapacity) -> tuple[int, int, bool, bool, bool, int, str]:
+    """Return a sort key: data rack, healthy and fast workers, reserve, then the best fit.
 
     Runs that are costly to stop are packed apart from the others, so that whole workers can be
     preempted at little loss.
@@ -72,6 +72,7 @@
     return (
         is_off_rack,
         worker.failures,
+        worker.is_slow,
         is_in_wrong_pool,
         mixes_stop_costs,
         worker.free_accelerators,
--- a/packages/lycheeslip/lycheeslip/dispatch/placement.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/placement.py
@@ -21,7 +21,6 @@
     Plan,
     StepKey,
     Unit,
-    VictimKey,
     WorkerCapacity,
 )
 from lycheeslip.dispatch.reclaim import reclaim
@@ -44,7 +43,6 @@
     """
     plan = Plan()
     _mark_reserve(workers, reserve)
-    preempted: set[VictimKey] = set()
     blocked_kinds: set[tuple[StepKey, frozenset[str], bool]] = set()
     for unit in sorted(units, key=_priority_key):
         if not is_view_complete and unit.priority != URGENT_PRIORITY:
@@ -57,7 +55,7 @@
         may_wait_for_view = not is_view_complete and unit.wait_budget_ms > 0
         chosen = choose_workers(unit, with_ticket(unit, usable_workers))
         if chosen is None or (may_wait_for_view and is_remote(unit, chosen)):
-            _free_capacity(unit, usable_workers, plan, preempted, may_wait_for_view)
+            _free_capacity(unit, usable_workers, plan, may_wait_for_view)
             if unit.priority != URGENT_PRIORITY:
                 blocked_kinds.add(kind)
             continue
@@ -71,7 +69,6 @@
     unit: Unit,
     usable_workers: list[WorkerCapacity],
     plan: Plan,
-    preempted: set[VictimKey],
     may_wait_for_view: bool,
 ) -> None:
     """Request advice, preempt runs or reserve capacity, so that a blocked unit can start later."""
@@ -79,7 +76,7 @@
     plan.advice_requests += advice_request(unit, usable_workers)
     eligible = approved(unit, usable_workers)
     may_reclaim = unit.priority == URGENT_PRIORITY and not may_wait_for_view
-    is_freeing_capacity = may_reclaim and reclaim(unit, eligible, plan, preempted)
+    is_freeing_capacity = may_reclaim and reclaim(unit, eligible, plan)
     if is_freeing_capacity:
         return
     if unit.is_isolated and not plan.has_isolation_reserve:
--- a/packages/lycheeslip/lycheeslip/dispatch/placement_model.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/placement_model.py
@@ -75,7 +75,8 @@
 class WorkerCapacity:
     """A worker's free capacity and the runs that are placed on it.
 
-    `is_reserved` marks workers of the reserve, which units that are costly to stop avoid.
+    `is_reserved` marks workers of the reserve, which units that are costly to stop avoid, and
+    `is_slow` those on which a run was lately seen to be slow.
     """
 
     node: str
@@ -92,6 +93,7 @@
     placed_runs: list[PlacedRun] = field(default_factory=list)
     task_counts: Counter[StepKey] = field(default_factory=Counter)
     is_reserved: bool = False
+    is_slow: bool = False
 
     @property
     def has_costly_run(self) -> bool:
@@ -250,6 +252,7 @@
 
     `claims` maps each unit that waits for capacity to the nodes on which it is being freed.
     Workers are reserved for one isolated unit at a time, which `has_isolation_reserve` notes.
+    `preempted` are all victims of the round, with those that are stopping or end by themselves.
     """
 
     starts: list[tuple[Unit, list[WorkerCapacity]]] = field(default_factory=list)
@@ -259,3 +262,4 @@
     claims: dict[UnitKey, frozenset[str]] = field(default_factory=dict)
     advice_requests: list[AdviceRequest] = field(default_factory=list)
     has_isolation_reserve: bool = False
+    preempted: set[VictimKey] = field(default_factory=set)
--- a/packages/lycheeslip/lycheeslip/dispatch/reclaim.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/reclaim.py
@@ -44,9 +44,7 @@
     victims: list[Victim]
 
 
-def reclaim(
-    unit: Unit, usable_workers: Sequence[WorkerCapacity], plan: Plan, preempted: set[VictimKey]
-) -> bool:
+def reclaim(unit: Unit, usable_workers: Sequence[WorkerCapacity], plan: Plan) -> bool:
     """Preempt the victims that cost least so that `unit` fits, and claim that capacity for it.
 
     The victims' capacity stays allocated until workers report their ends. Capacity claimed by an
@@ -55,9 +53,9 @@
     Returns whether capacity is being freed.
     """
     claimed_group = [worker for worker in usable_workers if worker.node in unit.claimed_nodes]
-    claimed_eviction = _cheapest_eviction(unit, [claimed_group], preempted)
+    claimed_eviction = _cheapest_eviction(unit, [claimed_group], plan.preempted)
     groups = list(candidate_groups(unit, usable_workers))
-    options = [claimed_eviction, _cheapest_eviction(unit, groups, preempted)]
+    options = [claimed_eviction, _cheapest_eviction(unit, groups, plan.preempted)]
     best = min(filter(None, options), key=_total_cost, default=None)
     if best is None:
         return False
@@ -72,7 +70,7 @@
         worker.reserve(unit)
     plan.claims[unit.key] = frozenset(worker.node for worker in best.workers)
     for victim in best.victims:
-        preempted.add(victim.key)
+        plan.preempted.add(victim.key)
         for worker, placed_run in victim.runs:
             if is_affordable and not _ends_in_time(placed_run, best.patience_ms):
                 plan.stops.append(Preemption(worker, placed_run, unit))
--- a/packages/lycheeslip/lycheeslip/dispatch/stops.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/stops.py
@@ -8,9 +8,11 @@
 
 from lycheeslip.dispatch.board import Board, FoundTask, StoredJob, WorkerView
 from lycheeslip.dispatch.placement_model import Preemption
+from lycheeslip.dispatch.relocation import RunningUnit
 
 __all__ = ["RunStopper"]
 
+NO_NOTICE_MS = 999_999  # logged as the notice of a worker that stays
 STOP_RETRY_MS = 1_000  # a stop order without effect is resent after this
 
 
@@ -56,6 +58,26 @@
         if found is not None:
             self._stop(placed_run.job_id, job, found.key)
 
+    def relocate(self, running: RunningUnit) -> None:
+        """Stop a gang or a task so that it starts again elsewhere."""
+        unit = running.unit
+        job = self._board.jobs[unit.job_id]
+        keys = [(unit.occurrence, unit.step, index) for index in unit.indexes]
+        log_event(
+            "run_relocated",
+            task=format_task_name(unit.job_id, keys[0]),
+            run=job.progress.tasks[keys[0]].run,
+            nodes=",".join(sorted(running.nodes)),
+            remaining_ms=round(running.remaining_ms),
+            leaves_in_ms=round(min(running.leaves_in_ms, NO_NOTICE_MS)),
+            run_ms=round(running.run_ms),
+            due_in_ms=round(running.due_in_ms),
+        )
+        self._board.counters.count("relocations")
+        job.relocations[keys[0]] += 1
+        for key in keys:
+            self._stop(unit.job_id, job, key)
+
     def _stop(self, job_id: str, job: StoredJob, key: TaskKey) -> None:
         task = job.progress.tasks[key]
         if task.lifetime is None:
--- a/packages/lycheeslip_common/lycheeslip_common/utils/events.py
+++ b/packages/lycheeslip_common/lycheeslip_common/utils/events.py
@@ -250,6 +250,13 @@
         "A run is preempted for a unit (gang or task) of another job. `priority` is the run's,"
         " `loss_core_s` the work lost, `work_core_s` the unit's own work.",
     ),
+    Event(
+        "run_relocated",
+        "leader",
+        "due_in_ms leaves_in_ms nodes remaining_ms run run_ms task",
+        "A task or gang is stopped to start again elsewhere: its worker leaves in `leaves_in_ms`"
+        " or is slow. It would still take `remaining_ms`, elsewhere `run_ms`.",
+    ),
     Event("run_started", "agent", "run task took_ms", "The worker confirmed a start."),
     Event(
         "settings_changed",
@@ -324,6 +331,13 @@
         "The worker's lists belong to a newer lifetime.",
     ),
     Event("worker_silent", "agent", "reason", "The worker did not answer."),
+    Event(
+        "worker_slow",
+        "leader",
+        "limit_ms node progress remaining_ms run task",
+        "A run takes over `limit_ms`, twice what its own best speed or its step's other runs ask"
+        " for; urgent work avoids the worker for a while.",
+    ),
     Event(
         "worker_unused",
         "agent",
