Count waves only once the workers are known

Cause: the capacity of a service was that of the workers known so far. While workers still connect, no step counts in waves.

test_step_does_not_seem_wide_while_few_workers_are_known failed before.

--- a/packages/lycheeslip/lycheeslip/dispatch/objective.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/objective.py
@@ -62,7 +62,8 @@
     def __init__(self, board: Board) -> None:
         """Use the configuration and the workers that `board` holds now."""
         self._queues = {queue.name: queue for queue in board.config.queues} if board.config else {}
-        self._capacity_by_service = _capacity_by_service(board)
+        # with only some of the workers known, every step would seem wide
+        self._capacity_by_service = _capacity_by_service(board) if board.is_view_complete else {}
         self._times_by_step: dict[StepKey, StepTimes] = {}
 
     def step_times(self, job: StoredJob, occurrence: int, step: int) -> StepTimes:
--- a/packages/lycheeslip/tests/dispatch/objective_tests.py
+++ b/packages/lycheeslip/tests/dispatch/objective_tests.py
@@ -52,6 +52,14 @@
     assert times_of(board, job).slack_ms == 0.5 * waves * RUN_MS + 250
 
 
+def test_step_does_not_seem_wide_while_few_workers_are_known():
+    board = board_for_urgent_work(1)
+    job = add_job(board, task_count=3, estimate_ms=RUN_MS)
+    assert times_of(board, job).slack_ms == 0.5 * 3 * RUN_MS + 250
+    board.is_view_complete = False
+    assert times_of(board, job).slack_ms == 0.5 * RUN_MS + 250
+
+
 def test_wide_gang_starts_at_once_and_has_no_waves():
     board = board_for_urgent_work()
     job = add_job(board, task_count=4, estimate_ms=RUN_MS, gang=True)
