--- a/packages/lycheeslip_agent/lycheeslip_agent/dispatch/forecast.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/dispatch/forecast.py
@@ -41,8 +41,12 @@
         self._whole_run_ms = -1
 
     def add(self, clock_ms: int, percent: int) -> None:
-        """Add the progress at `clock_ms`; a sample that is older than the last is ignored."""
-        if self._last is not None and clock_ms <= self._last.clock_ms:
+        """Add the progress at `clock_ms`; a sample that is older than the last is ignored.
+
+        So are all after the first one that is done: a member of a gang then waits for the others.
+        """
+        last = self._last
+        if last is not None and (clock_ms <= last.clock_ms or last.percent == DONE_PERCENT):
             return
         sample = Sample(clock_ms, min(percent, DONE_PERCENT))
         if self._last is None or sample.percent != self._last.percent:
--- a/packages/lycheeslip_agent/tests/dispatch/forecast_tests.py
+++ b/packages/lycheeslip_agent/tests/dispatch/forecast_tests.py
@@ -49,3 +49,11 @@
     speed = speed_of((0, 0), (300, 30))
     speed.add(clock_ms, 0)
     assert speed.forecast() == speed_of((0, 0), (300, 30)).forecast()
+
+
+def test_member_that_waits_for_its_gang_does_not_count_as_slowed_down():
+    speed = speed_of((0, 0), (500, 50), (1_000, 100))
+    forecast = speed.forecast()
+    for clock_ms in range(1_200, 4_000, 200):
+        speed.add(clock_ms, 100)
+    assert speed.forecast() == forecast
