Don't let a run that is slowed down half way seem longer and longer

Each sample raised the average by less than the 1.3 that shows a slowdown, so the whole run time crept up with it, and with it the time that the leader expected elsewhere. It is now compared with the shortest time measured. test_run_that_is_slowed_down_half_way_does_not_seem_longer_and_longer failed before.

--- a/packages/lycheeslip_agent/lycheeslip_agent/dispatch/forecast.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/dispatch/forecast.py
@@ -39,6 +39,7 @@
         self._last: Sample | None = None
         self._marks: list[Sample] = []  # the first sample of each percentage, as far as needed
         self._whole_run_ms = -1
+        self._best_run_ms = float("inf")
 
     def add(self, clock_ms: int, percent: int) -> None:
         """Add the progress at `clock_ms`; a sample that is older than the last is ignored.
@@ -59,7 +60,8 @@
         span_ms = clock_ms - self._first.clock_ms
         if gain >= MIN_GAIN_PERCENT and span_ms >= MIN_SPAN_MS:
             whole_run_ms = span_ms * DONE_PERCENT // gain
-            if self._whole_run_ms < 0 or whole_run_ms < self._whole_run_ms * SLOWED_RATIO:
+            self._best_run_ms = min(self._best_run_ms, whole_run_ms)
+            if whole_run_ms < self._best_run_ms * SLOWED_RATIO:
                 self._whole_run_ms = whole_run_ms  # measured over a longer time than the last
 
     def forecast(self) -> Forecast | None:
--- a/packages/lycheeslip_agent/tests/dispatch/forecast_tests.py
+++ b/packages/lycheeslip_agent/tests/dispatch/forecast_tests.py
@@ -57,3 +57,11 @@
     for clock_ms in range(1_200, 4_000, 200):
         speed.add(clock_ms, 100)
     assert speed.forecast() == forecast
+
+
+def test_run_that_is_slowed_down_half_way_does_not_seem_longer_and_longer():
+    fast = [(500 * n, 5 * n) for n in range(11)]
+    slow = [(5_000 + 500 * n, 50 + n) for n in range(1, 41)]
+    forecast = speed_of(*fast, *slow).forecast()
+    assert forecast is not None
+    assert forecast.whole_run_ms <= 13_000
