Don't count a step of little more than a wave as late from the start

What is left of a step counts in whole waves, its objective in parts of them: three tasks on 11 workers are 1.09 waves of the objective, and two of the work. A step now has at least the slack of its own runs. test_step_of_little_more_than_a_wave_is_not_late_from_the_start failed before.

--- a/packages/lycheeslip/lycheeslip/dispatch/objective.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/objective.py
@@ -89,14 +89,11 @@
         unfinished = sum(not job.progress.tasks[key].is_done for key in members)
         lengths_ms[step] = run_ms * math.ceil(_waves(spec.steps[step], unfinished, capacity))
         rest_ms = _chains_ms(job, lengths_ms)[step] + SHOW_MS
-        slack_ms = objective_ms - rest_ms
+        # whole waves of a few tasks may exceed the share of them that the objective counts
         run_slack_ms = (queue.stretch - 1) * run_ms + queue.objective_ms - SHOW_MS
-        return StepTimes(
-            run_ms,
-            slack_ms,
-            LATE_LIMIT_RATIO * objective_ms - rest_ms,
-            min(slack_ms, run_slack_ms),
-        )
+        slack_ms = max(objective_ms - rest_ms, run_slack_ms)
+        late_slack_ms = slack_ms + (LATE_LIMIT_RATIO - 1) * objective_ms
+        return StepTimes(run_ms, slack_ms, late_slack_ms, run_slack_ms)
 
 
 def _capacity_by_service(board: Board) -> dict[str, Demand]:
--- a/packages/lycheeslip/tests/dispatch/objective_tests.py
+++ b/packages/lycheeslip/tests/dispatch/objective_tests.py
@@ -52,6 +52,13 @@
     assert times_of(board, job).slack_ms == 0.5 * waves * RUN_MS + 250
 
 
+@pytest.mark.parametrize(("nodes", "tasks"), [(7, 2), (11, 3)])
+def test_step_of_little_more_than_a_wave_is_not_late_from_the_start(nodes: int, tasks: int):
+    board = board_for_urgent_work(nodes)
+    job = add_job(board, task_count=tasks, estimate_ms=RUN_MS)
+    assert times_of(board, job).slack_ms >= 0.5 * RUN_MS + 250
+
+
 def test_step_does_not_seem_wide_while_few_workers_are_known():
     board = board_for_urgent_work(1)
     job = add_job(board, task_count=3, estimate_ms=RUN_MS)
