Leave work alone on a worker that stays past its notice

A worker may stay for longer than it said; once its notice is over, work that isn't urgent has as good a chance where it is. A unit doesn't move to a worker that failed it, and 0.1 s until callers see an end was taken off twice. The two new tests failed before.

--- a/packages/lycheeslip/lycheeslip/dispatch/relocation.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/relocation.py
@@ -15,8 +15,9 @@
 __all__ = ["RunningUnit", "relocate"]
 
 RESTART_MS = 300  # to stop a run, to have its end reported and recorded, and to start the next
-SHOW_MS = 100  # until callers see the end of a run
-ERROR_RATIO = 1.15  # of the remaining time; progress is measured in steps of an eighth
+# Errors of a measured remaining time, which is that of an earlier report.
+ERROR_RATIO = 1.15
+ERROR_MS = 100
 SLOW_RATIO = 1.3  # of the time elsewhere; run times of a step's tasks differ by a tenth
 CERTAIN_RATIO = 1.5  # beyond this even bulk work is stopped; a leaving worker may stay for longer
 
@@ -63,22 +64,24 @@
 
 
 def _is_better_elsewhere(running: RunningUnit) -> bool:
-    is_certainly_lost = running.remaining_ms > running.leaves_in_ms * CERTAIN_RATIO + RESTART_MS
-    if is_certainly_lost:
+    # once the notice is over, the worker may still stay for long
+    notice_ms = running.leaves_in_ms
+    if notice_ms > 0 and notice_ms * CERTAIN_RATIO + RESTART_MS < running.remaining_ms:
         return True
     if running.unit.priority != URGENT_PRIORITY:
         return False
-    latest_ms = running.due_in_ms - SHOW_MS
-    may_be_lost = running.remaining_ms * ERROR_RATIO + SHOW_MS > running.leaves_in_ms
+    may_be_lost = running.remaining_ms * ERROR_RATIO + ERROR_MS > notice_ms
     is_slow = running.remaining_ms > (RESTART_MS + running.run_ms) * SLOW_RATIO
-    is_late_here = is_slow and running.remaining_ms > latest_ms
-    is_in_time_elsewhere = RESTART_MS + running.run_ms <= latest_ms
+    is_late_here = is_slow and running.remaining_ms > running.due_in_ms
+    is_in_time_elsewhere = RESTART_MS + running.run_ms <= running.due_in_ms
     return is_in_time_elsewhere and (may_be_lost or is_late_here)
 
 
 def _may_take(worker: WorkerCapacity, running: RunningUnit) -> bool:
     unit = running.unit
-    is_denied = unit.advice is not None and worker.lifetime in unit.advice.denied
-    is_suitable = worker.service == unit.service and (not unit.label or unit.label in worker.labels)
-    is_avoided = worker.node in running.nodes or worker.is_slow or is_denied
-    return is_suitable and not is_avoided
+    if worker.service != unit.service or (unit.label and unit.label not in worker.labels):
+        return False
+    if unit.advice is not None and worker.lifetime in unit.advice.denied:
+        return False
+    has_failed = worker.lifetime.worker_id in unit.avoided_workers
+    return not (worker.is_slow or has_failed or worker.node in running.nodes)
--- a/packages/lycheeslip/tests/dispatch/relocation_tests.py
+++ b/packages/lycheeslip/tests/dispatch/relocation_tests.py
@@ -57,6 +57,16 @@
     assert moved(running(8_000, 1_000, priority=2)) == ["n2"]
 
 
+def test_work_on_a_worker_that_stays_past_its_notice_is_left_alone():
+    assert moved(running(400, 0, priority=2)) == []
+
+
+def test_run_does_not_move_to_a_worker_that_failed_it():
+    failed = running(8_000, avoided_workers=frozenset({"n2"}))
+    assert moved(failed) == []
+    assert moved(failed, worker("n1"), worker("n2"), worker("n3")) == ["n3"]
+
+
 def test_run_is_not_stopped_while_no_other_worker_can_take_it():
     slow = worker("n2", is_slow=True)
     other_service = worker("n3")
