Let a unit that is late already wait for workers that connect after an election

It is counted from when the leader knows of the unit again.

test_urgent_unit_that_is_late_already_waits_for_workers_that_connect_after_an_election failed before.

--- a/packages/lycheeslip/lycheeslip/dispatch/waiting.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/waiting.py
@@ -159,10 +159,9 @@
 
 
 def _wait_budget_ms(board: Board, job: StoredJob, unit: Unit) -> float:
-    """Return how long an urgent unit may still wait for runs that are about to end."""
-    now_ms = steady_ms()
-    ready_ms = _ready_at_ms(job, unit)
-    waited_before_ms = wall_ms() - unit.waiting_since_ms - (now_ms - ready_ms)
-    slack_ms = max(0.0, unit.slack_ms - max(0, waited_before_ms))
-    limit_ms = min(board.times.reclaim_wait_ms, slack_ms * SLACK_RATIO)
-    return max(0.0, limit_ms - (now_ms - ready_ms))
+    """Return how long an urgent unit may still wait for runs that are about to end.
+
+    A unit that was late before this leader knew of it waits, too: for the workers to connect.
+    """
+    limit_ms = min(board.times.reclaim_wait_ms, unit.slack_ms * SLACK_RATIO)
+    return max(0.0, limit_ms - (steady_ms() - _ready_at_ms(job, unit)))
--- a/packages/lycheeslip/tests/dispatch/occupancy_tests.py
+++ b/packages/lycheeslip/tests/dispatch/occupancy_tests.py
@@ -57,6 +57,12 @@
     assert unit.wait_budget_ms <= board.times.reclaim_wait_ms
 
 
+def test_urgent_unit_that_is_late_already_waits_for_workers_that_connect_after_an_election():
+    board = board_with()
+    add_job(board, waited_ms=30_000, priority=0, estimate_ms=1_600)
+    assert only_unit(board).wait_budget_ms > 0
+
+
 def test_short_urgent_unit_does_not_wait_behind_an_older_one_that_could_wait_longer():
     board = board_with(1)
     board.config = board.config._replace(
