--- a/packages/lycheeslip/lycheeslip/dispatch/dispatcher.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/dispatcher.py
@@ -15,10 +15,15 @@
 from lycheeslip.dispatch.ends import RunEndProcessor
 from lycheeslip.dispatch.occupancy import build_worker_capacities
 from lycheeslip.dispatch.placement import plan_round
-from lycheeslip.dispatch.placement_model import DeclinedPreemption, UnitKey
+from lycheeslip.dispatch.placement_model import (
+    DeclinedPreemption,
+    Plan,
+    UnitKey,
+    WorkerCapacity,
+)
 from lycheeslip.dispatch.recorder import Recorder
 from lycheeslip.dispatch.relocation import relocate
-from lycheeslip.dispatch.running import record_speed, running_units
+from lycheeslip.dispatch.running import mark_slow, record_speed, running_units
 from lycheeslip.dispatch.starts import RunStarter
 from lycheeslip.dispatch.stops import RunStopper
 from lycheeslip.dispatch.waiting import accelerator_reserve, build_units
@@ -101,8 +106,7 @@
                 units, workers, accelerator_reserve(self._board), self._board.is_view_complete
             )
             if self._board.is_view_complete:
-                for running in relocate(running_units(self._board), workers, plan):
-                    self._run_stopper.relocate(running)
+                self._relocate(workers, plan)
             for unit, chosen in plan.starts:
                 self._run_starter.start_unit(unit, chosen)
             for preemption in plan.stops:
@@ -113,6 +117,13 @@
             self._log_if_slow(steady_ms() - began, len(workers), len(units), len(plan.blocked))
         self._board.counters.observe_ms("planning_round", steady_ms() - began)
 
+    def _relocate(self, workers: list[WorkerCapacity], plan: Plan) -> None:
+        """Stop the runs that do better elsewhere, and keep them from the workers they leave."""
+        for running in relocate(running_units(self._board), workers, plan):
+            self._run_stopper.relocate(running)
+            for node in running.nodes if not running.is_leaving else ():
+                mark_slow(self._board.workers[node])
+
     def _log_declined(self, declined: list[DeclinedPreemption]) -> None:
         """Log each declined preemption once for each limit."""
         logged, self._logged_declined = self._logged_declined, set()
--- a/packages/lycheeslip/lycheeslip/dispatch/running.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/running.py
@@ -15,10 +15,10 @@
 from lycheeslip.dispatch.waiting import build_unit
 from lycheeslip.dispatch.work import guaranteed_accounts
 
-__all__ = ["record_speed", "running_units"]
+__all__ = ["mark_slow", "record_speed", "running_units"]
 
 FULL_PERCENT = 100
-SLOW_RATIO = 2.0  # of the usual time; run times of a step's tasks differ by a tenth
+SLOW_RATIO = 2.0  # of the usual time; sound workers differ by a third
 SLOW_MARGIN_MS = 1_000  # a listed progress may be that old
 SLOW_MEMORY_MS = 6_000  # a slow worker is used again after this; such faults last 5 to 7 s
 MAX_RELOCATIONS = 2  # of one task, so that wrong measurements can't keep a job from ending
@@ -44,6 +44,11 @@
             remaining_ms=run.remaining_ms,
             limit_ms=round(limit_ms),
         )
+    mark_slow(view)
+
+
+def mark_slow(view: WorkerView) -> None:
+    """Let other workers be preferred to this one for a while."""
     view.slow_until_ms = steady_ms() + SLOW_MEMORY_MS
 
 
@@ -81,7 +86,7 @@
         for members in _placed_units(job):
             is_saved = job.progress.spec.steps[members[0][1]].checkpointing
             stay = _stay(board, job, members, remaining_by_run)
-            if stay is None or not (is_urgent or (stay.is_limited and not is_saved)):
+            if stay is None or not (is_urgent or (stay.is_leaving and not is_saved)):
                 continue
             times = objectives.step_times(job, *members[0][:2])
             due_ms = waiting_since_ms(job, members[0][0]) + times.slack_ms + times.run_ms
@@ -98,7 +103,7 @@
     leaves_in_ms: float
 
     @property
-    def is_limited(self) -> bool:
+    def is_leaving(self) -> bool:
         """Whether one of the workers leaves."""
         return self.leaves_in_ms < float("inf")
 
