--- a/packages/lycheeslip/lycheeslip/dispatch/relocation.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/relocation.py
@@ -18,7 +18,7 @@
 # Errors of a measured remaining time, which is that of an earlier report.
 ERROR_RATIO = 1.15
 ERROR_MS = 100
-SLOW_RATIO = 2.0  # of the time elsewhere; sound workers differ by a third
+SLOW_RATIO = 2.0  # of the time elsewhere; run times of a step's tasks differ by up to 1.8
 CERTAIN_RATIO = 1.5  # beyond this even bulk work is stopped; a leaving worker may stay for longer
 
 
--- a/packages/lycheeslip/lycheeslip/dispatch/running.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/running.py
@@ -18,7 +18,7 @@
 __all__ = ["mark_slow", "record_speed", "running_units"]
 
 FULL_PERCENT = 100
-SLOW_RATIO = 2.0  # of the usual time; sound workers differ by a third
+SLOW_RATIO = 2.0  # of the usual time; run times of a step's tasks differ by up to 1.8
 SLOW_MARGIN_MS = 1_000  # a listed progress may be that old
 SLOW_MEMORY_MS = 6_000  # a slow worker is used again after this; such faults last 5 to 7 s
 MAX_RELOCATIONS = 2  # of one task, so that wrong measurements can't keep a job from ending
