Let a unit pay more for capacity only once half of its slack is spent

The limit of what a stop may cost rose from 0.3 to 1.0 of the unit's work after 1.7 s at most, as the slack that the planner knew was rarely longer. It now rises once half of the slack is spent; the wait for runs that end is bounded as before.

test_urgent_unit_with_much_slack_does_not_stop_costly_work_as_if_it_were_late failed before.

--- a/packages/lycheeslip/lycheeslip/dispatch/waiting.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/waiting.py
@@ -25,7 +25,7 @@
 SLACK_RATIO = 0.5  # usable part of the slack to the latency objective; estimates are off by half
 MAX_WAIT_MS = 8_000  # longest wait for a worker outside the reserve while capacity is not scarce
 MAX_IDLE_WAIT_MS = 2_000  # the same while most capacity is idle; deployments allow 3 s then
-# Share of its own work that an urgent unit may cost others, within its wait budget and after it.
+# Share of its own work that an urgent unit may cost others: in the usable part of its slack, later.
 EARLY_MAX_LOSS_RATIO = 0.3
 LATE_MAX_LOSS_RATIO = 1.0  # a late urgent job loses four fifths of its value
 SCARCE_UTILIZATION = 0.6  # from this share of a service's accelerators in use, capacity is scarce
@@ -151,17 +151,10 @@
         advice=_advice(board, queue, (job_id, occurrence, step_number)),
         is_isolated=must_start_isolated(job.progress, members[0], wall_ms()),
     )
-    wait_budget_ms = _wait_budget_ms(board, job, unit)
+    # a unit that was late before this leader knew of it waits, too: for the workers to connect
+    waited_ms = steady_ms() - _ready_at_ms(job, unit)
+    patience_ms = unit.slack_ms * SLACK_RATIO
     return unit._replace(
-        wait_budget_ms=wait_budget_ms,
-        max_loss_ratio=EARLY_MAX_LOSS_RATIO if wait_budget_ms else LATE_MAX_LOSS_RATIO,
+        wait_budget_ms=max(0.0, min(board.times.reclaim_wait_ms, patience_ms) - waited_ms),
+        max_loss_ratio=EARLY_MAX_LOSS_RATIO if waited_ms < patience_ms else LATE_MAX_LOSS_RATIO,
     )
-
-
-def _wait_budget_ms(board: Board, job: StoredJob, unit: Unit) -> float:
-    """Return how long an urgent unit may still wait for runs that are about to end.
-
-    A unit that was late before this leader knew of it waits, too: for the workers to connect.
-    """
-    limit_ms = min(board.times.reclaim_wait_ms, unit.slack_ms * SLACK_RATIO)
-    return max(0.0, limit_ms - (steady_ms() - _ready_at_ms(job, unit)))
--- a/packages/lycheeslip/tests/dispatch/occupancy_tests.py
+++ b/packages/lycheeslip/tests/dispatch/occupancy_tests.py
@@ -10,7 +10,13 @@
     build_worker_capacities,
 )
 from lycheeslip.dispatch.placement import plan_round
-from lycheeslip.dispatch.waiting import MAX_IDLE_WAIT_MS, MAX_WAIT_MS, build_units
+from lycheeslip.dispatch.waiting import (
+    EARLY_MAX_LOSS_RATIO,
+    LATE_MAX_LOSS_RATIO,
+    MAX_IDLE_WAIT_MS,
+    MAX_WAIT_MS,
+    build_units,
+)
 from lycheeslip.dispatch.work import cores_of
 from lycheeslip_common.utils.clock import steady_ms, wall_ms
 from lycheeslip_common.workload.fleet import RunningRun
@@ -63,6 +69,17 @@
     assert only_unit(board).wait_budget_ms > 0
 
 
+def test_urgent_unit_with_much_slack_does_not_stop_costly_work_as_if_it_were_late():
+    board = board_with()
+    job = add_job(board, priority=0, estimate_ms=20_000)  # slack of 41 s
+    assert only_unit(board).max_loss_ratio == EARLY_MAX_LOSS_RATIO
+    job.ready_at_ms[(0, 0)] -= 10_000
+    assert only_unit(board).max_loss_ratio == EARLY_MAX_LOSS_RATIO
+    assert only_unit(board).wait_budget_ms == 0
+    job.ready_at_ms[(0, 0)] -= 20_000
+    assert only_unit(board).max_loss_ratio == LATE_MAX_LOSS_RATIO
+
+
 def test_short_urgent_unit_does_not_wait_behind_an_older_one_that_could_wait_longer():
     board = board_with(1)
     board.config = board.config._replace(
