--- a/packages/lycheeslip/tests/start_order_tests.py
+++ b/packages/lycheeslip/tests/start_order_tests.py
@@ -1,9 +1,10 @@
 import asyncio
-import socket
 
 import aiohttp
+import pytest
 from lycheeslip.app import EntryApp
 from lycheeslip_common.config.settings import EntrySettings
+from lycheeslip_standins.addresses import ReservedAddresses
 from lycheeslip_standins.platform_store import PlatformStore
 
 FLEET_KEY = "key-of-the-test-fleet"
@@ -11,12 +12,6 @@
 POLL_S = 0.1
 
 
-def free_address():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
-
-
 async def readiness_status(http, address):
     async with http.get(f"http://{address}/readyz") as response:
         return response.status
@@ -30,14 +25,21 @@
     return False
 
 
-async def test_an_entry_started_before_the_store_becomes_ready_with_it():
-    store_address = free_address()
+@pytest.fixture
+def addresses():
+    reserved = ReservedAddresses()
+    yield reserved
+    reserved.release()
+
+
+async def test_an_entry_started_before_the_store_becomes_ready_with_it(addresses):
+    store_address = addresses.take()
     settings = EntrySettings(
         node_id="e1",
         region="r",
         zone="z",
-        http_address=free_address(),
-        session_address=free_address(),
+        http_address=addresses.take(),
+        session_address=addresses.take(),
         store_addresses=(store_address,),
         fleet_key=FLEET_KEY,
     )
--- a/packages/lycheeslip_standins/lycheeslip_standins/demo_fleet.py
+++ b/packages/lycheeslip_standins/lycheeslip_standins/demo_fleet.py
@@ -1,7 +1,6 @@
 """Small fleet inside one process: store, entries, agents and backend servers on loopback."""
 
 import secrets
-import socket
 from collections import Counter
 from collections.abc import Iterable
 from contextlib import AsyncExitStack
@@ -11,6 +10,7 @@
 from lycheeslip_agent.app import Agent
 from lycheeslip_common.config import AgentSettings, EntrySettings
 
+from lycheeslip_standins.addresses import ReservedAddresses
 from lycheeslip_standins.backend_server import BackendCapacity, BackendServer
 from lycheeslip_standins.platform_store import PlatformStore
 
@@ -45,6 +45,8 @@
         self._zones = tuple(zones)
         self._fleet_key = secrets.token_hex(FLEET_KEY_BYTES)
         self._stack = AsyncExitStack()
+        self._addresses = ReservedAddresses()
+        self._stack.callback(self._addresses.release)
         self._backends: list[BackendServer] = []
         self.entry_addresses: list[str] = []
 
@@ -95,7 +97,7 @@
         return max(self._zones, key=lambda zone: starts_by_zone[zone])
 
     async def _start_entry(self, number: int, store: PlatformStore) -> str:
-        http_address, session_address = _free_address(), _free_address()
+        http_address, session_address = self._addresses.take(), self._addresses.take()
         settings = EntrySettings(
             node_id=f"entry-{number + 1}",
             region=REGION,
@@ -131,9 +133,3 @@
         )
         await agent.start()
         self._stack.push_async_callback(agent.stop)
-
-
-def _free_address() -> str:
-    with socket.socket() as probe:
-        probe.bind((LOOPBACK, 0))
-        return f"{LOOPBACK}:{probe.getsockname()[1]}"
--- a/tests/dispatch/conftest.py
+++ b/tests/dispatch/conftest.py
@@ -1,9 +1,10 @@
 """Fixtures of the dispatch tests."""
 
-import socket
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Iterator
 
+import pytest
 import pytest_asyncio
+from lycheeslip_standins.addresses import ReservedAddresses
 
 from tests.harness.platform_cell import Cell
 
@@ -14,11 +15,8 @@
         yield running
 
 
-@pytest_asyncio.fixture
-async def free_port() -> Callable[[], int]:
-    def find_free_port() -> int:
-        with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            return probe.getsockname()[1]
-
-    return find_free_port
+@pytest.fixture
+def free_port() -> Iterator[Callable[[], int]]:
+    addresses = ReservedAddresses()
+    yield addresses.take_port
+    addresses.release()
--- a/tests/forwarded_calls_tests.py
+++ b/tests/forwarded_calls_tests.py
@@ -22,6 +22,7 @@
 from lycheeslip_common.structure.jobs import JobKind, JobSpec, Shape, derive_job_id
 from lycheeslip_common.structure.verdicts import Answered
 from lycheeslip_common.utils.clock import monotonic_ms, wall_ms
+from lycheeslip_standins.addresses import ReservedAddresses
 from lycheeslip_standins.platform_store import PlatformStore
 from lycheeslip_standins.proxy_route import ProxyRoute, RouteFaults
 from lycheeslip_standins.store_faults import StoreFaults
@@ -29,7 +30,6 @@
 
 from tests.harness.callers import Callers, JobRequest
 from tests.harness.fleet import Fleet, FleetLayout
-from tests.harness.processes import ReservedAddresses
 
 FLEET_KEY = "key-of-the-test-fleet"
 TIMES = EntryTimes(permit_ms=1_000, confirm_every_ms=100, shutdown_wait_ms=0)
--- a/tests/harness/fleet.py
+++ b/tests/harness/fleet.py
@@ -8,9 +8,10 @@
 import aiohttp
 import yaml
 from lycheeslip_common.utils.clock import monotonic_ms
+from lycheeslip_standins.addresses import ReservedAddresses
 from lycheeslip_standins.checker_facts import BackendEvent, parse_events
 
-from tests.harness.processes import BIN, ManagedProcess, ReservedAddresses, python_module
+from tests.harness.processes import BIN, ManagedProcess, python_module
 
 __all__ = ["Fleet", "FleetLayout"]
 
--- a/tests/harness/processes.py
+++ b/tests/harness/processes.py
@@ -2,7 +2,6 @@
 
 import os
 import signal
-import socket
 import subprocess
 import sys
 from collections.abc import Sequence
@@ -10,37 +9,12 @@
 
 from lycheeslip_common.utils.clock import monotonic_ms
 
-__all__ = ["BIN", "ManagedProcess", "ReservedAddresses", "python_module"]
+__all__ = ["BIN", "ManagedProcess", "python_module"]
 
 BIN = Path(sys.executable).parent
 STOP_TIMEOUT_S = 10
 
 
-class ReservedAddresses:
-    """Loopback addresses reserved for the processes of one fleet.
-
-    Each port stays bound without listening, so that no outgoing connection is assigned it
-    before its process listens there or while that process restarts.
-    """
-
-    def __init__(self) -> None:
-        """Start without reserved addresses."""
-        self._sockets: list[socket.socket] = []
-
-    def take(self) -> str:
-        """Reserve and return a new address."""
-        reserved = socket.socket()
-        reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        reserved.bind(("127.0.0.1", 0))
-        self._sockets.append(reserved)
-        return f"127.0.0.1:{reserved.getsockname()[1]}"
-
-    def release(self) -> None:
-        """Release all addresses."""
-        for reserved in self._sockets:
-            reserved.close()
-
-
 def python_module(module: str, *options: str) -> list[str]:
     """Return the command that runs `module` with this Python interpreter."""
     return [sys.executable, "-m", module, *options]
--- a/tests/http_contract_tests.py
+++ b/tests/http_contract_tests.py
@@ -13,6 +13,7 @@
 import yaml
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
+from lycheeslip_standins.addresses import ReservedAddresses
 from lycheeslip_standins.backend_server import expected_answer
 
 pytestmark = pytest.mark.processes
@@ -38,22 +39,17 @@
 """
 
 
-def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 class LocalCluster:
     """A store, an entry, a backend server and an agent, each in its own process."""
 
     def __init__(self, directory):
         self.directory = directory
         self.processes = {}
-        self.port = free_port()
+        self.addresses = ReservedAddresses()
+        self.port = self.addresses.take_port()
 
     def start(self):
-        store, sessions, backend = (f"127.0.0.1:{free_port()}" for _ in range(3))
+        store, sessions, backend = (self.addresses.take() for _ in range(3))
         self._spawn("store", "lycheeslip_standins.platform_store", "--address", store)
         server = "lycheeslip_standins.backend_server"
         self._spawn("backend", server, "--zone", "z1", "--address", backend)
@@ -73,6 +69,7 @@
         for process in self.processes.values():
             process.kill()
             process.wait()
+        self.addresses.release()
 
     def call(self, method, path, body=None, headers=None, token_name="operator"):
         connection = http.client.HTTPConnection("127.0.0.1", self.port, timeout=WAIT_S)
--- a/tests/platform_adapter/odd_values_processes_tests.py
+++ b/tests/platform_adapter/odd_values_processes_tests.py
@@ -11,11 +11,10 @@
 import pytest_asyncio
 from lycheeslip.dispatch.keys import LEADER_KEY, SPEC_PREFIX
 from lycheeslip.dispatch.leadership import decode_leader
+from lycheeslip_standins.addresses import ReservedAddresses
 from lycheeslip_standins.platform.store import PlatformStoreServer
 from lycheeslip_standins.platform.worker import PlatformWorkerServer
 
-from tests.harness.processes import ReservedAddresses
-
 pytestmark = pytest.mark.processes
 
 HOST = "jobs.example"
