Account for lost work by cause, and don't stop members of gangs that are done

Cause: nothing said why work was thrown away: a stop order named no reason and the end of a run no loss.

Change: run_ended names the cause of the loss and its core-seconds, stop_ordered its reason, and lost_core_seconds counts by cause. A member that is done isn't stopped, unless its end is missing from its worker's list for 3 s.

--- a/packages/lycheeslip/lycheeslip/dispatch/board.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/board.py
@@ -18,6 +18,7 @@
 
 from lycheeslip.dispatch.calls import Shown
 from lycheeslip.dispatch.entry_directory import EntryDirectory
+from lycheeslip.dispatch.losses import LossCause
 from lycheeslip.dispatch.placement_model import StepKey
 
 __all__ = [
@@ -50,7 +51,8 @@
 
     `failures` counts its recent failed runs; it gets no new runs before `backoff_until_ms`.
     `lost_lifetime_at_ms` is when a lifetime of the worker was last found to have ended (0: never).
-    It counts as slow until `slow_until_ms`.
+    It counts as slow until `slow_until_ms`, and `has_given_notice` once the lifetime that ran here
+    last has announced that it leaves.
     """
 
     node: str
@@ -62,6 +64,7 @@
     backoff_until_ms: int = 0
     lost_lifetime_at_ms: int = 0
     slow_until_ms: int = 0
+    has_given_notice: bool = False
 
     @property
     def lifetime(self) -> Lifetime | None:
@@ -76,8 +79,8 @@
     `recorded_state` is the state in that record, the only one returned to callers;
     `loaded_at_ms` is when this leader loaded the job, on its steady clock, `age_at_load_ms` after
     its acceptance. `ready_at_ms` is since when this leader knows that a step may start, by
-    occurrence and step. `stopping` are the task name and the run number of each run that is being
-    stopped. `measured_run_ms` are the run times that workers' reports show; `relocations` counts
+    occurrence and step. `stopping` is why each run is being stopped, by task name and run number.
+    `measured_run_ms` are the run times that workers' reports show; `relocations` counts
     the runs of a task that were stopped to start again elsewhere.
     """
 
@@ -89,7 +92,7 @@
     is_dirty: bool = False
     is_being_written: bool = False
     has_newer_checkpoint: bool = False
-    stopping: set[tuple[str, int]] = field(default_factory=set)
+    stopping: dict[tuple[str, int], LossCause] = field(default_factory=dict)
     ready_at_ms: dict[tuple[int, int], int] = field(default_factory=dict)
     measured_run_ms: dict[TaskKey, int] = field(default_factory=dict)
     relocations: Counter[TaskKey] = field(default_factory=Counter)
--- a/packages/lycheeslip/lycheeslip/dispatch/dispatcher.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/dispatcher.py
@@ -186,6 +186,8 @@
         )
         view.report, view.link, view.heard_at_ms = report, link, steady_ms()
         self._run_ends.end_older_lifetimes(node, report)
+        if report.lifetime is not None:
+            view.has_given_notice = not report.is_ready
         for run in report.running:
             self._update_checkpoint(run.task, run.run, run.checkpoint)
             record_speed(self._board, view, run)
--- a/packages/lycheeslip/lycheeslip/dispatch/ends.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/ends.py
@@ -13,6 +13,7 @@
 from lycheeslip_common.workload.times import CLOCK_DRIFT
 
 from lycheeslip.dispatch.board import Board, FoundTask, StoredJob, WorkerView
+from lycheeslip.dispatch.losses import loss_cause, lost_core_s
 from lycheeslip.dispatch.recorder import Recorder
 from lycheeslip.dispatch.stops import RunStopper
 
@@ -168,12 +169,25 @@
     ) -> None:
         """Log an end that was applied and schedule what follows from it."""
         name = format_task_name(job_id, key)
-        job.stopping.discard((name, run))
+        stop_cause = job.stopping.pop((name, run), None)
         self._run_stopper.forget(name, run)
+        view = self._board.workers.get(node)
+        had_notice = view is not None and view.has_given_notice
+        lost = lost_core_s(job.progress, key, cause, wall_ms())
+        why = loss_cause(cause, stop_cause, had_notice) if lost else None
         log_event(
-            "run_ended", task=name, run=run, node=node, cause=cause, job_state=job.progress.state
+            "run_ended",
+            task=name,
+            run=run,
+            node=node,
+            cause=cause,
+            job_state=job.progress.state,
+            loss=why or "none",
+            lost_core_s=round(lost, 1),
         )
         self._board.counters.count("runs_ended", cause)
+        if why is not None:
+            self._board.counters.count("lost_core_seconds", why, lost)
         self._recorder.schedule_write(job)
         self._board.planning_needed.set()
 
--- a/packages/lycheeslip/lycheeslip/dispatch/occupancy.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/occupancy.py
@@ -7,11 +7,16 @@
 
 from lycheeslip.dispatch.board import Board, StoredJob, WorkerView
 from lycheeslip.dispatch.isolation import must_run_isolated
+from lycheeslip.dispatch.losses import unsaved_s
 from lycheeslip.dispatch.objective import Objectives, waiting_since_ms
-from lycheeslip.dispatch.placement_model import URGENT_PRIORITY, PlacedRun, WorkerCapacity
+from lycheeslip.dispatch.placement_model import (
+    URGENT_PRIORITY,
+    PlacedRun,
+    WorkerCapacity,
+    cores_of,
+)
 from lycheeslip.dispatch.work import (
     MAX_OVERRUN_RATIO,
-    cores_of,
     guaranteed_accounts,
     is_costly_to_stop,
     is_guaranteed,
@@ -107,8 +112,6 @@
     demand = demand_of(step)
     cores = cores_of(demand) * (step.task_count if step.gang else 1)
     elapsed_s = max(0, now_ms - task.started_at_ms) / 1_000
-    # tasks with checkpoints save them once a second
-    lost_work_s = min(elapsed_s, 1.0) if step.checkpointing else elapsed_s
     times = objectives.step_times(job, key[0], key[1])
     latest_start_ms = waiting_since_ms(job, key[0]) + times.run_slack_ms
     is_ending = job.progress.has_ended or (name, task.run) in job.stopping
@@ -119,7 +122,7 @@
         spec.account,
         spec.priority,
         demand,
-        cores * lost_work_s,
+        cores * unsaved_s(step, elapsed_s),
         is_ending,
         (job_id, key[0], key[1]),
         step.gang,
--- a/packages/lycheeslip/lycheeslip/dispatch/placement_model.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/placement_model.py
@@ -22,6 +22,7 @@
     "UnitKey",
     "VictimKey",
     "WorkerCapacity",
+    "cores_of",
 ]
 
 StepKey = tuple[str, int, int]
@@ -38,6 +39,11 @@
 NO_DEMAND = Demand(0, 0, 0)
 
 
+def cores_of(demand: Demand) -> float:
+    """Return `demand` in cores, with each accelerator as `ACCELERATOR_CORES`."""
+    return demand.cpu_milli / 1_000 + demand.accelerators * ACCELERATOR_CORES
+
+
 class PlacedRun(NamedTuple):
     """A run placed on a worker; `loss` is the work in core-seconds lost by stopping it.
 
--- a/packages/lycheeslip/lycheeslip/dispatch/running.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/running.py
@@ -119,7 +119,7 @@
         members = unit_members(job.progress, *key[:2]) if step.gang else [key]
         tasks = [job.progress.tasks[member] for member in members]
         runs = {(job.task_name(k), task.run) for k, task in zip(members, tasks, strict=True)}
-        is_whole = all(task.is_placed for task in tasks) and not runs & job.stopping
+        is_whole = all(task.is_placed for task in tasks) and not runs & job.stopping.keys()
         if is_whole and job.relocations[key] < MAX_RELOCATIONS:
             yield members
 
--- a/packages/lycheeslip/lycheeslip/dispatch/stops.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/stops.py
@@ -4,15 +4,18 @@
 from lycheeslip_common.utils.logs import log_event
 from lycheeslip_common.workload.fleet import Lifetime, StopOrder, WorkerReport
 from lycheeslip_common.workload.jobs import demand_of, format_task_name
-from lycheeslip_common.workload.progress import TaskKey, unit_members
+from lycheeslip_common.workload.progress import TaskKey, TaskProgress, unit_members
 
 from lycheeslip.dispatch.board import Board, FoundTask, StoredJob, WorkerView
+from lycheeslip.dispatch.losses import LossCause
 from lycheeslip.dispatch.placement_model import Preemption
 from lycheeslip.dispatch.relocation import RunningUnit
 
 __all__ = ["RunStopper"]
 
 NO_NOTICE_MS = 999_999  # logged as the notice of a worker that stays
+SUPERSEDED = "superseded"  # logged as the cause of a stop of a run that no record places
+END_LISTING_MS = 3_000  # a worker's list takes some 10 ms, or a second after a lost answer
 STOP_RETRY_MS = 1_000  # a stop order without effect is resent after this
 
 
@@ -23,14 +26,17 @@
         """Send orders over the links in `board`."""
         self._board = board
         self._sent_at_ms_by_run: dict[tuple[str, int], int] = {}
+        self._done_since_ms_by_run: dict[tuple[str, int], int] = {}
 
     def begin_term(self) -> None:
-        """Discard the send times of an earlier term."""
+        """Discard the times of an earlier term."""
         self._sent_at_ms_by_run.clear()
+        self._done_since_ms_by_run.clear()
 
     def forget(self, task: str, run: int) -> None:
-        """Discard the send time of a run that has ended."""
+        """Discard the times of a run that has ended."""
         self._sent_at_ms_by_run.pop((task, run), None)
+        self._done_since_ms_by_run.pop((task, run), None)
 
     def preempt(self, preemption: Preemption) -> None:
         """Stop a run, together with the rest of its gang."""
@@ -52,11 +58,11 @@
         self._board.counters.count("preemptions")
         if job.progress.spec.steps[step].gang:
             for member in unit_members(job.progress, occurrence, step):
-                self._stop(placed_run.job_id, job, member)
+                self._stop(placed_run.job_id, job, member, LossCause.PREEMPTED)
             return
         found = self._board.find_task(placed_run.task)
         if found is not None:
-            self._stop(placed_run.job_id, job, found.key)
+            self._stop(placed_run.job_id, job, found.key, LossCause.PREEMPTED)
 
     def relocate(self, running: RunningUnit) -> None:
         """Stop a gang or a task so that it starts again elsewhere."""
@@ -76,39 +82,55 @@
         self._board.counters.count("relocations")
         job.relocations[keys[0]] += 1
         for key in keys:
-            self._stop(unit.job_id, job, key)
+            self._stop(unit.job_id, job, key, LossCause.RELOCATED)
 
-    def _stop(self, job_id: str, job: StoredJob, key: TaskKey) -> None:
+    def _stop(self, job_id: str, job: StoredJob, key: TaskKey, cause: LossCause) -> None:
+        """Order the stop of a task's run; the cause of the first order counts."""
         task = job.progress.tasks[key]
         if task.lifetime is None:
             return
         name = format_task_name(job_id, key)
-        job.stopping.add((name, task.run))
+        cause = job.stopping.setdefault((name, task.run), cause)
         sent_at = self._sent_at_ms_by_run.get((name, task.run), 0)
         if steady_ms() - sent_at < STOP_RETRY_MS:
             return
         self._sent_at_ms_by_run[(name, task.run)] = steady_ms()
-        self._send_stop(task.node, task.lifetime, name, task.run)
+        self._send_stop(task.node, task.lifetime, name, task.run, cause)
 
-    def _send_stop(self, node: str, lifetime: Lifetime, task: str, run: int) -> None:
+    def _send_stop(self, node: str, lifetime: Lifetime, task: str, run: int, cause: str) -> None:
         view = self._board.workers.get(node)
         term = self._board.leadership
         if view is None or view.link is None or term is None:
             return
-        log_event("stop_ordered", task=task, run=run, node=node, epoch=term.epoch)
+        log_event("stop_ordered", task=task, run=run, node=node, epoch=term.epoch, cause=cause)
         view.link.post(StopOrder(term.epoch, lifetime, task, run))
 
     def stop_obsolete(self) -> None:
         """Stop runs of ended jobs and of incomplete gangs, and repeat pending stops."""
         for job_id, job in self._board.jobs.items():
             for key, task in list(job.progress.placed()):
-                step = job.progress.spec.steps[key[1]]
-                if (
-                    job.progress.has_ended
-                    or (step.gang and self._is_incomplete_gang(job, key))
-                    or (format_task_name(job_id, key), task.run) in job.stopping
-                ):
-                    self._stop(job_id, job, key)
+                cause = self._obsolete_cause(job, key, task)
+                if cause is not None:
+                    self._stop(job_id, job, key, cause)
+
+    def _obsolete_cause(self, job: StoredJob, key: TaskKey, task: TaskProgress) -> LossCause | None:
+        """Return why a placed run has to stop, None if it may go on.
+
+        The members of a gang end together, so a member of one that is done has ended as well: its
+        worker only hasn't listed that yet. A stop makes up for a lost end.
+        """
+        if task.is_done:
+            return LossCause.STOPPED if self._is_end_overdue(job.task_name(key), task.run) else None
+        if job.progress.has_ended:
+            return LossCause.CANCELLED
+        if job.progress.spec.steps[key[1]].gang and self._is_incomplete_gang(job, key):
+            return LossCause.GANG_INCOMPLETE
+        return job.stopping.get((job.task_name(key), task.run))
+
+    def _is_end_overdue(self, task: str, run: int) -> bool:
+        """Return whether a run has been done for `END_LISTING_MS` and its worker doesn't say so."""
+        done_since_ms = self._done_since_ms_by_run.setdefault((task, run), steady_ms())
+        return steady_ms() - done_since_ms >= END_LISTING_MS
 
     def _is_incomplete_gang(self, job: StoredJob, key: TaskKey) -> bool:
         members = unit_members(job.progress, key[0], key[1])
@@ -138,7 +160,7 @@
             if min(free) >= 0:
                 return
             log_event("start_withdrawn", task=name, run=job.progress.tasks[key].run)
-            self._stop(job_id, job, key)
+            self._stop(job_id, job, key, LossCause.CAPACITY_SHRUNK)
             demand = demand_of(job.progress.spec.steps[key[1]])
             free = [a + b for a, b in zip(free, demand, strict=True)]
 
@@ -151,4 +173,4 @@
             task = found.task if found else None
             if task is not None and task.is_placed and task.run == run.run:
                 continue
-            self._send_stop(view.node, report.lifetime, run.task, run.run)
+            self._send_stop(view.node, report.lifetime, run.task, run.run, SUPERSEDED)
--- a/packages/lycheeslip/lycheeslip/dispatch/waiting.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/waiting.py
@@ -11,10 +11,16 @@
 from lycheeslip.dispatch.board import Board, StepAdvice, StoredJob
 from lycheeslip.dispatch.isolation import must_start_isolated
 from lycheeslip.dispatch.objective import Objectives, StepTimes, waiting_since_ms
-from lycheeslip.dispatch.placement_model import Advice, StepKey, Unit, UnitKey, WorkerCapacity
+from lycheeslip.dispatch.placement_model import (
+    Advice,
+    StepKey,
+    Unit,
+    UnitKey,
+    WorkerCapacity,
+    cores_of,
+)
 from lycheeslip.dispatch.work import (
     MAX_OVERRUN_RATIO,
-    cores_of,
     guaranteed_accounts,
     is_costly_to_stop,
     is_guaranteed,
--- a/packages/lycheeslip/lycheeslip/dispatch/work.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/work.py
@@ -1,16 +1,15 @@
-"""Computes the size, the guarantee and the cost of a stop of jobs and their tasks."""
+"""Tells which jobs are within a guarantee and which runs are costly to stop."""
 
 from collections import Counter
 
-from lycheeslip_common.workload.jobs import Demand, JobSpec, StepSpec
+from lycheeslip_common.workload.jobs import JobSpec, StepSpec
 from lycheeslip_common.workload.progress import JobProgress
 
 from lycheeslip.dispatch.board import Board
-from lycheeslip.dispatch.placement_model import ACCELERATOR_CORES, URGENT_PRIORITY
+from lycheeslip.dispatch.placement_model import URGENT_PRIORITY
 
 __all__ = [
     "MAX_OVERRUN_RATIO",
-    "cores_of",
     "guaranteed_accounts",
     "is_costly_to_stop",
     "is_guaranteed",
@@ -19,11 +18,6 @@
 MAX_OVERRUN_RATIO = 1.5  # run time as a multiple of the estimate past which the estimate is ignored
 
 
-def cores_of(demand: Demand) -> float:
-    """Return `demand` in cores, with each accelerator as `ACCELERATOR_CORES`."""
-    return demand.cpu_milli / 1_000 + demand.accelerators * ACCELERATOR_CORES
-
-
 def is_costly_to_stop(spec: JobSpec, step: StepSpec) -> bool:
     """Return whether a stop loses the run's work.
 
--- a/packages/lycheeslip/tests/dispatch/occupancy_tests.py
+++ b/packages/lycheeslip/tests/dispatch/occupancy_tests.py
@@ -10,6 +10,7 @@
     build_worker_capacities,
 )
 from lycheeslip.dispatch.placement import plan_round
+from lycheeslip.dispatch.placement_model import cores_of
 from lycheeslip.dispatch.waiting import (
     EARLY_MAX_LOSS_RATIO,
     LATE_MAX_LOSS_RATIO,
@@ -17,7 +18,6 @@
     MAX_WAIT_MS,
     build_units,
 )
-from lycheeslip.dispatch.work import cores_of
 from lycheeslip_common.utils.clock import steady_ms, wall_ms
 from lycheeslip_common.workload.fleet import RunningRun
 from lycheeslip_common.workload.operator import AdviceTiming
--- a/packages/lycheeslip_common/lycheeslip_common/utils/events.py
+++ b/packages/lycheeslip_common/lycheeslip_common/utils/events.py
@@ -231,9 +231,9 @@
     Event(
         "run_ended",
         "leader",
-        "cause job_state node run task",
+        "cause job_state loss lost_core_s node run task",
         "A run ended; `job_state` is the result. Causes `lost` and `crashed` are inferred, others"
-        " are reported.",
+        " are reported. `loss` says why `lost_core_s` core-seconds of work were lost.",
     ),
     Event(
         "run_forecast",
@@ -286,7 +286,7 @@
         "A start that may be on its way no longer fits, as its worker's capacity has shrunk.",
     ),
     Event("stop_done", "agent", "outcome run task", "The worker confirmed a stop."),
-    Event("stop_ordered", "leader", "epoch node run task", "A stop order is sent."),
+    Event("stop_ordered", "leader", "cause epoch node run task", "A stop order is sent."),
     Event("store_lost", "entry", "dependency reason", "The store stopped answering."),
     Event("store_regained", "entry", "age_ms dependency", "The store answers again."),
     Event("unexpected_message", "both", "kind node", "A peer sent a message that it may not send."),
--- a/tests/dispatch/lifecycle_tests.py
+++ b/tests/dispatch/lifecycle_tests.py
@@ -167,6 +167,24 @@
     assert all(len(agent.worker.started.by_task) == 1 for agent in cell.agents)
 
 
+async def test_members_of_a_gang_that_is_done_are_not_stopped(cell: Cell):
+    path = await cell.submit(1, {**WHOLE, "count": 2, "gang": True}, work_ms=500)
+    await cell.until(lambda: cell.running() == 2)
+    cell.agents[1].worker.slow_down(2.0)  # its end is listed later
+    await cell.until_state(path, "completed")
+    await cell.until(lambda: cell.running() == 0)
+    assert [agent.worker.calls["/run-stop"] for agent in cell.agents] == [0, 0]
+
+
+async def test_member_of_a_gang_that_is_done_is_stopped_if_its_end_is_not_listed(cell: Cell):
+    path = await cell.submit(1, {**WHOLE, "count": 2, "gang": True}, work_ms=500)
+    await cell.until(lambda: cell.running() == 2)
+    cell.agents[1].worker.slow_down(100.0)
+    await cell.until_state(path, "completed")
+    await cell.until(lambda: cell.running() == 0)
+    assert cell.agents[1].worker.calls["/run-stop"] >= 1
+
+
 async def test_gang_waits_for_capacity_for_all_its_members(cell: Cell):
     await cell.submit(1, WHOLE, work_ms=600)
     path = await cell.submit(2, {**WHOLE, "count": 2, "gang": True})
