--- a/benchmarks/late_jobs.py
+++ b/benchmarks/late_jobs.py
@@ -11,27 +11,16 @@
 from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass, field
-from datetime import datetime
 from pathlib import Path
-from typing import NamedTuple
 
 import typer
+from lycheeslip.commands.log_lines import LogLine, job_of, read_log
 
-LINE = re.compile(r"time=(?P<time>\S+) level=\w+ event=(?P<event>\w+)(?P<fields>.*)")
-FIELD = re.compile(r'(\w+)=("[^"]*"|\S+)')
 STEP = re.compile(r"(?P<tasks>\d+)_(?P<kind>tasks|gang):[^']*?accelerators=(?P<accelerators>\d+)")
 UNUSUAL_RATIO = 1.35  # of the median run time, from which a run is slow
 WAVE_RATIO = 0.25  # of the accelerators
 
 
-class Entry(NamedTuple):
-    """A log line; `at_s` is Unix time."""
-
-    at_s: float
-    event: str
-    fields: dict[str, str]
-
-
 @dataclass
 class Run:
     """A run of a task, with Unix times in seconds and why it ended."""
@@ -61,20 +50,12 @@
     declined: int = 0
 
 
-def read(path: Path) -> Iterator[Entry]:
-    """Iterate over the lines of a log."""
-    for line in path.read_text(errors="replace").splitlines():
-        if match := LINE.search(line):
-            fields = {key: value.strip('"') for key, value in FIELD.findall(match["fields"])}
-            at_s = datetime.fromisoformat(match["time"]).timestamp()
-            yield Entry(at_s, match["event"], fields)
-
-
-def urgent_jobs(entries: Iterator[Entry]) -> dict[str, Job]:
+def urgent_jobs(lines: Iterator[LogLine]) -> dict[str, Job]:
     """Return the urgent jobs that were not cancelled, by id."""
     by_id: dict[str, Job] = {}
-    for at_s, event, fields in entries:
-        job_id = fields.get("job") or fields.get("task", "").partition(".")[0]
+    for line in lines:
+        at_s, event, fields, _ = line
+        job_id = job_of(line)
         if event == "job_known" and job_id not in by_id and fields["priority"] == "0":
             if step := STEP.search(fields["steps"]):
                 accepted_at_s = at_s - int(fields["delay_ms"]) / 1_000
@@ -134,7 +115,7 @@
     """Print the late jobs of each log and, in the end, how often each kind of cause came first."""
     totals: Counter[str] = Counter()
     for path in logs:
-        for job_id, job in urgent_jobs(read(path)).items():
+        for job_id, job in urgent_jobs(read_log(path)).items():
             run_s = usual_s(job)
             share = job.tasks * job.accelerators / accelerators / WAVE_RATIO
             waves = 1.0 if job.is_gang else max(1.0, min(job.tasks, share))
--- a/packages/lycheeslip/lycheeslip/cli.py
+++ b/packages/lycheeslip/lycheeslip/cli.py
@@ -10,7 +10,7 @@
 
 from lycheeslip.commands import config as config_commands
 from lycheeslip.commands import entry as entry_command
-from lycheeslip.commands import fleet, jobs, submit, token
+from lycheeslip.commands import fleet, jobs, logs, submit, token
 from lycheeslip.commands.options import Options, OutputFormat
 from lycheeslip.commands.outcomes import CommandError, ExitCode
 from lycheeslip.config.units import parse_duration, parse_memory
@@ -232,11 +232,31 @@
 
 
 @app.command("explain")
-def explain_job(context: typer.Context, job: JobId) -> None:
+def explain_job(
+    context: typer.Context,
+    job: JobId,
+    log: Annotated[
+        list[Path] | None,
+        typer.Option(metavar="FILE", help="Log of a process, instead of an entry; repeatable."),
+    ] = None,
+) -> None:
     """Explain why a job is waiting, or what happened to it."""
+    if log:
+        _run_and_exit(lambda: logs.explain_from_logs(job, log))
     _run_async_and_exit(jobs.explain_job(context.obj, job))
 
 
+@app.command("lost-work")
+def show_lost_work(
+    context: typer.Context,
+    log: Annotated[
+        list[Path], typer.Argument(metavar="FILE...", help="Logs of entries and agents.")
+    ],
+) -> None:
+    """Show from logs which work was lost with runs, and why."""
+    _run_and_exit(lambda: logs.show_lost_work(context.obj, log))
+
+
 @app.command("cancel")
 def cancel_job(context: typer.Context, job: JobId) -> None:
     """Cancel a job."""
