Bound the calls that entries pass on to each other while nobody can decide them

Change: a round asks at most three others, the leader first and the rest in turn, and one at a time while six or more could not help within the last second; a call asks nine at most, an entry passes on 20 calls a second at most (forwards_declined counts what it doesn't). The answers stay the same: NotRun only if no try may have run.

Tests that replay that load: 34 unable entries, one call and 40 calls at once (test_call_that_nobody_can_decide..., test_entry_passes_few_calls_on...); the code before asks all 34 for each call and has no such limits.

--- a/packages/lycheeslip/lycheeslip/dispatch/entry_directory.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/entry_directory.py
@@ -19,6 +19,7 @@
         self._seeds = tuple(seeds)
         self._forget_at_ms: dict[str, int] = {}
         self._avoid_until_ms: dict[str, int] = {}
+        self._turn = 0
 
     def add(self, address: str) -> None:
         """Add the address of a live entry, or keep it for longer; an unusable one is left out."""
@@ -37,8 +38,19 @@
         return [address for address in known if address != own_address]
 
     def helpers(self, own_address: str, leader_address: str) -> list[str]:
-        """Return the entries that may be asked to decide a call, the leader first."""
+        """Return the entries that may be asked to decide a call, the leader first, then in turn."""
+        self._forget_avoided()
+        able = [a for a in self.others(own_address) if a not in self._avoid_until_ms]
+        turn = self._turn % len(able) if able else 0
+        self._turn += 1
+        return sorted(able[turn:] + able[:turn], key=lambda address: address != leader_address)
+
+    @property
+    def unable(self) -> int:
+        """Number of entries that could not help a moment ago."""
+        self._forget_avoided()
+        return len(self._avoid_until_ms)
+
+    def _forget_avoided(self) -> None:
         now = steady_ms()
         self._avoid_until_ms = {a: at for a, at in self._avoid_until_ms.items() if at > now}
-        able = [a for a in self.others(own_address) if a not in self._avoid_until_ms]
-        return sorted(able, key=lambda address: address != leader_address)
--- a/packages/lycheeslip/lycheeslip/dispatch/intake.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/intake.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Sequence
 from functools import partial
 from typing import Any, NamedTuple
 
@@ -24,6 +24,11 @@
     Waiting,
     is_write,
 )
+from lycheeslip.dispatch.forward_budget import (
+    MAX_HELPERS_PER_CALL,
+    ForwardBudget,
+    helpers_per_round,
+)
 from lycheeslip.dispatch.forwarding import CallForwarder
 from lycheeslip.dispatch.local_intake import LocalIntake
 
@@ -51,6 +56,7 @@
         self._board = board
         self._local = local
         self._forwarder = forwarder
+        self._budget = ForwardBudget()
 
     @property
     def max_body_bytes(self) -> int:
@@ -66,8 +72,11 @@
         give_up_at_ms = steady_ms() + call.remaining_s * wait_ratio * 1_000
         may_have_run = False
         outcome: Outcome = NotRun("deadline")
+        helpers_left = MAX_HELPERS_PER_CALL
         while call.remaining_s > 0:
-            outcome, may_have_run_now = await self._ask_all(call, request)
+            helpers = self._helpers()[:helpers_left]
+            helpers_left -= len(helpers)
+            outcome, may_have_run_now = await self._ask_all(call, request, helpers)
             may_have_run = may_have_run or may_have_run_now
             if not isinstance(outcome, NotRun | Undecided):
                 break
@@ -78,14 +87,20 @@
             return Undecided("store_silent")
         return outcome
 
-    async def _ask_all(self, call: Call, request: Request) -> Round:
-        """Ask one entry after the other until one has decided.
+    def _helpers(self) -> list[str]:
+        """Return the entries to ask in the next round; this entry's budget may allow no more."""
+        board = self._board
+        helpers = board.entries.helpers(board.address, board.leader_address)
+        return helpers[: helpers_per_round(board.entries.unable)]
+
+    async def _ask_all(self, call: Call, request: Request, helpers: Sequence[str]) -> Round:
+        """Ask this entry and `helpers`, one after the other, until one has decided.
 
         For a write the next entry is asked after `NEXT_TRY_S` of silence: the same record results,
         whoever writes it. After a refusal the result waits for the tries in progress, since one of
         them may yet store the record.
         """
-        tries = self._tries(call, request)
+        tries = self._tries(call, request, helpers)
         next_try_s = NEXT_TRY_S if is_write(request) else None
         in_progress: set[asyncio.Task[Outcome]] = set()
         undecided: Outcome = NotRun("deadline")
@@ -115,21 +130,25 @@
             for task in in_progress:
                 task.cancel()
 
-    def _tries(self, call: Call, request: Request) -> list[Try]:
+    def _tries(self, call: Call, request: Request, helpers: Sequence[str]) -> list[Try]:
         """Return the ways to decide a call in the order in which they are tried.
 
         This entry comes last for a write while it is known to be cut off from the store.
         """
-        board = self._board
-        helpers = board.entries.helpers(board.address, board.leader_address)
         here: Try = partial(self._local.answer, call, request)
         elsewhere: list[Try] = [
-            partial(self._forwarder.forward, address, call, request) for address in helpers
+            partial(self._forward, address, call, request) for address in helpers
         ]
-        if board.is_store_lost and is_write(request):
+        if self._board.is_store_lost and is_write(request):
             return [*elsewhere, here]
         return [here, *elsewhere]
 
+    async def _forward(self, address: str, call: Call, request: Request) -> Outcome:
+        if not self._budget.take():
+            self._board.counters.count("forwards_declined")
+            return NotRun("forward_budget_spent")
+        return await self._forwarder.forward(address, call, request)
+
 
 def _outcome_of(task: asyncio.Task[Outcome], request: Request) -> Outcome:
     error = task.exception()
--- a/packages/lycheeslip/tests/dispatch/intake_tests.py
+++ b/packages/lycheeslip/tests/dispatch/intake_tests.py
@@ -21,6 +21,7 @@
     Submit,
     Undecided,
 )
+from lycheeslip.dispatch.forward_budget import MANY_UNABLE, MAX_BURST, MAX_HELPERS_PER_CALL
 from lycheeslip.dispatch.intake import Intake
 from lycheeslip_common.utils.clock import steady_ms
 from lycheeslip_common.workload.times import DispatchTimes
@@ -93,3 +94,48 @@
     entries = Delayed(dict(zip(("here", *OTHERS), outcomes, strict=True)))
     call = Call("host", "/path/", "key", steady_ms() + 1_000)
     assert asyncio.run(Intake(board, entries, entries).answer(call, SUBMIT)) == Accepted()
+
+
+def ask_unable_entries(calls: int, time_ms: int) -> list[str]:
+    """Return the entries that an entry asks for `calls` submissions at once while none can help."""
+    others = [f"127.0.0.1:{port}" for port in range(1, 35)]
+    board = Board("entry", "zone", "127.0.0.1:99", DispatchTimes(), others)
+    board.is_store_lost = True
+
+    class Unable(StoppedEntries):
+        async def forward(self, address: str, call: Call, request: object) -> Outcome:
+            if address != "here":
+                self.calls.append(address)
+                board.entries.avoid(address)
+            return AWAY
+
+    entries = Unable({})
+    intake = Intake(board, entries, entries)
+
+    async def ask_all() -> list[Outcome]:
+        submissions = (
+            intake.answer(Call("host", "/path/", "key", steady_ms() + time_ms), SUBMIT)
+            for _ in range(calls)
+        )
+        return await asyncio.gather(*submissions)
+
+    assert all(isinstance(outcome, NotRun) for outcome in asyncio.run(ask_all()))
+    return entries.calls
+
+
+def test_call_that_nobody_can_decide_is_passed_on_a_few_times_only():
+    assert 1 <= len(ask_unable_entries(1, 3_000)) <= MAX_HELPERS_PER_CALL
+
+
+def test_entry_passes_few_calls_on_while_nobody_can_decide():
+    asked = ask_unable_entries(40, 1_200)
+    assert len(asked) <= 2 * MAX_BURST
+    assert len(set(asked)) > MANY_UNABLE
+
+
+def test_other_entries_are_asked_in_turn_after_the_leader():
+    board = Board("entry", "zone", "127.0.0.1:9", DispatchTimes(), OTHERS)
+    board.entries.add("127.0.0.1:3")
+    first = [board.entries.helpers("127.0.0.1:9", "127.0.0.1:3") for _ in range(4)]
+    assert {helpers[0] for helpers in first} == {"127.0.0.1:3"}
+    assert {helpers[1] for helpers in first} == set(OTHERS)
