Don't count a negative wait of a unit that was just known

Cause: the steady clock was read before the time since which the unit is known was set, so that its wait was -1 ms if the clock ticked in between, and its wait budget 1,701 of 1,700 ms. test_urgent_unit_is_not_made_to_wait_past_its_latency_objective[60000] failed by that once beside load; test_unit_just_known_has_not_waited_a_negative_time shows it each time and failed before.

--- a/packages/lycheeslip/lycheeslip/dispatch/waiting.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/waiting.py
@@ -75,9 +75,10 @@
     return next((limit for limit in limits if now_ms <= limit), since_ms)
 
 
-def _ready_at_ms(job: StoredJob, unit: Unit) -> int:
-    """Return since when this leader knows that a unit's step may start, on its steady clock."""
-    return job.ready_at_ms.setdefault((unit.occurrence, unit.step), steady_ms())
+def _known_for_ms(job: StoredJob, unit: Unit) -> int:
+    """Return for how long this leader has known that a unit's step may start, on its clock."""
+    now = steady_ms()
+    return now - job.ready_at_ms.setdefault((unit.occurrence, unit.step), now)
 
 
 def _may_wait(job: StoredJob, unit: Unit, utilization: float) -> bool:
@@ -85,7 +86,7 @@
     now_ms = wall_ms()
     ready_ms = unit.waiting_since_ms
     if job.progress.spec.steps[unit.step].after:
-        ready_ms = now_ms - (steady_ms() - _ready_at_ms(job, unit))
+        ready_ms = now_ms - _known_for_ms(job, unit)
     limit_ms = (unit.waiting_since_ms + unit.slack_ms - ready_ms) * SLACK_RATIO
     if utilization < IDLE_UTILIZATION:
         limit_ms = min(limit_ms, MAX_IDLE_WAIT_MS)
@@ -158,7 +159,7 @@
         is_isolated=must_start_isolated(job.progress, members[0], wall_ms()),
     )
     # a unit that was late before this leader knew of it waits, too: for the workers to connect
-    waited_ms = steady_ms() - _ready_at_ms(job, unit)
+    waited_ms = _known_for_ms(job, unit)
     patience_ms = unit.slack_ms * SLACK_RATIO
     return unit._replace(
         wait_budget_ms=max(0.0, min(board.times.reclaim_wait_ms, patience_ms) - waited_ms),
--- a/packages/lycheeslip/tests/dispatch/occupancy_tests.py
+++ b/packages/lycheeslip/tests/dispatch/occupancy_tests.py
@@ -1,6 +1,7 @@
 """Tests of the workers and the units that are built for a planning round."""
 
 import pytest
+from lycheeslip.dispatch import waiting
 from lycheeslip.dispatch.board import Board, StepAdvice, Ticket
 from lycheeslip.dispatch.isolation import ISOLATION_MS, MAX_ISOLATION_WAIT_MS
 from lycheeslip.dispatch.objective import SHOW_MS
@@ -51,6 +52,14 @@
         assert only_unit(board).may_wait is may_wait
 
 
+def test_unit_just_known_has_not_waited_a_negative_time(monkeypatch: pytest.MonkeyPatch):
+    ticks = iter(range(steady_ms(), steady_ms() + 10_000))
+    monkeypatch.setattr(waiting, "steady_ms", lambda: next(ticks))  # each reading is later
+    board = board_with()
+    add_job(board)
+    assert only_unit(board).wait_budget_ms <= board.times.reclaim_wait_ms
+
+
 @pytest.mark.parametrize("estimate_ms", [100, 1_600, 60_000])
 def test_urgent_unit_is_not_made_to_wait_past_its_latency_objective(estimate_ms: int):
     board = board_with()
