Keep gangs and last attempts off workers whose last run failed

Cause: some workers fail all that they start while their health check is good. A worker was left out after two failures in a row, and a run that was done reset the count though it had started before the fault; the failure of a task that had failed elsewhere before, or of the second member of a gang's run, wasn't counted at all, so with several such workers most were never found out.

Change: gangs and units whose next failure fails their job avoid a worker whose last run failed (for 10 s, or until a run started after that is done), unless they wouldn't fit otherwise; a failure counts also after one elsewhere if other work has failed there too, and for up to three workers of a run of a gang. Single tasks still find out whether such a worker works again.

--- a/packages/lycheeslip/lycheeslip/dispatch/board.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/board.py
@@ -49,7 +49,8 @@
 class WorkerView:
     """The leader's view of one node's worker.
 
-    `failures` counts its recent failed runs; it gets no new runs before `backoff_until_ms`.
+    `failures` counts its recent failed runs, and `failed_units` holds when which unit failed here
+    last; it gets no new runs before `backoff_until_ms`.
     `lost_lifetime_at_ms` is when a lifetime of the worker was last found to have ended (0: never).
     It counts as slow until `slow_until_ms`, and `has_given_notice` once the lifetime that ran here
     last has announced that it leaves.
@@ -61,6 +62,7 @@
     link: Link | None
     failures: int = 0
     last_failure_at_ms: int = 0
+    failed_units: dict[tuple[str, int, int, int], int] = field(default_factory=dict)
     backoff_until_ms: int = 0
     lost_lifetime_at_ms: int = 0
     slow_until_ms: int = 0
@@ -81,7 +83,8 @@
     its acceptance. `ready_at_ms` is since when this leader knows that a step may start, by
     occurrence and step. `stopping` is why each run is being stopped, by task name and run number.
     `measured_run_ms` are the run times that workers' reports show; `relocations` counts
-    the runs of a task that were stopped to start again elsewhere.
+    the runs of a task that were stopped to start again elsewhere. `failed_in_run` are the ids of
+    the workers on which a unit's run has failed, by the unit's first task and the run number.
     """
 
     progress: JobProgress
@@ -96,6 +99,7 @@
     ready_at_ms: dict[tuple[int, int], int] = field(default_factory=dict)
     measured_run_ms: dict[TaskKey, int] = field(default_factory=dict)
     relocations: Counter[TaskKey] = field(default_factory=Counter)
+    failed_in_run: dict[tuple[TaskKey, int], set[str]] = field(default_factory=dict)
 
     def task_name(self, key: TaskKey) -> str:
         """Return the name of a task as workers know it."""
@@ -137,6 +141,12 @@
         occurrence, step, index = self.key
         return (self.job_id, occurrence, step, 0 if is_gang else index)
 
+    @property
+    def counter_key(self) -> TaskKey:
+        """Key of the task that counts the failures of this one's unit: a gang's first member."""
+        is_gang = self.job.progress.spec.steps[self.key[1]].gang
+        return (*self.key[:2], 0) if is_gang else self.key
+
     @property
     def task(self) -> TaskProgress | None:
         """The task's progress; None if the job has no such task (yet)."""
--- a/packages/lycheeslip/lycheeslip/dispatch/ends.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/ends.py
@@ -14,12 +14,13 @@
 
 from lycheeslip.dispatch.board import Board, FoundTask, StoredJob, WorkerView
 from lycheeslip.dispatch.losses import loss_cause, lost_core_s
+from lycheeslip.dispatch.occupancy import FAILURE_MEMORY_MS
 from lycheeslip.dispatch.recorder import Recorder
 from lycheeslip.dispatch.stops import RunStopper
 
 __all__ = ["RunEndProcessor"]
 
-FAILURE_MEMORY_MS = 10_000  # past this, any end but a failure resets a worker's failures
+MAX_BLAMED_WORKERS = 3  # by one run of a gang: one that fails everywhere is itself faulty
 
 
 class RunEndProcessor:
@@ -130,31 +131,62 @@
             if found is None:
                 log_warning("end_of_unknown_job", task=ended.task, node=view.node)
                 continue
-            if not self._is_unrelated_to_worker(found.job, found.key, view):
-                self._update_failures(view, ended.cause)
+            if ended.cause == EndCause.FAILED:
+                failed_in_run = found.job.failed_in_run
+                failed_in_run.setdefault((found.counter_key, ended.run), set()).add(
+                    report.lifetime.worker_id
+                )
+            self._update_failures(view, found, ended.run, ended.cause)
             self.end_run(*found, ended.run, ended.cause, ended.checkpoint)
         self._acknowledge(view)
 
-    def _is_unrelated_to_worker(self, job: StoredJob, key: TaskKey, view: WorkerView) -> bool:
-        """Return whether the end of a run says nothing about the health of its worker.
+    def _update_failures(
+        self, view: WorkerView, found: FoundTask, run: int, cause: EndCause
+    ) -> None:
+        """Count a failure of a worker, or forget its failures after a run that is done.
 
-        Long-running tasks may end at any time; a task that failed elsewhere too is itself faulty.
+        A run that was started before the last failure says nothing: some faults make workers fail
+        all that they start, while what runs already goes on.
         """
-        if job.progress.spec.steps[key[1]].long_running:
+        now = steady_ms()
+        since_failure_ms = now - view.last_failure_at_ms
+        started_at_ms = found.task.started_at_ms if found.task else 0
+        is_disproved = cause == EndCause.DONE and wall_ms() - started_at_ms < since_failure_ms
+        if since_failure_ms > FAILURE_MEMORY_MS or is_disproved:
+            view.failures = 0
+            view.failed_units.clear()
+        if cause == EndCause.FAILED and not self._is_unrelated_to_worker(view, found, run):
+            view.failures += 1
+            view.last_failure_at_ms = view.failed_units[found.unit_key] = now
+
+    def _is_unrelated_to_worker(self, view: WorkerView, found: FoundTask, run: int) -> bool:
+        """Return whether the failure of a run says nothing about the health of its worker.
+
+        Long-running tasks may end at any time. A task that failed elsewhere before is itself
+        faulty, unless other work failed there as well; so is a gang that fails on many workers at
+        once.
+        """
+        job, key = found.job.progress, found.key
+        if job.spec.steps[key[1]].long_running:
             return True
-        worker_id = view.lifetime.worker_id if view.lifetime else ""
-        if key not in job.progress.tasks:
+        if key not in job.tasks or view.lifetime is None:
             return False
-        failed_on = failure_counter(job.progress, key).failed_on
-        return any(other != worker_id for other in failed_on)
+        worker_id = view.lifetime.worker_id
+        at_once = found.job.failed_in_run.get((found.counter_key, run), set())
+        if len(at_once - {worker_id}) >= MAX_BLAMED_WORKERS:
+            return True
+        others = set(failure_counter(job, key).failed_on) - at_once - {worker_id}
+        return any(not self._has_failed_others(other, found) for other in others)
 
-    def _update_failures(self, view: WorkerView, cause: EndCause) -> None:
+    def _has_failed_others(self, worker_id: str, found: FoundTask) -> bool:
+        """Return whether other units than that of `found` have lately failed on a worker."""
         now = steady_ms()
-        if cause == EndCause.FAILED:
-            view.failures += 1
-            view.last_failure_at_ms = now
-        elif cause == EndCause.DONE or now - view.last_failure_at_ms > FAILURE_MEMORY_MS:
-            view.failures = 0
+        return any(
+            unit != found.unit_key and now - at_ms <= FAILURE_MEMORY_MS
+            for view in self._board.workers.values()
+            if view.lifetime is not None and view.lifetime.worker_id == worker_id
+            for unit, at_ms in view.failed_units.items()
+        )
 
     def end_run(
         self, job_id: str, job: StoredJob, key: TaskKey, run: int, cause: EndCause, checkpoint: str
--- a/packages/lycheeslip/lycheeslip/dispatch/occupancy.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/occupancy.py
@@ -22,11 +22,12 @@
     is_guaranteed,
 )
 
-__all__ = ["build_worker_capacities"]
+__all__ = ["FAILURE_MEMORY_MS", "build_worker_capacities"]
 
 MAX_COUNTED_FAILURES = 3
 QUARANTINE_FAILURES = 2  # in a row; 1 in 50 runs fails on a healthy worker, most on a failing one
 QUARANTINE_MS = 6_000  # a failing worker is retried after this; such faults last 5 to 7 s
+FAILURE_MEMORY_MS = 10_000  # past this a failed run says nothing about its worker any more
 RECENT_CRASH_MS = 10_000  # a crash this recent counts as a failure; some workers keep crashing
 
 
@@ -77,9 +78,16 @@
         *total,
         failures=min(view.failures + bool(has_crashed_recently), MAX_COUNTED_FAILURES),
         is_slow=steady_ms() < view.slow_until_ms,
+        is_suspect=_is_suspect(view),
     )
 
 
+def _is_suspect(view: WorkerView) -> bool:
+    """Return whether the last run that tells of the worker's health failed a short while ago."""
+    is_recent = steady_ms() - view.last_failure_at_ms <= FAILURE_MEMORY_MS
+    return view.failures > 0 and is_recent
+
+
 def _placed_runs_by_lifetime(board: Board) -> dict[Lifetime, list[PlacedRun]]:
     now = wall_ms()
     guaranteed = guaranteed_accounts(board)
--- a/packages/lycheeslip/lycheeslip/dispatch/placement.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/placement.py
@@ -12,6 +12,7 @@
 from lycheeslip.dispatch.packing import (
     candidate_groups,
     choose_workers,
+    fits_when_empty,
     free_accelerators,
     is_remote,
     pack,
@@ -101,7 +102,21 @@
     untried = [
         worker for worker in allowed if worker.lifetime.worker_id not in unit.avoided_workers
     ]
-    return untried or allowed
+    return _without_suspects(unit, untried or allowed)
+
+
+def _without_suspects(unit: Unit, workers: list[WorkerCapacity]) -> list[WorkerCapacity]:
+    """Return the workers that are fit for a unit whose failure costs more than its own run.
+
+    Answers a load of gangs while some workers fail all that they start: one member's failure ends
+    all others, and a job of two attempts fails with the second. Single tasks with attempts left
+    find out whether a suspect works again. A unit that wouldn't fit without suspects uses them.
+    """
+    if not (unit.is_gang or unit.is_last_attempt):
+        return workers
+    trusted = [worker for worker in workers if not worker.is_suspect]
+    is_enough = len(trusted) == len(workers) or fits_when_empty(unit, trusted)
+    return trusted if is_enough else workers
 
 
 def _may_use(unit: Unit, worker: WorkerCapacity) -> bool:
--- a/packages/lycheeslip/lycheeslip/dispatch/placement_model.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/placement_model.py
@@ -81,8 +81,9 @@
 class WorkerCapacity:
     """A worker's free capacity and the runs that are placed on it.
 
-    `is_reserved` marks workers of the reserve, which units that are costly to stop avoid, and
-    `is_slow` those on which a run was lately seen to be slow.
+    `is_reserved` marks workers of the reserve, which units that are costly to stop avoid,
+    `is_slow` those on which a run was lately seen to be slow, and `is_suspect` those whose last run
+    failed.
     """
 
     node: str
@@ -100,6 +101,7 @@
     task_counts: Counter[StepKey] = field(default_factory=Counter)
     is_reserved: bool = False
     is_slow: bool = False
+    is_suspect: bool = False
 
     @property
     def has_costly_run(self) -> bool:
@@ -194,7 +196,8 @@
     `max_loss_ratio` limits the work of others that a unit without a guarantee may cost, as a
     ratio of its own work. `advice` is None if any worker of the service may run the unit.
     `claimed_nodes` are the nodes on which an earlier round began to free capacity for it.
-    A unit that `is_isolated` starts only on workers without other work.
+    A unit that `is_isolated` starts only on workers without other work. With `is_last_attempt` its
+    next failure fails the job.
     """
 
     job_id: str
@@ -224,6 +227,7 @@
     advice: Advice | None = None
     claimed_nodes: frozenset[str] = frozenset()
     is_isolated: bool = False
+    is_last_attempt: bool = False
 
     @property
     def key(self) -> UnitKey:
--- a/packages/lycheeslip/lycheeslip/dispatch/waiting.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/waiting.py
@@ -157,6 +157,7 @@
         is_costly_to_stop=is_costly_to_stop(spec, step),
         advice=_advice(board, queue, (job_id, occurrence, step_number)),
         is_isolated=must_start_isolated(job.progress, members[0], wall_ms()),
+        is_last_attempt=0 < first_task.failures >= spec.attempts - 1,
     )
     # a unit that was late before this leader knew of it waits, too: for the workers to connect
     waited_ms = _known_for_ms(job, unit)
--- /dev/null
+++ b/tests/dispatch/worst_load_tests.py
@@ -0,0 +1,77 @@
+"""Replays loads at their worst on the leader's planner, in virtual time."""
+
+import random
+
+import pytest
+from lycheeslip.dispatch.occupancy import FAILURE_MEMORY_MS
+from lycheeslip_common.workload.fleet import EndCause
+from lycheeslip_common.workload.progress import JobState
+
+from tests.harness.load_replay import Load, Outcome, Replay
+
+URGENT, NORMAL, BULK = 0, 1, 2
+RUN_MS = 6_000
+ORDER_MS = 50  # from a plan to the start of a run, with its record
+SEEDS = range(4)
+ENDED = (JobState.COMPLETED, JobState.FAILED)
+
+
+def gangs(count: int, seed: int, every_ms: int = 300, **step) -> list[Load]:
+    """Return gangs of 2 to 12 tasks that need 1 to 8 accelerators each."""
+    chance = random.Random(seed)
+    return [
+        Load(
+            number * every_ms,
+            NORMAL,
+            RUN_MS,
+            {
+                "task_count": chance.randint(2, 12),
+                "accelerators": chance.choice((1, 2, 4, 8)),
+                "cpu_milli": 26_000,
+                "gang": True,
+                **step,
+            },
+        )
+        for number in range(count)
+    ]
+
+
+def bulk(count: int, every_ms: int = 500) -> list[Load]:
+    """Return jobs of single tasks that need one accelerator each."""
+    step = {"task_count": 20, "accelerators": 1, "cpu_milli": 5_600}
+    return [Load(number * every_ms, BULK, RUN_MS, step) for number in range(count)]
+
+
+def play_with_failing_workers(seed: int) -> Outcome:
+    replay = Replay(60)
+    replay.fail(random.Random(seed).sample(range(60), 6), 2_000, 8_700)
+    return replay.play(gangs(30, seed) + bulk(20), 40_000)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_no_gang_starts_where_a_run_has_just_failed(seed: int):
+    failures = play_with_failing_workers(seed).failures
+    known_at_ms = {
+        node: min(failure.failed_at_ms for failure in failures if failure.node == node)
+        for node in {failure.node for failure in failures}
+    }
+    repeated = [
+        failure
+        for failure in failures
+        if failure.is_gang
+        and ORDER_MS < failure.started_at_ms - known_at_ms[failure.node] < FAILURE_MEMORY_MS
+    ]
+    assert len(known_at_ms) >= 3
+    assert repeated == []
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_jobs_are_done_once_each_while_workers_fail_and_leave(seed: int):
+    chance = random.Random(seed)
+    replay = Replay(30)
+    replay.fail(chance.sample(range(30), 3), 1_000, 6_000)
+    replay.take_away(chance.sample(range(30), 4), 5_000, 1_800)
+    outcome = replay.play(gangs(12, seed) + bulk(8), 90_000)
+    unfinished = [job for job, state in outcome.states.items() if state not in ENDED]
+    assert unfinished == []
+    assert outcome.ends[EndCause.DONE] >= len(outcome.took_ms)
