Put a gang that is lost with any of its workers on few of them

A wave that takes 16 % of the workers hits a gang on nine with 79 %, on five with 58 %.

Change: for such gangs the number of their tasks that a worker can take goes before the tightest fit.

--- a/packages/lycheeslip/lycheeslip/dispatch/packing.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/packing.py
@@ -60,12 +60,15 @@
     return is_off_data or (unit.same_rack and len(racks) > 1)
 
 
-def _rank(unit: Unit, worker: WorkerCapacity) -> tuple[int, int, bool, bool, bool, int, str]:
+def _rank(unit: Unit, worker: WorkerCapacity) -> tuple[int, int, bool, bool, bool, int, int, str]:
     """Return a sort key: data rack, healthy and fast workers, reserve, then the best fit.
 
     Runs that are costly to stop are packed apart from the others, so that whole workers can be
-    preempted at little loss.
+    preempted at little loss. A gang that is lost with any of its workers takes few of them, which
+    answers a load of such gangs while workers leave at short notice.
     """
+    is_lost_with_any_worker = unit.is_gang and unit.is_costly_to_stop
+    fewest_workers = -worker.task_slots(unit) if is_lost_with_any_worker else 0
     is_off_rack = bool(unit.data_rack) and worker.rack != unit.data_rack
     is_in_wrong_pool = worker.is_reserved == unit.is_costly_to_stop
     mixes_stop_costs = worker.has_costly_run != unit.is_costly_to_stop
@@ -75,6 +78,7 @@
         worker.is_slow,
         is_in_wrong_pool,
         mixes_stop_costs,
+        fewest_workers,
         worker.free_accelerators,
         worker.node,
     )
--- a/packages/lycheeslip/tests/dispatch/placement_tests.py
+++ b/packages/lycheeslip/tests/dispatch/placement_tests.py
@@ -1,5 +1,6 @@
 """Tests of where units start and which runs are preempted."""
 
+import pytest
 from lycheeslip.dispatch.placement import plan_round
 from lycheeslip.dispatch.placement_model import PlacedRun, WorkerCapacity
 
@@ -28,6 +29,45 @@
     assert plan.starts == []
 
 
+def half_and_whole_workers() -> list[WorkerCapacity]:
+    halves = [worker(f"half-{i}", free=4) for i in range(6)]
+    return halves + [worker(f"free-{i}") for i in (0, 1)]
+
+
+def test_gang_that_is_lost_with_any_worker_takes_few_of_them():
+    workers = [worker(f"half-{i}", free=4) for i in range(6)] + [
+        worker(f"free-{i}") for i in (0, 1)
+    ]
+    gang = unit(members=4, accelerators=4, is_costly_to_stop=True)
+    assert set(nodes(plan_round([gang], workers))) == {"free-0", "free-1"}
+
+
+def test_gang_that_saves_its_progress_leaves_whole_workers_free():
+    workers = [worker(f"half-{i}", free=4) for i in range(6)] + [
+        worker(f"free-{i}") for i in (0, 1)
+    ]
+    gang = unit(members=4, accelerators=4)
+    assert set(nodes(plan_round([gang], workers))) == {f"half-{i}" for i in range(4)}
+
+
+@pytest.mark.parametrize(
+    ("fields", "chosen"),
+    [
+        ({}, {"suspect"}),
+        ({"is_last_attempt": True}, {"n2"}),
+        ({"members": 2, "accelerators": 8}, {"n2", "n3"}),
+    ],
+)
+def test_gangs_and_last_attempts_avoid_a_worker_whose_last_run_failed(fields, chosen):
+    workers = [worker("suspect", free=1, is_suspect=True), worker("n2"), worker("n3")]
+    assert set(nodes(plan_round([unit(**fields)], workers))) == chosen
+
+
+def test_gang_that_needs_a_suspect_uses_it():
+    workers = [worker("suspect", is_suspect=True), worker("n2")]
+    assert len(plan_round([unit(members=2, accelerators=8)], workers).starts) == 1
+
+
 def test_same_rack_gang_waits_for_a_rack_that_could_hold_it():
     workers = [
         worker("n1", "r1"),
