Spare work that was preempted before, if other work costs a little more

Change: in the choice of victims a cost counts once more for each time that the task or gang was stopped for other work; the limit of what a stop may cost stays that of the real cost.

Tests: test_work_that_was_preempted_before_is_spared failed before; a replay of bursts guards it.

--- a/packages/lycheeslip/lycheeslip/dispatch/board.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/board.py
@@ -83,7 +83,8 @@
     its acceptance. `ready_at_ms` is since when this leader knows that a step may start, by
     occurrence and step. `stopping` is why each run is being stopped, by task name and run number.
     `measured_run_ms` are the run times that workers' reports show; `relocations` counts
-    the runs of a task that were stopped to start again elsewhere. `failed_in_run` are the ids of
+    the runs of a task that were stopped to start again elsewhere, and `preemptions` those that were
+    stopped for other work, both by a gang's first task. `failed_in_run` are the ids of
     the workers on which a unit's run has failed, by the unit's first task and the run number.
     """
 
@@ -99,6 +100,7 @@
     ready_at_ms: dict[tuple[int, int], int] = field(default_factory=dict)
     measured_run_ms: dict[TaskKey, int] = field(default_factory=dict)
     relocations: Counter[TaskKey] = field(default_factory=Counter)
+    preemptions: Counter[TaskKey] = field(default_factory=Counter)
     failed_in_run: dict[tuple[TaskKey, int], set[str]] = field(default_factory=dict)
 
     def task_name(self, key: TaskKey) -> str:
--- a/packages/lycheeslip/lycheeslip/dispatch/occupancy.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/occupancy.py
@@ -142,6 +142,7 @@
         cores * times.run_ms / 1_000 if spec.priority == URGENT_PRIORITY else 0.0,
         latest_start_ms,
         must_run_isolated(job.progress, key, now_ms),
+        job.preemptions[(*key[:2], 0) if step.gang else key],
     )
 
 
--- a/packages/lycheeslip/lycheeslip/dispatch/placement_model.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/placement_model.py
@@ -49,6 +49,7 @@
 
     `delay_cost` is what it counts for, also in core-seconds, if it starts again after
     `latest_start_ms`, the Unix time by which it has to start to meet its latency objective.
+    The task has been preempted `times_preempted` times before.
     `remaining_ms` is its estimated time to completion; a run that `is_protected` by a disruption
     budget is never preempted. No other unit starts beside a run that `is_isolated`.
     """
@@ -70,6 +71,7 @@
     delay_cost: float = 0.0
     latest_start_ms: float = 0.0
     is_isolated: bool = False
+    times_preempted: int = 0
 
     @property
     def victim_key(self) -> VictimKey:
--- a/packages/lycheeslip/lycheeslip/dispatch/reclaim.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/reclaim.py
@@ -23,21 +23,24 @@
 class Victim(NamedTuple):
     """A preemptible task or gang, with its runs on the workers considered.
 
-    `cost` is the work that it loses and what its delay counts for, in core-seconds.
+    `cost` is the work that it loses and what its delay counts for, in core-seconds. It counts more
+    in the choice of victims each time, so that a burst doesn't stop the same work again and again.
     """
 
     key: VictimKey
     cost: float
+    weighted_cost: float
     runs: tuple[tuple[WorkerCapacity, PlacedRun], ...]
 
 
 class Eviction(NamedTuple):
-    """Victims to stop and the workers then used; `cost` is that of all victims.
+    """Victims to stop and the workers then used; both costs are those of all victims.
 
     Runs that end within `patience_ms` are waited for instead; the wait counts as `wait_cost`.
     """
 
     cost: float
+    weighted_cost: float
     wait_cost: float
     patience_ms: float
     workers: list[WorkerCapacity]
@@ -90,7 +93,7 @@
 
 
 def _total_cost(eviction: Eviction) -> float:
-    return eviction.cost + eviction.wait_cost
+    return eviction.weighted_cost + eviction.wait_cost
 
 
 def _victims(
@@ -109,15 +112,19 @@
             key = placed_run.victim_key
             if key not in preempted and _is_preemptible_for(unit, placed_run):
                 runs.setdefault(key, []).append((worker, placed_run))
-    victims = [
-        Victim(
-            key,
-            max(_cost(unit, run, patience_ms) for _, run in members),
-            tuple(members),
-        )
-        for key, members in runs.items()
-    ]
-    return sorted(victims, key=lambda victim: victim.cost)
+    victims = [_victim(unit, key, members, patience_ms) for key, members in runs.items()]
+    return sorted(victims, key=lambda victim: victim.weighted_cost)
+
+
+def _victim(
+    unit: Unit,
+    key: VictimKey,
+    members: Sequence[tuple[WorkerCapacity, PlacedRun]],
+    patience_ms: float,
+) -> Victim:
+    cost = max(_cost(unit, run, patience_ms) for _, run in members)
+    times = max(run.times_preempted for _, run in members)
+    return Victim(key, cost, cost * (1 + times), tuple(members))
 
 
 def _cost(unit: Unit, placed_run: PlacedRun, patience_ms: float) -> float:
@@ -195,9 +202,14 @@
         if not trial.fits:
             trial.evict(victim)
             needed.append(victim)
-    cost = sum(victim.cost for victim in needed)
-    wait_cost = _wait_cost(unit, needed, patience_ms)
-    return Eviction(cost, wait_cost, patience_ms, trial.workers(), needed)
+    return Eviction(
+        sum(victim.cost for victim in needed),
+        sum(victim.weighted_cost for victim in needed),
+        _wait_cost(unit, needed, patience_ms),
+        patience_ms,
+        trial.workers(),
+        needed,
+    )
 
 
 class EvictionTrial:
--- a/packages/lycheeslip/lycheeslip/dispatch/stops.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/stops.py
@@ -56,11 +56,13 @@
             patience_ms=round(unit.wait_budget_ms),
         )
         self._board.counters.count("preemptions")
+        found = self._board.find_task(placed_run.task)
+        if found is not None and (placed_run.task, placed_run.run) not in job.stopping:
+            job.preemptions[found.counter_key] += 1
         if job.progress.spec.steps[step].gang:
             for member in unit_members(job.progress, occurrence, step):
                 self._stop(placed_run.job_id, job, member, LossCause.PREEMPTED)
             return
-        found = self._board.find_task(placed_run.task)
         if found is not None:
             self._stop(placed_run.job_id, job, found.key, LossCause.PREEMPTED)
 
--- a/packages/lycheeslip/tests/dispatch/reclaim_tests.py
+++ b/packages/lycheeslip/tests/dispatch/reclaim_tests.py
@@ -94,3 +94,13 @@
     assert stops(loss=1.5, remaining_ms=1_600) == 8
     assert stops(loss=40, remaining_ms=1_600) == 0
     assert stops(loss=1.5, remaining_ms=50) == 0
+
+
+def test_work_that_was_preempted_before_is_spared():
+    often, never = (
+        placed_run(name, 8, 2, loss, times_preempted=times)
+        for name, loss, times in (("often", 4.0, 2), ("never", 9.0, 0))
+    )
+    workers = [worker("n1", free=0, placed_runs=[often]), worker("n2", free=0, placed_runs=[never])]
+    plan = plan_round([unit(accelerators=8, priority=0, work=20.0)], workers)
+    assert [stop.placed_run.task for stop in plan.stops] == ["never"]
--- a/tests/dispatch/worst_load_tests.py
+++ b/tests/dispatch/worst_load_tests.py
@@ -90,3 +90,17 @@
     took_ms = sorted(outcome.took_ms[f"{number:016x}"] for number in range(8, 11))
     assert took_ms[-1] <= outcome.limit_ms[f"{8:016x}"]
     assert outcome.in_time == len(outcome.limit_ms)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_bursts_do_not_stop_the_same_work_again_and_again(seed: int):
+    chance = random.Random(seed)
+    whole = {"accelerators": 8, "cpu_milli": 5_600}
+    work = [Load(chance.randint(0, 500), BULK, 20_000, whole) for _ in range(12)]
+    bursts = [Load(burst_ms, URGENT, 3_000, whole) for burst_ms in range(2_000, 8_000, 1_000)]
+    replay = Replay(12)
+    outcome = replay.play(work + bursts, 90_000)
+    stops = [sum(job.preemptions.values()) for job in replay.board.jobs.values()]
+    assert sum(stops) >= 3
+    assert max(stops) == 1
+    assert outcome.in_time == len(outcome.limit_ms)
