Let entries with little processor time leave a free term to stronger ones

Change: an entry whose settings give it less than a core waits 0.3 s before it writes the leader's key; the condition of that write fails if another has led meanwhile. It leads if nobody else does.

Test: test_weak_entry_leaves_the_lead_to_a_strong_one_and_leads_alone failed without the wait; boot_tests.py for the settings.

--- a/packages/lycheeslip/lycheeslip/dispatch/board.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/board.py
@@ -166,7 +166,10 @@
         times: DispatchTimes,
         seeds: Sequence[str] = (),
     ) -> None:
-        """Start without configuration, leader, jobs and workers; `seeds` are entry addresses."""
+        """Start without configuration, leader, jobs and workers; `seeds` are entry addresses.
+
+        `campaign_delay_ms` is how long this entry leaves a free term to others.
+        """
         self.node = node
         self.zone = zone
         self.address = address
@@ -179,6 +182,7 @@
         self.store_answered_at_ms = 0
         self.is_store_lost = False
         self.entries = EntryDirectory(seeds)
+        self.campaign_delay_ms = 0
         self.leadership: Leadership | None = None
         self.leader_address = ""
         self.leader_epoch = 0
--- a/packages/lycheeslip/lycheeslip/dispatch/leadership.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/leadership.py
@@ -21,7 +21,7 @@
 from lycheeslip.dispatch.keys import LEADER_KEY
 from lycheeslip.dispatch.links import announce_leader, ask_for_leader
 
-__all__ = ["Election", "decode_leader"]
+__all__ = ["Election", "campaign_delay_ms", "decode_leader"]
 
 RETRY_S = 0.25  # a killed leader's lease expires within 2 s, which allows eight tries
 RELEASE_TIMEOUT_S = 0.5
@@ -31,6 +31,16 @@
 ASK_TIMEOUT_S = 0.3  # other entries answer within a few ms
 LOAD_LEASES = 2  # a reachable store takes a few calls of a few ms
 ASK_PERIOD_MS = 1_000  # a leader announces itself too, so this finds only what that has missed
+STRONG_PROCESSOR = 1.0  # cores; a leader of 160 workers uses half of one
+WEAK_DELAY_MS = 300  # a stronger entry reads the leader's key every 0.25 s
+
+
+def campaign_delay_ms(processor: float) -> int:
+    """Return how long an entry with `processor` cores leaves a free term to stronger entries.
+
+    Answers deployments whose entries differ: a leader plans for all, so a weak one holds up all.
+    """
+    return 0 if processor >= STRONG_PROCESSOR else WEAK_DELAY_MS
 
 
 class Election:
@@ -211,6 +221,10 @@
 
         The lease of a predecessor may not have expired; 0 if there is none.
         """
+        if self._board.campaign_delay_ms:
+            await asyncio.sleep(self._board.campaign_delay_ms / 1_000)
+            if self._board.is_leaving or self._announced is not None:
+                return False
         requested_at = steady_ms()
         lease = await self._store.grant(self._board.times.leader_lease_ms)
         if not isinstance(lease, LeaseGranted):
--- a/tests/dispatch/lifecycle_tests.py
+++ b/tests/dispatch/lifecycle_tests.py
@@ -69,6 +69,21 @@
     await leader.store.close()
 
 
+async def test_weak_entry_leaves_the_lead_to_a_strong_one_and_leads_alone(free_port):
+    async with Cell(free_port, entries=3, weak_entries=(0, 2)) as cell:
+        strong = cell.entries[1]
+        for _ in range(2):
+            first = cell.leader()
+            assert first is strong
+            await first.entry.release_leadership()
+            first.board.is_leaving = False
+            await cell.until(lambda: cell.leader() is not None)
+        cell.entries.remove(strong)
+        await strong.kill()
+        await cell.until(lambda: cell.leader() is not None)
+        await strong.store.close()
+
+
 async def test_replaced_leader_causes_no_second_run(cell: Cell):
     leader = cell.leader()
     assert leader is not None
--- a/tests/harness/platform_cell.py
+++ b/tests/harness/platform_cell.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Container
 from typing import Any
 
 import aiohttp
@@ -10,7 +10,7 @@
 from lycheeslip.dispatch.board import Board as EntryBoard
 from lycheeslip.dispatch.entry import DispatchEntry
 from lycheeslip.dispatch.keys import LEADER_KEY
-from lycheeslip.dispatch.leadership import decode_leader
+from lycheeslip.dispatch.leadership import WEAK_DELAY_MS, decode_leader
 from lycheeslip_agent.dispatch.agent import DispatchAgent
 from lycheeslip_agent.dispatch.board import Board as AgentBoard
 from lycheeslip_common.store.outcomes import Unreachable
@@ -126,8 +126,18 @@
 class Cell:
     """A small deployment, used as an asynchronous context manager."""
 
-    def __init__(self, free_port: Callable[[], int], entries: int = 2, agents: int = 2) -> None:
-        """Set the number of processes, which start when the context is entered."""
+    def __init__(
+        self,
+        free_port: Callable[[], int],
+        entries: int = 2,
+        agents: int = 2,
+        weak_entries: Container[int] = (),
+    ) -> None:
+        """Set the number of processes, which start when the context is entered.
+
+        `weak_entries` leave a free term to the others.
+        """
+        self._weak_entries = weak_entries
         self._free_port = free_port
         self._process_counts = (entries, agents)
         self.store = PlatformStoreServer()
@@ -166,6 +176,8 @@
     async def add_entry(self, number: int) -> None:
         """Start another entry."""
         entry = EntryProcess(number, self.store.address, self.advice.address)
+        if number in self._weak_entries:
+            entry.board.campaign_delay_ms = WEAK_DELAY_MS
         await entry.start(self._free_port(), self._free_port())
         self.entries.append(entry)
 
--- /dev/null
+++ b/tests/platform_adapter/boot_tests.py
@@ -0,0 +1,37 @@
+"""Tests of the settings that the platform gives to each process."""
+
+import pytest
+from lycheeslip.dispatch.leadership import WEAK_DELAY_MS, campaign_delay_ms
+from lycheeslip_platform.boot import BootError, load_boot_settings
+
+SETTINGS = """\
+node_name = "edge-1"
+zone = "zone-a"
+ip = "10.1.0.1"
+port_range = [7000, 7015]
+[platform]
+address = "10.2.0.1:8524"
+"""
+
+
+def load(tmp_path, more=""):
+    path = tmp_path / "boot.toml"
+    path.write_text(SETTINGS + more)
+    return load_boot_settings(str(path))
+
+
+@pytest.mark.parametrize(
+    ("limits", "delay_ms"),
+    [
+        ("", 0),
+        ("[limits]\ncpu_share = 0.717\ncores = 3\n", 0),
+        ("[limits]\ncpu_share = 0.516\ncores = 1\n", WEAK_DELAY_MS),
+    ],
+)
+def test_weak_instances_leave_the_lead_to_others(tmp_path, limits, delay_ms):
+    assert campaign_delay_ms(load(tmp_path, limits).processor) == delay_ms
+
+
+def test_unusable_limit_is_named(tmp_path):
+    with pytest.raises(BootError, match="cpu_share"):
+        load(tmp_path, '[limits]\ncpu_share = "all"\n')
