Let a leader whose lease has run out order nothing

Cause: a leader that was paused or couldn't renew went on deciding until it learned of its successor. Starts need a record that only the leader of the term can write, but stops went out at once: runs were stopped by an entry that perhaps didn't lead any more, and, while the store was silent, for starts that couldn't be recorded before it was back. And an agent that connected just after such a pause was sent starts that a successor may have placed elsewhere meanwhile.

Change: no planning and no stop order once the lease has run out (a stop is repeated a second later by whoever leads then), and agents that connect are sent away.

The test of weak entries failed once beside load: entry 1 had started over 0.3 s after entry 0, which had led by then (the same with a pause of 0.5 s between them); its weak entries now wait for 2 s.

--- a/packages/lycheeslip/lycheeslip/dispatch/board.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/board.py
@@ -218,6 +218,11 @@
         """Whether this entry leads by its local state, without a read from the store."""
         return self.leadership is not None
 
+    @property
+    def holds_lease(self) -> bool:
+        """Whether the lease of this entry's term has not run out, as it may during a pause."""
+        return self.leadership is not None and steady_ms() < self.leadership.valid_until_ms
+
     @property
     def is_ready(self) -> bool:
         """Whether this entry should get callers: the store answers, so it can accept jobs."""
--- a/packages/lycheeslip/lycheeslip/dispatch/dispatcher.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/dispatcher.py
@@ -89,7 +89,11 @@
                 self.plan()
 
     def plan(self) -> None:
-        """Run one planning round."""
+        """Run one planning round.
+
+        Once the lease has run out nothing is decided: another entry may lead, and starts can't be
+        recorded for which other work would be stopped.
+        """
         began = steady_ms()
         now_ms = wall_ms()
         for job in self._board.jobs.values():
@@ -99,7 +103,7 @@
         self._run_stopper.stop_obsolete()
         self._record_checkpoints(began)
         self._board.is_view_complete = self._is_view_complete(began)
-        if self._is_config_confirmed():
+        if self._board.holds_lease and self._is_config_confirmed():
             workers = build_worker_capacities(self._board)
             units = build_units(self._board, workers, self._claims.current())
             plan = plan_round(
--- a/packages/lycheeslip/lycheeslip/dispatch/links.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/links.py
@@ -114,7 +114,7 @@
             return
         link.post(Redirect(board.leader_address, board.leader_epoch))
         term = board.leadership
-        if term is None or not board.is_loaded:
+        if term is None or not board.is_loaded or not board.holds_lease:
             await asyncio.sleep(0.05)  # lets the redirect be sent before the link is closed
             return
         self._links.add(link)
--- a/packages/lycheeslip/lycheeslip/dispatch/stops.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/stops.py
@@ -102,8 +102,8 @@
     def _send_stop(self, node: str, lifetime: Lifetime, task: str, run: int, cause: str) -> None:
         view = self._board.workers.get(node)
         term = self._board.leadership
-        if view is None or view.link is None or term is None:
-            return
+        if view is None or view.link is None or term is None or not self._board.holds_lease:
+            return  # repeated after `STOP_RETRY_MS` by whoever leads then
         log_event("stop_ordered", task=task, run=run, node=node, epoch=term.epoch, cause=cause)
         view.link.post(StopOrder(term.epoch, lifetime, task, run))
 
--- a/tests/harness/platform_cell.py
+++ b/tests/harness/platform_cell.py
@@ -10,7 +10,7 @@
 from lycheeslip.dispatch.board import Board as EntryBoard
 from lycheeslip.dispatch.entry import DispatchEntry
 from lycheeslip.dispatch.keys import LEADER_KEY
-from lycheeslip.dispatch.leadership import WEAK_DELAY_MS, decode_leader
+from lycheeslip.dispatch.leadership import decode_leader
 from lycheeslip_agent.dispatch.agent import DispatchAgent
 from lycheeslip_agent.dispatch.board import Board as AgentBoard
 from lycheeslip_common.store.outcomes import Unreachable
@@ -28,6 +28,7 @@
 
 WAIT_S = 15.0
 HOST = "jobs.example"
+WEAK_DELAY_MS = 2_000  # all entries of a cell have started by then, also on a busy machine
 PREFIXES = {0: "/urgent/", 1: "/normal/", 2: "/bulk/"}
 TIMES = DispatchTimes(
     run_lease_ms=1_500,
