Plan at once when the lease is renewed after a failure

Since nothing is decided without the lease, what arrived meanwhile would wait for the next periodic round, up to 0.25 s, while the slack of short urgent jobs is 0.4 s. No test of its own.

--- a/packages/lycheeslip/lycheeslip/dispatch/leadership.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/leadership.py
@@ -306,6 +306,8 @@
             match outcome:
                 case LeaseGranted(_, ttl_ms):
                     term.valid_until_ms = requested_at + ttl_ms
+                    if failures:
+                        self._board.planning_needed.set()  # nothing was planned without the lease
                     failures = 0
                 case LeaseEnded():
                     self._end_term("lease_ended")
