Count members of a gang that break by the stop of another by its reason

Their loss counts by the reason of the stop now; nothing but a log line and a counter depends on it. losses_tests has the case, which failed before.

--- a/packages/lycheeslip/lycheeslip/dispatch/losses.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/losses.py
@@ -52,8 +52,8 @@
     """
     if end_cause == EndCause.DONE:
         return None
-    if end_cause == EndCause.STOPPED and stop_cause is not None:
-        return stop_cause
+    if end_cause in (EndCause.STOPPED, EndCause.BROKEN) and stop_cause is not None:
+        return stop_cause  # the stop of one member of a gang breaks the others
     if end_cause == EndCause.LOST and had_notice:
         return LossCause.WORKER_LEFT
     return CAUSES_BY_END[end_cause]
--- a/packages/lycheeslip/tests/dispatch/losses_tests.py
+++ b/packages/lycheeslip/tests/dispatch/losses_tests.py
@@ -44,6 +44,8 @@
 
 def test_a_stop_is_known_by_its_reason_and_a_lost_worker_by_its_notice():
     assert loss_cause(EndCause.STOPPED, LossCause.PREEMPTED, False) == LossCause.PREEMPTED
+    assert loss_cause(EndCause.BROKEN, LossCause.RELOCATED, False) == LossCause.RELOCATED
+    assert loss_cause(EndCause.BROKEN, None, False) == LossCause.BROKEN
     assert loss_cause(EndCause.STOPPED, None, False) == LossCause.STOPPED
     assert loss_cause(EndCause.LOST, None, True) == LossCause.WORKER_LEFT
     assert loss_cause(EndCause.LOST, None, False) == LossCause.WORKER_LOST
--- a/tests/harness/load_replay.py
+++ b/tests/harness/load_replay.py
@@ -254,7 +254,7 @@
 
     def play(self, loads: Sequence[Load], until_ms: int) -> Outcome:
         """Play the load until `until_ms` after its start; returns what became of it."""
-        with self._virtual_clock():
+        with self.virtual_clock():
             self.dispatcher.begin_term()
             self.board.is_loaded = True
             self.now_ms -= 2_000  # the view of the fleet is complete when the load starts
@@ -357,7 +357,7 @@
                 self.outcome.took_ms[job_id] = took_ms
 
     @contextmanager
-    def _virtual_clock(self) -> Iterator[None]:
+    def virtual_clock(self) -> Iterator[None]:
         """Let all modules of the product read this replay's clock."""
         replaced: list[tuple[Any, str, Any]] = []
         for name, module in list(sys.modules.items()):
