Don't split a gang of one rack for the sake of a suspect worker

Cause, found on reading: a worker whose last run failed was left out before the racks were compared, so that a gang whose only large enough rack had such a worker seemed to fit on no rack and was split, at three times its run time.

Change: it uses the suspect, or waits for it, if no rack could hold it otherwise.

Test: test_gang_of_one_rack_is_not_split_for_the_sake_of_a_suspect failed before.

--- a/packages/lycheeslip/lycheeslip/dispatch/packing.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/packing.py
@@ -7,6 +7,7 @@
 __all__ = [
     "candidate_groups",
     "choose_workers",
+    "fits_one_rack_when_empty",
     "fits_when_empty",
     "free_accelerators",
     "is_remote",
@@ -39,7 +40,7 @@
     for worker in ranked:
         racks.setdefault(worker.rack, []).append(worker)
     yield from sorted(racks.values(), key=free_accelerators)
-    if not any(fits_when_empty(unit, group) for group in racks.values()):
+    if not fits_one_rack_when_empty(unit, ranked):
         yield ranked
 
 
@@ -53,6 +54,14 @@
     return pack(unit, group, WorkerCapacity.task_slots_when_empty) is not None
 
 
+def fits_one_rack_when_empty(unit: Unit, workers: Sequence[WorkerCapacity]) -> bool:
+    """Return whether the whole unit would fit onto the workers of one rack if they were empty."""
+    racks: dict[str, list[WorkerCapacity]] = {}
+    for worker in workers:
+        racks.setdefault(worker.rack, []).append(worker)
+    return any(fits_when_empty(unit, group) for group in racks.values())
+
+
 def is_remote(unit: Unit, chosen: Sequence[WorkerCapacity]) -> bool:
     """Return whether `unit` would be slow: off its data's rack, or split despite `same_rack`."""
     racks = {worker.rack for worker in chosen}
--- a/packages/lycheeslip/lycheeslip/dispatch/placement.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/placement.py
@@ -12,6 +12,7 @@
 from lycheeslip.dispatch.packing import (
     candidate_groups,
     choose_workers,
+    fits_one_rack_when_empty,
     fits_when_empty,
     free_accelerators,
     is_remote,
@@ -115,8 +116,12 @@
     if not (unit.is_gang or unit.is_last_attempt):
         return workers
     trusted = [worker for worker in workers if not worker.is_suspect]
-    is_enough = len(trusted) == len(workers) or fits_when_empty(unit, trusted)
-    return trusted if is_enough else workers
+    if len(trusted) == len(workers) or not fits_when_empty(unit, trusted):
+        return workers
+    # a gang of one rack isn't split for the sake of a suspect
+    if unit.same_rack and not fits_one_rack_when_empty(unit, trusted):
+        return workers if fits_one_rack_when_empty(unit, workers) else trusted
+    return trusted
 
 
 def _may_use(unit: Unit, worker: WorkerCapacity) -> bool:
--- a/packages/lycheeslip/tests/dispatch/placement_tests.py
+++ b/packages/lycheeslip/tests/dispatch/placement_tests.py
@@ -68,6 +68,17 @@
     assert len(plan_round([unit(members=2, accelerators=8)], workers).starts) == 1
 
 
+def test_gang_of_one_rack_is_not_split_for_the_sake_of_a_suspect():
+    workers = [
+        worker("n1", "r1"),
+        worker("suspect", "r1", is_suspect=True),
+        worker("n2", "r2"),
+        worker("n3", "r3"),
+    ]
+    gang = unit(members=2, accelerators=8, same_rack=True)
+    assert set(nodes(plan_round([gang], workers))) == {"n1", "suspect"}
+
+
 def test_same_rack_gang_waits_for_a_rack_that_could_hold_it():
     workers = [
         worker("n1", "r1"),
