--- a/packages/lycheeslip/lycheeslip/dispatch/intake.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/intake.py
@@ -37,6 +37,7 @@
 RETRY_PAUSE_S = 0.25
 STORE_WAIT_RATIO = 0.25  # share of a call's time spent on waiting while no entry can decide it
 NEXT_TRY_S = 0.3  # a slow store answers within this; then another entry is asked as well
+NEXT_HELPER_S = 0.15  # an entry that reaches the store answers within some 10 ms
 
 Try = Callable[[], Coroutine[Any, Any, Outcome]]
 
@@ -96,12 +97,12 @@
     async def _ask_all(self, call: Call, request: Request, helpers: Sequence[str]) -> Round:
         """Ask this entry and `helpers`, one after the other, until one has decided.
 
-        For a write the next entry is asked after `NEXT_TRY_S` of silence: the same record results,
-        whoever writes it. After a refusal the result waits for the tries in progress, since one of
-        them may yet store the record.
+        For a write the next entry is asked after `NEXT_TRY_S` of silence, and the others in steps
+        of `NEXT_HELPER_S`: the same record results, whoever writes it. After a refusal the result
+        waits for the tries in progress, since one of them may yet store the record.
         """
         tries = self._tries(call, request, helpers)
-        next_try_s = NEXT_TRY_S if is_write(request) else None
+        next_try_s = NEXT_TRY_S
         in_progress: set[asyncio.Task[Outcome]] = set()
         undecided: Outcome = NotRun("deadline")
         refusal: Outcome | None = None
@@ -112,9 +113,10 @@
                     in_progress.add(asyncio.create_task(tries.pop(0)()))
                 done, in_progress = await asyncio.wait(
                     in_progress,
-                    timeout=next_try_s if tries else None,
+                    timeout=next_try_s if tries and is_write(request) else None,
                     return_when=asyncio.FIRST_COMPLETED,
                 )
+                next_try_s = NEXT_HELPER_S
                 for task in done:
                     match outcome := _outcome_of(task, request):
                         case NotRun():
--- a/packages/lycheeslip/tests/dispatch/intake_tests.py
+++ b/packages/lycheeslip/tests/dispatch/intake_tests.py
@@ -139,3 +139,30 @@
     first = [board.entries.helpers("127.0.0.1:9", "127.0.0.1:3") for _ in range(4)]
     assert {helpers[0] for helpers in first} == {"127.0.0.1:3"}
     assert {helpers[1] for helpers in first} == set(OTHERS)
+
+
+async def test_silent_helper_costs_a_caller_less_time_than_a_silent_store():
+    """A caller that waits for three seconds has its answer after less than a quarter of them."""
+    board = Board("entry", "zone", "127.0.0.1:9", DispatchTimes(), OTHERS)
+    first_asked_at_ms: dict[str, int] = {}
+
+    async def answer(address: str) -> Outcome:
+        first_asked_at_ms.setdefault(address, steady_ms())
+        if address != OTHERS[1]:
+            await asyncio.sleep(10)
+        return Accepted()
+
+    class Entries:
+        async def forward(self, address: str, call: Call, request: object) -> Outcome:
+            return await answer(address)
+
+        async def answer(self, call: Call, request: object) -> Outcome:
+            return await answer("here")
+
+    entries = Entries()
+    began_at_ms = steady_ms()
+    call = Call("host", "/path/", "key", began_at_ms + 3_000)
+    assert await Intake(board, entries, entries).answer(call, SUBMIT) == Accepted()
+    waits_ms = [at_ms - began_at_ms for at_ms in first_asked_at_ms.values()]
+    assert list(first_asked_at_ms) == ["here", *OTHERS]
+    assert waits_ms[2] < 3_000 / 4 * 2 / 3
