Send a start only after the worker has answered in the lifetime it is for

Cause: an unanswered start was repeated every 0.1 s. A worker that crashed and kept its id was reached in its next lifetime, before its first heartbeat, and ran the same run again while the leader started the next one elsewhere: two runs of one task at once were possible. And a start was sent to a worker that answered nothing, so that a gang was held until it did. A first start at a silent worker isn't sent: the leader learns of it at once (order_without_run, silent) and leaves the worker alone for 2 s. The tests of orders name the check in their sequences of calls now.

--- a/packages/lycheeslip/lycheeslip/dispatch/dispatcher.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/dispatcher.py
@@ -40,7 +40,8 @@
 CHECKPOINT_WRITE_INTERVAL_MS = 2_000  # limits writes; tasks save checkpoints once a second
 SLOW_ROUND_MS = 50  # the shortest urgent jobs have about 0.5 s in all to start and to be shown
 REJECTION_BACKOFF_MS = 500  # a worker that rejected an order gets no other for this long
-REJECTIONS = frozenset({"fence", "late", "no_lease", "room", "unhealthy", "worker_gone"})
+SILENCE_BACKOFF_MS = 2_000  # a worker that was silent may be so for seconds
+REJECTIONS = frozenset({"fence", "late", "no_lease", "room", "silent", "unhealthy", "worker_gone"})
 
 
 class Dispatcher:
@@ -234,7 +235,9 @@
         self._board.counters.count("orders_without_run", result.reason)
         view = self._board.workers.get(node)
         if view is not None and result.reason in REJECTIONS:
-            view.backoff_until_ms = steady_ms() + REJECTION_BACKOFF_MS
+            is_silent = result.reason == "silent"
+            backoff_ms = SILENCE_BACKOFF_MS if is_silent else REJECTION_BACKOFF_MS
+            view.backoff_until_ms = steady_ms() + backoff_ms
         advice = self._board.advice.get((found.job_id, *found.key[:2]))
         if advice is not None and result.reason == "ticket":
             advice.tickets.pop(result.lifetime, None)
--- a/packages/lycheeslip_agent/lycheeslip_agent/dispatch/orders.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/dispatch/orders.py
@@ -22,6 +22,7 @@
 __all__ = ["OrderExecutor"]
 
 RETRY_S = 0.1
+SILENT = "silent"  # reason of an order that isn't sent, since the worker may carry it out late
 
 
 class OrderExecutor:
@@ -53,6 +54,12 @@
         task.add_done_callback(lambda _: self._tasks.pop(key, None))
 
     async def _start(self, order: StartOrder) -> None:
+        """Start a run, or report why it isn't started.
+
+        A start may be carried out late, and a repeated one would start the run again in the next
+        lifetime of a worker that keeps its id. So one is sent only once the worker has answered in
+        the lifetime that the order is for.
+        """
         board = self._board
         run_key = (order.task, order.run)
         board.pending_starts[run_key] = steady_ms()
@@ -65,6 +72,12 @@
                 if refusal:
                     await self._report_not_started(order, refusal, was_unanswered)
                     return
+                if not await self._worker.answers(order.lifetime, max(order.epoch, board.epoch)):
+                    if not was_unanswered:
+                        self._post_result(order.lifetime, order.task, order.run, SILENT)
+                        return
+                    await asyncio.sleep(RETRY_S)
+                    continue
                 outcome = await self._worker.start(
                     order, board.lease_end_on_worker_ms(), max(order.epoch, board.epoch)
                 )
--- a/packages/lycheeslip_agent/lycheeslip_agent/dispatch/worker_port.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/dispatch/worker_port.py
@@ -110,6 +110,9 @@
     ) -> OrderOutcome:
         """Set a run's speed to `percent` of full speed, with effect shortly after the answer."""
 
+    async def answers(self, lifetime: Lifetime, epoch: int) -> bool:
+        """Return whether `lifetime` of the worker answers calls, and not a later one."""
+
     async def is_unused(self) -> bool:
         """Return whether the worker answers in a lifetime that has never been called before.
 
--- a/packages/lycheeslip_agent/tests/dispatch/orders_tests.py
+++ b/packages/lycheeslip_agent/tests/dispatch/orders_tests.py
@@ -38,8 +38,13 @@
 class ScriptedWorker:
     """Answers calls from scripted lists; the last answer repeats."""
 
-    def __init__(self, starts=(), stops=EXECUTED, lists=NOTHING_LISTED):
-        self._answers = {"start": list(starts), "stop": list(stops), "hold": list(lists)}
+    def __init__(self, starts=(), stops=EXECUTED, lists=NOTHING_LISTED, answers=(True,)):
+        self._answers = {
+            "answers": list(answers),
+            "start": list(starts),
+            "stop": list(stops),
+            "hold": list(lists),
+        }
         self.calls: list[str] = []
 
     def _next(self, name):
@@ -56,6 +61,9 @@
     async def hold(self, *arguments):
         return self._next("hold")
 
+    async def answers(self, *arguments):
+        return self._next("answers")
+
 
 async def reported_reasons(worker, order, gone_after_calls=100, **board_fields):
     """Execute `order` and return the reasons that were reported to the leader.
@@ -83,20 +91,33 @@
 async def test_an_unanswered_start_is_repeated_until_confirmed():
     worker = ScriptedWorker([NoAnswer("late"), NoAnswer("late"), Taken(1)])
     assert await reported_reasons(worker, START) == []
-    assert worker.calls == ["start"] * 3
+    assert worker.calls == ["answers", "start"] * 3
+
+
+async def test_a_start_is_not_sent_to_a_worker_that_does_not_answer():
+    worker = ScriptedWorker([Taken(1)], answers=[False])
+    assert await reported_reasons(worker, START) == ["silent"]
+    assert worker.calls == ["answers"]
+
+
+async def test_an_unanswered_start_is_not_repeated_before_the_worker_answers():
+    """It may have run, so the leader isn't told that it has not."""
+    worker = ScriptedWorker([NoAnswer("late"), Taken(1)], answers=[True, False, False, True])
+    assert await reported_reasons(worker, START) == []
+    assert worker.calls == ["answers", "start", "answers", "answers", "answers", "start"]
 
 
 @pytest.mark.parametrize("reason", ["room", "late", "fence", "unhealthy", "ticket"])
 async def test_a_rejected_start_is_reported_at_once(reason: str):
     worker = ScriptedWorker([Rejected(reason)])
     assert await reported_reasons(worker, START) == [reason]
-    assert worker.calls == ["start"]
+    assert worker.calls == ["answers", "start"]
 
 
 async def test_a_start_rejected_after_an_unanswered_one_is_stopped_before_it_is_reported():
     worker = ScriptedWorker([NoAnswer("late"), Rejected("room")], [NoAnswer("late"), Taken(1)])
     assert await reported_reasons(worker, START) == ["room"]
-    assert worker.calls == ["start", "start", "stop", "stop", "hold"]
+    assert worker.calls == ["answers", "start", "answers", "start", "stop", "stop", "hold"]
 
 
 async def test_a_listed_ended_run_is_not_reported_as_not_started():
@@ -117,8 +138,8 @@
 
 async def test_a_start_that_may_have_crashed_its_worker_is_not_reported_as_without_a_run():
     worker = ScriptedWorker([NoAnswer("reset"), NoWorker()])
-    assert await reported_reasons(worker, START, gone_after_calls=3) == []
-    assert worker.calls == ["start"] * 3
+    assert await reported_reasons(worker, START, gone_after_calls=6) == []
+    assert worker.calls == ["answers", "start"] * 3
 
 
 @pytest.mark.parametrize("gone", [NoWorker(), OtherLifetime()])
--- a/tests/dispatch/crash_tests.py
+++ b/tests/dispatch/crash_tests.py
@@ -135,6 +135,23 @@
     assert cell.starts() == {f"{1:016x}.0.0.0": [1, 2, 3]}
 
 
+async def test_unanswered_start_is_not_repeated_to_the_next_lifetime_of_its_worker(cell: Cell):
+    """The next lifetime has the same id, and listens before it sends its first heartbeat."""
+    reborn, other = (agent.worker for agent in cell.agents)
+    other.state = "draining"
+    await cell.until(lambda: not cell.agents[1].agent.board.worker_status.is_ready)
+    reborn.faults.delayed_starts, reborn.faults.start_delay_s = 1, 60.0
+    path = await cell.submit(1, ONE)
+    await cell.until(lambda: reborn.calls["/run-start"])
+    await reborn.stop()
+    reborn.restart_empty()
+    await reborn.start()
+    await assert_stays_true(lambda: not reborn.runs, TIMES.run_lease_ms / 1_000)
+    reborn.announce(cell.agents[0].address)
+    await cell.until_state(path, "completed")
+    assert cell.starts() == {f"{1:016x}.0.0.0": [2]}
+
+
 async def test_worker_that_has_just_ended_is_not_sent_order_after_order(cell: Cell):
     """The agent notices after 0.6 s; until then its worker is the only one that fits."""
     crashing, leaving = cell.agents
--- a/tests/harness/platform_cell.py
+++ b/tests/harness/platform_cell.py
@@ -89,12 +89,17 @@
         self.agent: DispatchAgent
         self._port = 0
 
+    @property
+    def address(self) -> str:
+        """Address (host:port) on which the agent listens for heartbeats."""
+        return f"127.0.0.1:{self._port}"
+
     async def start(self, port: int) -> None:
         """Start the worker, then an agent that listens on `port`."""
         self._port = port
         await self.worker.start()
         await self.start_agent()
-        self.worker.announce(f"127.0.0.1:{port}")
+        self.worker.announce(self.address)
 
     async def start_agent(self) -> None:
         """Start a new agent for the worker."""
@@ -102,7 +107,7 @@
         port = PlatformWorker(self.worker.address)
         self.agent = DispatchAgent(board, port, (), self._find_leader)
         self.listeners = Listeners(0.1)
-        await self.listeners.add(f"127.0.0.1:{self._port}", HeartbeatApi(self.agent).handle)
+        await self.listeners.add(self.address, HeartbeatApi(self.agent).handle)
         await self.agent.start()
 
     async def stop_agent(self) -> None:
