Prefer new workers while old ones are replaced in turn

Change: a series of departures without a pause of 5 s marks the workers that started over 5 s before it; they come last, except for units that save their progress, which come first there.

--- a/packages/lycheeslip/lycheeslip/dispatch/board.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/board.py
@@ -17,6 +17,7 @@
 from lycheeslip_common.workload.times import DispatchTimes
 
 from lycheeslip.dispatch.calls import Shown
+from lycheeslip.dispatch.departures import Departures
 from lycheeslip.dispatch.entry_directory import EntryDirectory
 from lycheeslip.dispatch.losses import LossCause
 from lycheeslip.dispatch.placement_model import StepKey
@@ -188,6 +189,7 @@
         self.leader_epoch = 0
         self.jobs: dict[str, StoredJob] = {}
         self.workers: dict[str, WorkerView] = {}
+        self.departures_by_service: dict[str, Departures] = {}
         self.advice: dict[StepKey, StepAdvice] = {}
         self.is_loaded = False
         self.is_view_complete = True
--- a/packages/lycheeslip/lycheeslip/dispatch/dispatcher.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/dispatcher.py
@@ -12,6 +12,7 @@
 from lycheeslip.dispatch.advice import Advisor
 from lycheeslip.dispatch.board import Board, WorkerView
 from lycheeslip.dispatch.claims import Claims
+from lycheeslip.dispatch.departures import record_departure
 from lycheeslip.dispatch.ends import RunEndProcessor
 from lycheeslip.dispatch.occupancy import build_worker_capacities
 from lycheeslip.dispatch.placement import plan_round
@@ -192,7 +193,7 @@
         view.report, view.link, view.heard_at_ms = report, link, steady_ms()
         self._run_ends.end_older_lifetimes(node, report)
         if report.lifetime is not None:
-            view.has_given_notice = not report.is_ready
+            self._record_notice(view, report)
         for run in report.running:
             self._update_checkpoint(run.task, run.run, run.checkpoint)
             record_speed(self._board, view, run)
@@ -206,6 +207,14 @@
         if is_new_link or not is_only_forecast:
             self._board.planning_needed.set()
 
+    def _record_notice(self, view: WorkerView, report: WorkerReport) -> None:
+        """Record whether the worker has announced that it leaves."""
+        if not report.is_ready and not view.has_given_notice:
+            by_service = self._board.departures_by_service
+            earlier = by_service.get(report.service)
+            by_service[report.service] = record_departure(earlier, wall_ms())
+        view.has_given_notice = not report.is_ready
+
     def _update_checkpoint(self, task_name: str, run: int, checkpoint: str) -> None:
         found = self._board.find_task(task_name)
         if found is None or not checkpoint:
--- a/packages/lycheeslip/lycheeslip/dispatch/occupancy.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/occupancy.py
@@ -6,6 +6,7 @@
 from lycheeslip_common.workload.progress import TaskKey
 
 from lycheeslip.dispatch.board import Board, StoredJob, WorkerView
+from lycheeslip.dispatch.departures import is_exposed
 from lycheeslip.dispatch.isolation import must_run_isolated
 from lycheeslip.dispatch.losses import unsaved_s
 from lycheeslip.dispatch.objective import Objectives, waiting_since_ms
@@ -38,7 +39,7 @@
     for view in board.workers.values():
         if view.link is None or view.lifetime is None:
             continue
-        worker = _worker_capacity(view, view.lifetime)
+        worker = _worker_capacity(board, view, view.lifetime)
         for placed_run in placed_runs.get(view.lifetime, []):
             worker.add_placed_run(placed_run)
         _allocate_unrecorded_runs(board, view, worker)
@@ -61,8 +62,9 @@
     return healthy if 2 * len(healthy) >= len(workers) else workers
 
 
-def _worker_capacity(view: WorkerView, lifetime: Lifetime) -> WorkerCapacity:
+def _worker_capacity(board: Board, view: WorkerView, lifetime: Lifetime) -> WorkerCapacity:
     report = view.report
+    departures = board.departures_by_service.get(report.service)
     has_crashed_recently = (
         view.lost_lifetime_at_ms and steady_ms() - view.lost_lifetime_at_ms < RECENT_CRASH_MS
     )
@@ -79,6 +81,7 @@
         failures=min(view.failures + bool(has_crashed_recently), MAX_COUNTED_FAILURES),
         is_slow=steady_ms() < view.slow_until_ms,
         is_suspect=_is_suspect(view),
+        is_exposed=is_exposed(departures, lifetime.born_ms, wall_ms()),
     )
 
 
--- a/packages/lycheeslip/lycheeslip/dispatch/packing.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/packing.py
@@ -69,9 +69,14 @@
     return is_off_data or (unit.same_rack and len(racks) > 1)
 
 
-def _rank(unit: Unit, worker: WorkerCapacity) -> tuple[int, int, bool, bool, bool, int, int, str]:
+def _rank(
+    unit: Unit, worker: WorkerCapacity
+) -> tuple[int, int, bool, bool, bool, bool, int, int, str]:
     """Return a sort key: data rack, healthy and fast workers, reserve, then the best fit.
 
+    While workers are replaced in turn, units that save their progress fill those that may leave
+    next and keep the others free for units that would have to start again.
+
     Runs that are costly to stop are packed apart from the others, so that whole workers can be
     preempted at little loss. A gang that is lost with any of its workers takes few of them, which
     answers a load of such gangs while workers leave at short notice.
@@ -85,6 +90,7 @@
         is_off_rack,
         worker.failures,
         worker.is_slow,
+        worker.is_exposed != unit.saves_progress,
         is_in_wrong_pool,
         mixes_stop_costs,
         fewest_workers,
--- a/packages/lycheeslip/lycheeslip/dispatch/placement_model.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/placement_model.py
@@ -84,8 +84,8 @@
     """A worker's free capacity and the runs that are placed on it.
 
     `is_reserved` marks workers of the reserve, which units that are costly to stop avoid,
-    `is_slow` those on which a run was lately seen to be slow, and `is_suspect` those whose last run
-    failed.
+    `is_slow` those on which a run was lately seen to be slow, `is_suspect` those whose last run
+    failed, and `is_exposed` those that may be among the next to leave while workers are replaced.
     """
 
     node: str
@@ -104,6 +104,7 @@
     is_reserved: bool = False
     is_slow: bool = False
     is_suspect: bool = False
+    is_exposed: bool = False
 
     @property
     def has_costly_run(self) -> bool:
@@ -223,6 +224,7 @@
     latest_start_ms: float = 0.0
     frees_at_ms: float = float("inf")
     is_costly_to_stop: bool = False
+    saves_progress: bool = False
     may_wait: bool = False
     wait_budget_ms: float = 0.0
     max_loss_ratio: float = 1.0
--- a/packages/lycheeslip/lycheeslip/dispatch/waiting.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/waiting.py
@@ -156,6 +156,7 @@
         frees_at_ms=wall_ms() + times.run_ms * MAX_OVERRUN_RATIO,
         latest_start_ms=_latest_start_ms(times, since_ms),
         is_costly_to_stop=is_costly_to_stop(spec, step),
+        saves_progress=step.checkpointing,
         advice=_advice(board, queue, (job_id, occurrence, step_number)),
         is_isolated=must_start_isolated(job.progress, members[0], wall_ms()),
         is_last_attempt=0 < first_task.failures >= spec.attempts - 1,
--- a/tests/dispatch/worst_load_tests.py
+++ b/tests/dispatch/worst_load_tests.py
@@ -104,3 +104,18 @@
     assert sum(stops) >= 3
     assert max(stops) == 1
     assert outcome.in_time == len(outcome.limit_ms)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_gang_is_moved_once_at_most_while_workers_are_replaced_in_turn(seed: int):
+    """Three quarters of the fleet are replaced, and the new workers could take all gangs."""
+    replay = Replay(64, rack_size=8)
+    replaced = random.Random(seed).sample(range(64), 48)
+    replay.replace(replaced, batch=5, at_ms=3_000, gap_ms=1_200, notice_ms=5_500)
+    gang = {"task_count": 3, "accelerators": 8, "cpu_milli": 26_000, "gang": True}
+    load = [Load(number * 1_500, NORMAL, 14_000, gang) for number in range(6)]
+    outcome = replay.play(load, 60_000)
+    moves = [sum(job.relocations.values()) for job in replay.board.jobs.values()]
+    assert sum(moves) >= 1
+    assert max(moves) == 1
+    assert outcome.ends[EndCause.LOST] == 0
--- a/tests/harness/load_replay.py
+++ b/tests/harness/load_replay.py
@@ -39,6 +39,8 @@
 WRITE_MS = 8
 ORDER_MS = 4
 STOP_MS = 200
+FORECAST_MS = 500  # from the start of a run until its agent reports how long it takes
+REPLACEMENT_LEAD_MS = 1_500  # from the start of a replacement until the old worker drains
 FAIL_MS = 40  # from the start of a run on a failing worker to its failure
 ATTEMPTS = {0: 3, 1: 2, 2: 3}
 STRETCHES = {0: 1.5, 1: 3.0, 2: 3.0}
@@ -102,6 +104,11 @@
         self.ended: list[EndedRun] = []
         self._last_number = 0
 
+    def join(self) -> None:
+        """Start now, and become known to the leader."""
+        self.lifetime = Lifetime(f"i-{self.node}", self._replay.now_ms)
+        self.report()
+
     def post(self, message: object) -> None:
         """Receive a message of the leader, in place of its link."""
         match message:
@@ -252,6 +259,19 @@
         for number in nodes:
             self.at(at_ms, lambda w=self.workers[number]: announce(w))
 
+    def replace(
+        self, nodes: Sequence[int], batch: int, at_ms: int, gap_ms: int, notice_ms: int
+    ) -> None:
+        """Replace these workers, `batch` at a time: the new ones start before the old drain."""
+        for number in range(0, len(nodes), batch):
+            leaving = nodes[number : number + batch]
+            joins_at_ms = at_ms + number // batch * gap_ms
+            for old in leaving:
+                rack = self.workers[old].rack
+                new = ReplayWorker(self, f"z{old:03}", rack, self.workers[old].capacity)
+                self.at(joins_at_ms, new.join)
+            self.take_away(leaving, joins_at_ms + REPLACEMENT_LEAD_MS, notice_ms)
+
     def play(self, loads: Sequence[Load], until_ms: int) -> Outcome:
         """Play the load until `until_ms` after its start; returns what became of it."""
         with self.virtual_clock():
@@ -322,6 +342,8 @@
         if not step.gang or len(gang) == step.task_count:
             self._done_at_ms[(self._unit(order.task), order.run)] = self.now_ms + int(order.payload)
             self.after(int(order.payload), lambda: self._finish(gang, order.run))
+            for member in set(gang.values()):
+                self.after(FORECAST_MS, member.report)
 
     def remaining_ms(self, task: str, run: int) -> int:
         """Return the time until a run is done, -1 if that isn't known yet."""
