--- a/tests/platform_adapter/worker_tests.py
+++ b/tests/platform_adapter/worker_tests.py
@@ -3,7 +3,8 @@
 import msgspec
 import pytest
 from lycheeslip_common.workload.fleet import Lifetime
-from lycheeslip_platform.worker import HeartbeatError, parse_heartbeat
+from lycheeslip_platform.http_client import HttpResponse, NoResponse
+from lycheeslip_platform.worker import HeartbeatError, PlatformWorker, parse_heartbeat
 
 HEARTBEAT = {
     "service": "s1",
@@ -56,3 +57,32 @@
 def test_malformed_heartbeat_is_rejected(content: bytes):
     with pytest.raises(HeartbeatError):
         parse_heartbeat("i-1", content)
+
+
+@pytest.mark.parametrize(
+    ("response", "expected"),
+    [
+        (HttpResponse(200, {"clock_ms": 1, "born": 5}), True),
+        (HttpResponse(200, {"clock_ms": 1}), True),
+        (HttpResponse(200, {"clock_ms": 1, "born": 6}), False),
+        (HttpResponse(200, {"clock_ms": "soon"}), False),
+        (HttpResponse(409, {"clock_ms": 1, "reason": "fence"}), True),
+        (HttpResponse(503, None), True),
+        (HttpResponse(421, None), False),
+        (HttpResponse(500, None), False),
+        (NoResponse(False, True, "refused"), False),
+        (NoResponse(True, False, "silent"), False),
+    ],
+    ids=["same", "without birth", "reborn", "malformed", "fenced", "unhealthy", "other id"]
+    + ["broken", "refused", "silent"],
+)
+async def test_worker_answers_only_in_the_lifetime_that_is_asked_for(
+    response, expected: bool, monkeypatch: pytest.MonkeyPatch
+):
+    worker = PlatformWorker("127.0.0.1:1")
+
+    async def call(*_arguments: object, **_fields: object) -> HttpResponse | NoResponse:
+        return response
+
+    monkeypatch.setattr(worker, "_call", call)
+    assert await worker.answers(Lifetime("i-1", 5), 3) is expected
