Leave workers without room out before ranking any

Cause: on a full fleet each waiting unit ranked and sorted all workers, and the traits that all runs of a step share were computed for each run: a round took 37.6 ms at 160 workers and 660.6 ms at 1,100 with 8,400 runs and 500 tasks that wait, during which the leader answers nobody. Change: workers that have no room for one task are left out before any is ranked; a step's traits are computed once a round.

--- a/packages/lycheeslip/lycheeslip/dispatch/occupancy.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/occupancy.py
@@ -1,5 +1,8 @@
 """Computes the free capacity and the placed runs of each worker for a planning round."""
 
+from collections.abc import Mapping
+from typing import NamedTuple
+
 from lycheeslip_common.utils.clock import steady_ms, wall_ms
 from lycheeslip_common.workload.fleet import Lifetime
 from lycheeslip_common.workload.jobs import Demand, StepSpec, demand_of, format_task_name
@@ -13,6 +16,7 @@
 from lycheeslip.dispatch.placement_model import (
     URGENT_PRIORITY,
     PlacedRun,
+    StepKey,
     WorkerCapacity,
     cores_of,
 )
@@ -91,59 +95,94 @@
     return view.failures > 0 and is_recent
 
 
+class StepTraits(NamedTuple):
+    """What all placed runs of a step have in common; costs in core-seconds, times in ms."""
+
+    key: StepKey
+    step: StepSpec
+    demand: Demand
+    cores: float
+    run_ms: float
+    latest_start_ms: float
+    delay_cost: float
+    is_guaranteed: bool
+    is_costly_to_stop: bool
+
+
 def _placed_runs_by_lifetime(board: Board) -> dict[Lifetime, list[PlacedRun]]:
-    now = wall_ms()
+    now_ms = wall_ms()
     guaranteed = guaranteed_accounts(board)
     objectives = Objectives(board)
     remaining_by_run = board.remaining_run_times()
+    traits_by_step: dict[StepKey, StepTraits] = {}
     result: dict[Lifetime, list[PlacedRun]] = {}
     for job_id, job in board.jobs.items():
         for key, task in job.progress.placed():
-            if task.lifetime is not None:
-                placed_run = _placed_run(job_id, job, key, objectives, now, guaranteed)
-                measured_ms = remaining_by_run.get((placed_run.task, placed_run.run))
-                if measured_ms is not None:
-                    placed_run = placed_run._replace(remaining_ms=measured_ms)
-                result.setdefault(task.lifetime, []).append(placed_run)
+            if task.lifetime is None:
+                continue
+            step_key = (job_id, key[0], key[1])
+            traits = traits_by_step.get(step_key)
+            if traits is None:
+                traits = _step_traits(step_key, job, objectives, guaranteed)
+                traits_by_step[step_key] = traits
+            placed_run = _placed_run(traits, job, key, remaining_by_run, now_ms)
+            result.setdefault(task.lifetime, []).append(placed_run)
     return result
 
 
+def _step_traits(
+    key: StepKey, job: StoredJob, objectives: Objectives, guaranteed: frozenset[str]
+) -> StepTraits:
+    spec = job.progress.spec
+    step = spec.steps[key[2]]
+    demand = demand_of(step)
+    cores = cores_of(demand) * (step.task_count if step.gang else 1)
+    times = objectives.step_times(job, key[1], key[2])
+    return StepTraits(
+        key,
+        step,
+        demand,
+        cores,
+        times.run_ms,
+        waiting_since_ms(job, key[1]) + times.run_slack_ms,
+        # an urgent job that is late counts for as much as its own work
+        cores * times.run_ms / 1_000 if spec.priority == URGENT_PRIORITY else 0.0,
+        is_guaranteed(job.progress, guaranteed),
+        is_costly_to_stop(spec, step),
+    )
+
+
 def _placed_run(
-    job_id: str,
+    traits: StepTraits,
     job: StoredJob,
     key: TaskKey,
-    objectives: Objectives,
+    remaining_by_run: Mapping[tuple[str, int], float],
     now_ms: int,
-    guaranteed: frozenset[str],
 ) -> PlacedRun:
-    spec = job.progress.spec
-    step = spec.steps[key[1]]
+    spec, step = job.progress.spec, traits.step
     task = job.progress.tasks[key]
-    name = format_task_name(job_id, key)
-    demand = demand_of(step)
-    cores = cores_of(demand) * (step.task_count if step.gang else 1)
+    name = format_task_name(spec.job_id, key)
     elapsed_s = max(0, now_ms - task.started_at_ms) / 1_000
-    times = objectives.step_times(job, key[0], key[1])
-    latest_start_ms = waiting_since_ms(job, key[0]) + times.run_slack_ms
-    is_ending = job.progress.has_ended or (name, task.run) in job.stopping
+    remaining_ms = remaining_by_run.get((name, task.run))
+    if remaining_ms is None:
+        remaining_ms = _remaining_ms(step, traits.run_ms, elapsed_s * 1_000)
     return PlacedRun(
-        job_id,
+        spec.job_id,
         name,
         task.run,
         spec.account,
         spec.priority,
-        demand,
-        cores * unsaved_s(step, elapsed_s),
-        is_ending,
-        (job_id, key[0], key[1]),
+        traits.demand,
+        traits.cores * unsaved_s(step, elapsed_s),
+        job.progress.has_ended or (name, task.run) in job.stopping,
+        traits.key,
         step.gang,
-        is_guaranteed(job.progress, guaranteed),
-        is_costly_to_stop(spec, step),
-        _remaining_ms(step, times.run_ms, elapsed_s * 1_000),
+        traits.is_guaranteed,
+        traits.is_costly_to_stop,
+        remaining_ms,
         step.max_unavailable > 0,
-        # an urgent job that is late counts for as much as its own work
-        cores * times.run_ms / 1_000 if spec.priority == URGENT_PRIORITY else 0.0,
-        latest_start_ms,
+        traits.delay_cost,
+        traits.latest_start_ms,
         must_run_isolated(job.progress, key, now_ms),
         job.preemptions[(*key[:2], 0) if step.gang else key],
     )
--- a/packages/lycheeslip/lycheeslip/dispatch/packing.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/packing.py
@@ -16,8 +16,15 @@
 
 
 def choose_workers(unit: Unit, workers: Sequence[WorkerCapacity]) -> list[WorkerCapacity] | None:
-    """Return a worker for each task of `unit`, or None if they don't all fit now."""
-    for group in candidate_groups(unit, workers):
+    """Return a worker for each task of `unit`, or None if they don't all fit now.
+
+    Workers without room for a task are left out before any is ranked, since on a full fleet that
+    is most of them for each unit that waits.
+    """
+    with_room = [worker for worker in workers if worker.fits(unit.demand)]
+    if pack(unit, with_room) is None:
+        return None
+    for group in candidate_groups(unit, workers if unit.same_rack else with_room):
         chosen = pack(unit, group)
         if chosen is not None:
             return chosen
--- a/packages/lycheeslip/lycheeslip/dispatch/placement.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/placement.py
@@ -100,6 +100,8 @@
 def _usable_workers(unit: Unit, workers: Sequence[WorkerCapacity]) -> list[WorkerCapacity]:
     """Return the workers that `unit` may use, without those that failed it if others remain."""
     allowed = [worker for worker in workers if _may_use(unit, worker)]
+    if not unit.avoided_workers:
+        return _without_suspects(unit, allowed)
     untried = [
         worker for worker in allowed if worker.lifetime.worker_id not in unit.avoided_workers
     ]
--- a/packages/lycheeslip/lycheeslip/dispatch/placement_model.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/placement_model.py
@@ -113,6 +113,8 @@
 
     def task_slots(self, unit: "Unit", freed: Demand = NO_DEMAND) -> int:
         """Return how many tasks of `unit` fit here now, at most all, if `freed` were free too."""
+        if freed is NO_DEMAND and not self.fits(unit.demand):
+            return 0
         free = Demand(
             self.free_cpu_milli + freed.cpu_milli,
             self.free_memory_mb + freed.memory_mb,
--- a/packages/lycheeslip_common/lycheeslip_common/workload/jobs.py
+++ b/packages/lycheeslip_common/lycheeslip_common/workload/jobs.py
@@ -97,12 +97,12 @@
 
     def text(self) -> str:
         """Return the name that backend servers use."""
-        return f"{self.job_id}.{self.occurrence}.{self.step}.{self.position}"
+        return format_task_name(self.job_id, self.key)
 
 
 def format_task_name(job_id: str, key: tuple[int, int, int]) -> str:
     """Return the name that backend servers use for the task with `key` in the job."""
-    return TaskName(job_id, *key).text()
+    return f"{job_id}.{key[0]}.{key[1]}.{key[2]}"
 
 
 def parse_task_name(text: str) -> TaskName | None:
