Keep urgent units that may be in time off slow workers

Change: an urgent unit that may still meet its objective uses slow workers only if the others could not hold it even when empty; one that is late takes any.

--- a/packages/lycheeslip/lycheeslip/dispatch/placement.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/placement.py
@@ -100,12 +100,24 @@
 def _usable_workers(unit: Unit, workers: Sequence[WorkerCapacity]) -> list[WorkerCapacity]:
     """Return the workers that `unit` may use, without those that failed it if others remain."""
     allowed = [worker for worker in workers if _may_use(unit, worker)]
-    if not unit.avoided_workers:
-        return _without_suspects(unit, allowed)
-    untried = [
-        worker for worker in allowed if worker.lifetime.worker_id not in unit.avoided_workers
-    ]
-    return _without_suspects(unit, untried or allowed)
+    if unit.avoided_workers:
+        untried = [
+            worker for worker in allowed if worker.lifetime.worker_id not in unit.avoided_workers
+        ]
+        allowed = untried or allowed
+    return _without_slow(unit, _without_suspects(unit, allowed))
+
+
+def _without_slow(unit: Unit, workers: list[WorkerCapacity]) -> list[WorkerCapacity]:
+    """Return the workers on which an urgent unit can still meet its latency objective.
+
+    Answers a load of urgent work while some workers take several times as long: the first capacity
+    that is free is often that of a slow worker, also of the one that the unit was moved off. A unit
+    that is late already takes any worker.
+    """
+    if unit.priority != URGENT_PRIORITY or unit.is_late:
+        return workers
+    return _preferably(unit, workers, [worker for worker in workers if not worker.is_slow])
 
 
 def _without_suspects(unit: Unit, workers: list[WorkerCapacity]) -> list[WorkerCapacity]:
@@ -117,13 +129,19 @@
     """
     if not (unit.is_gang or unit.is_last_attempt):
         return workers
-    trusted = [worker for worker in workers if not worker.is_suspect]
-    if len(trusted) == len(workers) or not fits_when_empty(unit, trusted):
+    return _preferably(unit, workers, [worker for worker in workers if not worker.is_suspect])
+
+
+def _preferably(
+    unit: Unit, workers: list[WorkerCapacity], preferred: list[WorkerCapacity]
+) -> list[WorkerCapacity]:
+    """Return those `preferred` of `workers` if `unit` would fit onto them, else all."""
+    if len(preferred) == len(workers) or not fits_when_empty(unit, preferred):
         return workers
-    # a gang of one rack isn't split for the sake of a suspect
-    if unit.same_rack and not fits_one_rack_when_empty(unit, trusted):
-        return workers if fits_one_rack_when_empty(unit, workers) else trusted
-    return trusted
+    # a gang of one rack isn't split for the sake of a better worker
+    if unit.same_rack and not fits_one_rack_when_empty(unit, preferred):
+        return workers if fits_one_rack_when_empty(unit, workers) else preferred
+    return preferred
 
 
 def _may_use(unit: Unit, worker: WorkerCapacity) -> bool:
--- a/packages/lycheeslip/lycheeslip/dispatch/placement_model.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/placement_model.py
@@ -201,6 +201,7 @@
     `max_loss_ratio` limits the work of others that a unit without a guarantee may cost, as a
     ratio of its own work. `advice` is None if any worker of the service may run the unit.
     `claimed_nodes` are the nodes on which an earlier round began to free capacity for it.
+    A unit that `is_late` can't meet its latency objective any more.
     A unit that `is_isolated` starts only on workers without other work. With `is_last_attempt` its
     next failure fails the job.
     """
@@ -224,6 +225,7 @@
     work: float = 0.0
     slack_ms: float = 0.0
     latest_start_ms: float = 0.0
+    is_late: bool = False
     frees_at_ms: float = float("inf")
     is_costly_to_stop: bool = False
     saves_progress: bool = False
--- a/packages/lycheeslip/lycheeslip/dispatch/waiting.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/waiting.py
@@ -155,6 +155,7 @@
         slack_ms=times.slack_ms,
         frees_at_ms=wall_ms() + times.run_ms * MAX_OVERRUN_RATIO,
         latest_start_ms=_latest_start_ms(times, since_ms),
+        is_late=wall_ms() > since_ms + times.slack_ms,
         is_costly_to_stop=is_costly_to_stop(spec, step),
         saves_progress=step.checkpointing,
         advice=_advice(board, queue, (job_id, occurrence, step_number)),
--- a/packages/lycheeslip/tests/dispatch/placement_tests.py
+++ b/packages/lycheeslip/tests/dispatch/placement_tests.py
@@ -354,3 +354,19 @@
     suspect = unit("suspect", priority=0, is_isolated=True)
     plan = plan_round([suspect], [cheap, costly])
     assert sorted(stop.placed_run.task for stop in plan.stops) == ["cheap", "other"]
+
+
+@pytest.mark.parametrize(
+    ("fields", "chosen"),
+    [
+        ({"priority": 0}, []),
+        ({"priority": 0, "is_late": True}, ["slow"]),
+        ({"priority": 1}, ["slow"]),
+        ({"priority": 0, "label": "r2"}, ["slow"]),
+    ],
+    ids=["may be in time", "late", "not urgent", "fits on no other"],
+)
+def test_urgent_unit_that_may_be_in_time_does_not_start_on_a_slow_worker(fields, chosen):
+    workers = [worker("slow", "r2", is_slow=True), worker("full", free=0)]
+    plan = plan_round([unit(accelerators=8, **fields)], workers)
+    assert [w.node for _, chosen_workers in plan.starts for w in chosen_workers] == chosen
--- a/tests/dispatch/worst_load_tests.py
+++ b/tests/dispatch/worst_load_tests.py
@@ -106,6 +106,23 @@
     assert outcome.in_time == len(outcome.limit_ms)
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_urgent_work_is_not_started_on_workers_that_are_seen_to_be_slow(seed: int):
+    """On a full fleet the work that started last is the cheapest to stop: that on slow workers."""
+    slowdown, run_ms = 8, 5_000
+    chance = random.Random(seed)
+    replay = Replay(16)
+    replay.slow_down(chance.sample(range(16), 6), slowdown, 0, 30_000)
+    task = {"accelerators": 1, "cpu_milli": 5_600}
+    older = Load(0, BULK, 20_000, {**task, "task_count": 80})
+    newer = Load(1_000, BULK, 20_000, {**task, "task_count": 64})
+    whole = {"accelerators": 8, "cpu_milli": 5_600}
+    urgent = [Load(chance.randint(3_000, 12_000), URGENT, run_ms, whole) for _ in range(16)]
+    outcome = replay.play([older, newer, *urgent], 90_000)
+    took_ms = [outcome.took_ms[f"{number:016x}"] for number in range(2, 18)]
+    assert max(took_ms) < slowdown * run_ms
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_gang_is_moved_once_at_most_while_workers_are_replaced_in_turn(seed: int):
     """Three quarters of the fleet are replaced, and the new workers could take all gangs."""
--- a/tests/harness/load_replay.py
+++ b/tests/harness/load_replay.py
@@ -100,6 +100,8 @@
         self.is_ready = True
         self.leaves_at_ms = 0
         self.failing_until_ms = 0
+        self.slow_until_ms = 0
+        self.slowdown = 1
         self.running: dict[str, int] = {}
         self.ended: list[EndedRun] = []
         self._last_number = 0
@@ -165,7 +167,11 @@
 
     def _listed(self, task: str, run: int) -> RunningRun:
         remaining_ms = self._replay.remaining_ms(task, run)
-        return RunningRun(task, run, "", 0, remaining_ms=remaining_ms)
+        whole_run_ms = self._replay.whole_run_ms(task) if remaining_ms >= 0 else -1
+        progress = self._replay.progress(task, run)
+        return RunningRun(
+            task, run, "", progress, remaining_ms=remaining_ms, whole_run_ms=whole_run_ms
+        )
 
 
 class FakeRecorder:
@@ -217,6 +223,7 @@
         self._event_count = 0
         self._gangs: dict[tuple[str, int], dict[str, ReplayWorker]] = {}
         self._done_at_ms: dict[tuple[str, int], int] = {}
+        self._took_ms: dict[tuple[str, int], int] = {}
         self.board = Board("entry", "zone", "10.0.0.1:1", DispatchTimes())
         queues = tuple(
             Queue(
@@ -248,6 +255,15 @@
             worker = self.workers[number]
             self.at(from_ms, lambda w=worker: setattr(w, "failing_until_ms", START_MS + until_ms))
 
+    def slow_down(self, nodes: Sequence[int], factor: int, from_ms: int, until_ms: int) -> None:
+        """Let what these workers start meanwhile take `factor` times as long."""
+
+        def begin(worker: ReplayWorker) -> None:
+            worker.slow_until_ms, worker.slowdown = START_MS + until_ms, factor
+
+        for number in nodes:
+            self.at(from_ms, lambda w=self.workers[number]: begin(w))
+
     def take_away(self, nodes: Sequence[int], at_ms: int, notice_ms: int) -> None:
         """Let these workers leave `notice_ms` after they say so at `at_ms`."""
 
@@ -340,8 +356,10 @@
         if not step.gang:
             gang = {order.task: worker}
         if not step.gang or len(gang) == step.task_count:
-            self._done_at_ms[(self._unit(order.task), order.run)] = self.now_ms + int(order.payload)
-            self.after(int(order.payload), lambda: self._finish(gang, order.run))
+            took_ms = int(order.payload) * max(self._slowdown(member) for member in gang.values())
+            key = (self._unit(order.task), order.run)
+            self._done_at_ms[key], self._took_ms[key] = self.now_ms + took_ms, took_ms
+            self.after(took_ms, lambda: self._finish(gang, order.run))
             for member in set(gang.values()):
                 self.after(FORECAST_MS, member.report)
 
@@ -350,6 +368,22 @@
         done_at_ms = self._done_at_ms.get((self._unit(task), run))
         return -1 if done_at_ms is None else max(0, done_at_ms - self.now_ms)
 
+    def whole_run_ms(self, task: str) -> int:
+        """Return how long a run of a task takes at full speed."""
+        name = parse_task_name(task)
+        assert name is not None
+        return int(self.board.jobs[name.job_id].progress.spec.payload)
+
+    def progress(self, task: str, run: int) -> int:
+        """Return the progress of a run in percent."""
+        took_ms = self._took_ms.get((self._unit(task), run))
+        if took_ms is None:
+            return 0
+        return 100 - 100 * self.remaining_ms(task, run) // took_ms
+
+    def _slowdown(self, worker: ReplayWorker) -> int:
+        return worker.slowdown if self.now_ms < worker.slow_until_ms else 1
+
     def _unit(self, task: str) -> str:
         name = parse_task_name(task)
         assert name is not None
