Count the pause between departures on the steady clock

Cause: found on reading. A step of the leader's wall clock backwards would have kept all older workers exposed for as long as the step, one forwards would have ended a series. Change: the Unix time of the first notice serves only for the comparison with the start of workers.

--- a/packages/lycheeslip/lycheeslip/dispatch/dispatcher.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/dispatcher.py
@@ -212,7 +212,7 @@
         if not report.is_ready and not view.has_given_notice:
             by_service = self._board.departures_by_service
             earlier = by_service.get(report.service)
-            by_service[report.service] = record_departure(earlier, wall_ms())
+            by_service[report.service] = record_departure(earlier)
         view.has_given_notice = not report.is_ready
 
     def _update_checkpoint(self, task_name: str, run: int, checkpoint: str) -> None:
--- a/packages/lycheeslip/lycheeslip/dispatch/occupancy.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/occupancy.py
@@ -85,7 +85,7 @@
         failures=min(view.failures + bool(has_crashed_recently), MAX_COUNTED_FAILURES),
         is_slow=steady_ms() < view.slow_until_ms,
         is_suspect=_is_suspect(view),
-        is_exposed=is_exposed(departures, lifetime.born_ms, wall_ms()),
+        is_exposed=is_exposed(departures, lifetime.born_ms),
     )
 
 
