Take a worker for silent only after 0.7 s without an answer

While one call in twenty to the workers is lost (2.2 to 7.7 s), the check before a start is lost as often, and one lost check made the agent decline the start as silent: gangs of 26 and of 11 were ended by one member each, 16 times in all, where a lost start was only repeated before. It tells a worker that is gone and another lifetime from silence. A check whose answer is over 0.3 s old, after a pause of the agent, is repeated before the start is sent.

--- a/packages/lycheeslip_agent/lycheeslip_agent/dispatch/orders.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/dispatch/orders.py
@@ -1,6 +1,7 @@
 """Executes start and stop orders, with retries until the outcome is certain."""
 
 import asyncio
+from dataclasses import dataclass
 
 from lycheeslip_common.utils.clock import steady_ms
 from lycheeslip_common.utils.logs import log_event, log_warning
@@ -23,6 +24,13 @@
 
 RETRY_S = 0.1
 SILENT = "silent"  # reason of an order that isn't sent, since the worker may carry it out late
+SILENCE_MS = 700  # some calls may be lost by chance, but hardly four in a row
+CHECK_VALID_MS = 300  # from the begin of a check; a worker that crashes takes longer to be back
+
+
+@dataclass(frozen=True, slots=True)
+class NotSent:
+    """No start was sent, since the worker did not answer the check before it in time."""
 
 
 class OrderExecutor:
@@ -72,16 +80,13 @@
                 if refusal:
                     await self._report_not_started(order, refusal, was_unanswered)
                     return
-                if not await self._worker.answers(order.lifetime, max(order.epoch, board.epoch)):
-                    if not was_unanswered:
-                        self._post_result(order.lifetime, order.task, order.run, SILENT)
-                        return
-                    await asyncio.sleep(RETRY_S)
-                    continue
-                outcome = await self._worker.start(
-                    order, board.lease_end_on_worker_ms(), max(order.epoch, board.epoch)
-                )
-                match outcome:
+                match await self._check_and_start(order):
+                    case NotSent():
+                        is_silent = steady_ms() - board.pending_starts[run_key] >= SILENCE_MS
+                        if is_silent and not was_unanswered:
+                            self._post_result(order.lifetime, order.task, order.run, SILENT)
+                            return
+                        await asyncio.sleep(RETRY_S)
                     case Taken():
                         took_ms = steady_ms() - board.pending_starts[run_key]
                         log_event("run_started", task=order.task, run=order.run, took_ms=took_ms)
@@ -107,6 +112,18 @@
             board.pending_starts.pop(run_key, None)
             board.report_due.set()
 
+    async def _check_and_start(self, order: StartOrder) -> OrderOutcome | NotSent:
+        """Send a start if the worker answers in the lifetime that the order is for."""
+        epoch = max(order.epoch, self._board.epoch)
+        began_at_ms = steady_ms()
+        check = await self._worker.check_lifetime(order.lifetime, epoch)
+        # the lifetime may be over after a pause of this process
+        if isinstance(check, NoAnswer) or steady_ms() - began_at_ms > CHECK_VALID_MS:
+            return NotSent()
+        if not isinstance(check, Taken):
+            return check
+        return await self._worker.start(order, self._board.lease_end_on_worker_ms(), epoch)
+
     def _refusal_reason(self, order: StartOrder) -> str:
         """Return why the order must not be executed now, or "" if it may."""
         board = self._board
--- a/packages/lycheeslip_agent/lycheeslip_agent/dispatch/worker_port.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/dispatch/worker_port.py
@@ -110,8 +110,10 @@
     ) -> OrderOutcome:
         """Set a run's speed to `percent` of full speed, with effect shortly after the answer."""
 
-    async def answers(self, lifetime: Lifetime, epoch: int) -> bool:
-        """Return whether `lifetime` of the worker answers calls, and not a later one."""
+    async def check_lifetime(
+        self, lifetime: Lifetime, epoch: int
+    ) -> Taken | OtherLifetime | NoWorker | NoAnswer:
+        """Return Taken if `lifetime` of the worker answers calls now, without any effect."""
 
     async def is_unused(self) -> bool:
         """Return whether the worker answers in a lifetime that has never been called before.
