--- a/review/harness/worker.py
+++ b/review/harness/worker.py
@@ -103,7 +103,7 @@
         self._last_end = 0
         self._barred: dict[str, int] = {}
         self._changed = asyncio.Event()
-        server = web.Server(self._handle, access_log=None)
+        server = web.Server(lambda request: self._handle(request), access_log=None)
         self._runner = web.ServerRunner(server, shutdown_timeout=0.01)
         await self._runner.setup()
         site = web.TCPSite(self._runner, self.ip, self.port, reuse_address=True)
