--- a/packages/lycheeslip_agent/lycheeslip_agent/dispatch/orders.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/dispatch/orders.py
@@ -2,9 +2,11 @@
 
 import asyncio
 from dataclasses import dataclass
+from enum import Enum, auto
 
 from lycheeslip_common.utils.clock import steady_ms
 from lycheeslip_common.utils.logs import log_event, log_warning
+from lycheeslip_common.utils.retry import Backoff
 from lycheeslip_common.workload.fleet import Lifetime, OrderResult, StartOrder, StopOrder
 
 from lycheeslip_agent.dispatch.board import Board
@@ -23,6 +25,9 @@
 __all__ = ["OrderExecutor"]
 
 RETRY_S = 0.1
+# A worker that refuses stops is overloaded or unhealthy, for seconds or for a call by chance.
+REFUSED_RETRY_FIRST_S = 0.4
+REFUSED_RETRY_LIMIT_S = 2.0
 SILENT = "silent"  # reason of an order that isn't sent, since the worker may carry it out late
 SILENCE_MS = 700  # some calls may be lost by chance, but hardly four in a row
 CHECK_VALID_MS = 300  # from the begin of a check; a worker that crashes takes longer to be back
@@ -33,6 +38,14 @@
     """No start was sent, since the worker did not answer the check before it in time."""
 
 
+class Listing(Enum):
+    """Where the worker's lists show a run."""
+
+    RUNNING = auto()
+    ENDED = auto()
+    ABSENT = auto()
+
+
 class OrderExecutor:
     """Executes each order in its own task; an order that is already in progress is ignored."""
 
@@ -146,13 +159,13 @@
         one whose start was not answered.
         """
         if was_unanswered or reason == "old":
-            await self._fence_run(order.lifetime, order.task, order.run)
+            await self._fence_run(order)
             await self._report_if_absent(order, reason)
         else:
             self._post_result(order.lifetime, order.task, order.run, reason)
 
     async def _stop(self, order: StopOrder) -> None:
-        outcome = await self._fence_run(order.lifetime, order.task, order.run)
+        outcome = await self._fence_run(order)
         log_event("stop_done", task=order.task, run=order.run, outcome=type(outcome).__name__)
         await self._report_if_absent(order, "absent")
 
@@ -161,33 +174,71 @@
 
         The leader learns the state of a listed run from the agent's worker reports.
         """
-        board = self._board
-        while board.lifetime == order.lifetime and not board.is_worker_gone:
-            listing = await self._worker.hold(
-                order.lifetime, 0, max(order.epoch, board.epoch), board.last_recorded_end, 0
-            )
-            if isinstance(listing, RunLists):
-                listed = {(run.task, run.run) for run in listing.running}
-                listed.update((end.task, end.run) for end in listing.ended)
-                if (order.task, order.run) not in listed:
-                    self._post_result(order.lifetime, order.task, order.run, reason)
+        while self._is_current(order.lifetime):
+            listing = await self._listing(order)
+            if listing is Listing.ABSENT:
+                self._post_result(order.lifetime, order.task, order.run, reason)
+            if listing is not None:
                 return
             await asyncio.sleep(RETRY_S)
         self._post_result(order.lifetime, order.task, order.run, "worker_gone")
 
-    async def _fence_run(self, lifetime: Lifetime, task: str, run: int) -> OrderOutcome:
-        """Repeat the stop of a run until the worker confirms it or is gone."""
+    async def _listing(self, order: StartOrder | StopOrder) -> Listing | None:
+        """Return where the worker lists the run of `order`, None if it does not answer."""
+        board = self._board
+        lists = await self._worker.hold(
+            order.lifetime, 0, max(order.epoch, board.epoch), board.last_recorded_end, 0
+        )
+        if not isinstance(lists, RunLists):
+            return None
+        key = (order.task, order.run)
+        if any((run.task, run.run) == key for run in lists.running):
+            return Listing.RUNNING
+        if any((end.task, end.run) == key for end in lists.ended):
+            return Listing.ENDED
+        return Listing.ABSENT
+
+    async def _fence_run(self, order: StartOrder | StopOrder) -> OrderOutcome:
+        """Repeat the stop of a run until the worker confirms it or is gone.
+
+        A worker that refuses a stop has done nothing: a delayed start may still begin the run. The
+        stop is pointless once the run is listed as ended, or as running despite a refused start.
+        """
         board = self._board
+        backoff = Backoff(REFUSED_RETRY_FIRST_S, REFUSED_RETRY_LIMIT_S)
         while True:
-            outcome = await self._worker.stop(lifetime, task, run, board.epoch)
-            if not isinstance(outcome, NoAnswer):
+            outcome = await self._worker.stop(order.lifetime, order.task, order.run, board.epoch)
+            if isinstance(outcome, Taken):
                 return outcome
-            if board.lifetime != lifetime or board.is_worker_gone:
+            if not self._is_current(order.lifetime):
                 return NoWorker()
-            board.counters.count("stop_retries", "no_answer")
-            await asyncio.sleep(RETRY_S)
+            board.counters.count("stop_retries", _retry_reason(outcome))
+            if not isinstance(outcome, Rejected):
+                await asyncio.sleep(RETRY_S)
+                continue
+            listing = await self._listing(order)
+            is_wanted = isinstance(order, StartOrder) and listing is Listing.RUNNING
+            if is_wanted or listing is Listing.ENDED:
+                return outcome
+            await asyncio.sleep(backoff.next_delay_s())
+
+    def _is_current(self, lifetime: Lifetime) -> bool:
+        return self._board.lifetime == lifetime and not self._board.is_worker_gone
 
     def _post_result(self, lifetime: Lifetime, task: str, run: int, reason: str) -> None:
         log_event("order_without_run", task=task, run=run, reason=reason)
         self._board.counters.count("orders_without_run", reason)
         self._board.post(OrderResult(lifetime, task, run, reason))
+
+
+def _retry_reason(outcome: OrderOutcome) -> str:
+    """Return why an order with this outcome is repeated."""
+    match outcome:
+        case Rejected(reason):
+            return reason
+        case OtherLifetime():
+            return "other_lifetime"
+        case NoWorker():
+            return "no_worker"
+        case _:
+            return "no_answer"
--- a/packages/lycheeslip_agent/tests/dispatch/orders_tests.py
+++ b/packages/lycheeslip_agent/tests/dispatch/orders_tests.py
@@ -145,6 +145,42 @@
     assert worker.calls == ["check", "start", "check", "start", "stop", "stop", "hold"]
 
 
+@pytest.mark.parametrize("refusal", [Rejected("unhealthy"), Rejected("fence")])
+async def test_a_start_is_not_reported_before_a_refused_stop_is_confirmed(refusal):
+    """A refused stop fences nothing: the unanswered start may begin beside the next run."""
+    worker = ScriptedWorker([NoAnswer("late"), Rejected("unhealthy")], [refusal, refusal, Taken(1)])
+    assert await reported_reasons(worker, START) == ["unhealthy"]
+    assert worker.calls[4:] == ["stop", "hold", "stop", "hold", "stop", "hold"]
+
+
+@pytest.mark.parametrize("outcome", [OtherLifetime(), NoWorker()])
+async def test_a_start_is_not_reported_while_the_end_of_its_worker_is_in_doubt(outcome):
+    """An unanswered start may begin beside the next run as long as the worker may live."""
+    worker = ScriptedWorker([NoAnswer("late"), Rejected("unhealthy")], [outcome, Taken(1)])
+    assert await reported_reasons(worker, START) == ["unhealthy"]
+    assert worker.calls[4:] == ["stop", "stop", "hold"]
+
+
+async def test_a_refused_stop_order_is_repeated_until_confirmed():
+    worker = ScriptedWorker(stops=[Rejected("unhealthy"), Taken(1)])
+    assert await reported_reasons(worker, STOP) == ["absent"]
+    assert worker.calls == ["stop", "hold", "stop", "hold"]
+
+
+async def test_a_refused_stop_is_not_repeated_once_the_worker_is_gone():
+    worker = ScriptedWorker(stops=[Rejected("unhealthy")])
+    assert await reported_reasons(worker, STOP, gone_after_calls=3) == ["worker_gone"]
+
+
+async def test_a_late_start_that_is_listed_is_not_stopped_after_a_refused_stop():
+    running = RunLists(1, 5, (RunningRun(TASK, 1, "", 0),), ())
+    worker = ScriptedWorker(
+        [NoAnswer("late"), Rejected("unhealthy")], [Rejected("unhealthy")], [running]
+    )
+    assert await reported_reasons(worker, START) == []
+    assert worker.calls.count("stop") == 1
+
+
 async def test_a_listed_ended_run_is_not_reported_as_not_started():
     """A start that is rejected as old may already have run to its end."""
     done = RunLists(1, 5, (), (EndedRun(1, TASK, 1, EndCause.DONE, ""),))
