--- a/packages/lycheeslip/lycheeslip/dispatch/occupancy.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/occupancy.py
@@ -185,6 +185,7 @@
         traits.latest_start_ms,
         must_run_isolated(job.progress, key, now_ms),
         job.preemptions[(*key[:2], 0) if step.gang else key],
+        step.long_running,
     )
 
 
--- a/packages/lycheeslip/lycheeslip/dispatch/packing.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/packing.py
@@ -7,8 +7,8 @@
 __all__ = [
     "candidate_groups",
     "choose_workers",
-    "fits_one_rack_when_empty",
-    "fits_when_empty",
+    "fits_one_rack_when_drained",
+    "fits_when_drained",
     "free_accelerators",
     "is_remote",
     "pack",
@@ -47,7 +47,7 @@
     for worker in ranked:
         racks.setdefault(worker.rack, []).append(worker)
     yield from sorted(racks.values(), key=free_accelerators)
-    if not fits_one_rack_when_empty(unit, ranked):
+    if not fits_one_rack_when_drained(unit, ranked):
         yield ranked
 
 
@@ -56,17 +56,17 @@
     return sum(worker.free_accelerators for worker in group)
 
 
-def fits_when_empty(unit: Unit, group: Sequence[WorkerCapacity]) -> bool:
-    """Return whether the whole unit would fit onto the workers of `group` if they were empty."""
-    return pack(unit, group, WorkerCapacity.task_slots_when_empty) is not None
+def fits_when_drained(unit: Unit, group: Sequence[WorkerCapacity]) -> bool:
+    """Return whether the whole unit would fit onto the workers of `group` beside lasting runs."""
+    return pack(unit, group, WorkerCapacity.task_slots_when_drained) is not None
 
 
-def fits_one_rack_when_empty(unit: Unit, workers: Sequence[WorkerCapacity]) -> bool:
-    """Return whether the whole unit would fit onto the workers of one rack if they were empty."""
+def fits_one_rack_when_drained(unit: Unit, workers: Sequence[WorkerCapacity]) -> bool:
+    """Return whether the whole unit would fit onto the workers of one rack beside lasting runs."""
     racks: dict[str, list[WorkerCapacity]] = {}
     for worker in workers:
         racks.setdefault(worker.rack, []).append(worker)
-    return any(fits_when_empty(unit, group) for group in racks.values())
+    return any(fits_when_drained(unit, group) for group in racks.values())
 
 
 def is_remote(unit: Unit, chosen: Sequence[WorkerCapacity]) -> bool:
--- a/packages/lycheeslip/lycheeslip/dispatch/placement.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/placement.py
@@ -12,8 +12,8 @@
 from lycheeslip.dispatch.packing import (
     candidate_groups,
     choose_workers,
-    fits_one_rack_when_empty,
-    fits_when_empty,
+    fits_one_rack_when_drained,
+    fits_when_drained,
     free_accelerators,
     is_remote,
     pack,
@@ -45,17 +45,17 @@
     """
     plan = Plan()
     _mark_reserve(workers, reserve)
-    blocked_kinds: set[tuple[StepKey, frozenset[str], bool]] = set()
+    blocked_kinds: set[tuple[StepKey, frozenset[str], bool, bool]] = set()
     for unit in sorted(units, key=_priority_key):
         if not is_view_complete and unit.priority != URGENT_PRIORITY:
             break
-        kind = (unit.step_key, unit.avoided_workers, unit.is_isolated)
+        kind = (unit.step_key, unit.avoided_workers, unit.is_isolated, unit.may_use_reserved)
         if kind in blocked_kinds:  # capacity only shrinks within a round
             plan.blocked.append(unit)
             continue
         usable_workers = _usable_workers(unit, workers)
         may_wait_for_view = not is_view_complete and unit.wait_budget_ms > 0
-        chosen = choose_workers(unit, with_ticket(unit, usable_workers))
+        chosen = _choose_workers(unit, with_ticket(unit, usable_workers))
         if chosen is None or (may_wait_for_view and is_remote(unit, chosen)):
             _free_capacity(unit, usable_workers, plan, may_wait_for_view)
             if unit.priority != URGENT_PRIORITY:
@@ -67,6 +67,18 @@
     return plan
 
 
+def _choose_workers(unit: Unit, workers: list[WorkerCapacity]) -> list[WorkerCapacity] | None:
+    """Return a worker for each task of `unit`, on reserved capacity only if there is no other."""
+    chosen = choose_workers(unit, workers)
+    if chosen is not None or not unit.may_use_reserved:
+        return chosen
+    chosen = choose_workers(unit, [worker.without_reservations() for worker in workers])
+    if chosen is None:
+        return None
+    by_node = {worker.node: worker for worker in workers}
+    return [by_node[worker.node] for worker in chosen]
+
+
 def _free_capacity(
     unit: Unit,
     usable_workers: list[WorkerCapacity],
@@ -104,7 +116,7 @@
         untried = [
             worker for worker in allowed if worker.lifetime.worker_id not in unit.avoided_workers
         ]
-        allowed = untried or allowed
+        allowed = _preferably(unit, allowed, untried)
     return _without_slow(unit, _without_suspects(unit, allowed))
 
 
@@ -136,11 +148,11 @@
     unit: Unit, workers: list[WorkerCapacity], preferred: list[WorkerCapacity]
 ) -> list[WorkerCapacity]:
     """Return those `preferred` of `workers` if `unit` would fit onto them, else all."""
-    if len(preferred) == len(workers) or not fits_when_empty(unit, preferred):
+    if len(preferred) == len(workers) or not fits_when_drained(unit, preferred):
         return workers
     # a gang of one rack isn't split for the sake of a better worker
-    if unit.same_rack and not fits_one_rack_when_empty(unit, preferred):
-        return workers if fits_one_rack_when_empty(unit, workers) else preferred
+    if unit.same_rack and not fits_one_rack_when_drained(unit, preferred):
+        return workers if fits_one_rack_when_drained(unit, workers) else preferred
     return preferred
 
 
@@ -184,14 +196,15 @@
 def _reserve(unit: Unit, usable_workers: Sequence[WorkerCapacity]) -> bool:
     """Reserve the emptiest group for a blocked unit, so that smaller units don't starve it.
 
-    Returns whether there is a group that is large enough.
+    Nothing is reserved where lasting runs keep the unit out: it would wait for ever, and all units
+    after it. Returns whether there is a group that is large enough.
     """
     for group in sorted(
         candidate_groups(unit, usable_workers), key=free_accelerators, reverse=True
     ):
         if unit.is_isolated:
             group = sorted(group, key=lambda worker: -worker.free_accelerators)
-        chosen = pack(unit, group, WorkerCapacity.task_slots_when_empty)
+        chosen = pack(unit, group, WorkerCapacity.task_slots_when_drained)
         if chosen is None:
             continue
         for worker in chosen:
--- a/packages/lycheeslip/lycheeslip/dispatch/placement_model.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/placement_model.py
@@ -1,7 +1,7 @@
 """Data model of a planning round: workers and their free capacity, placed runs, waiting units."""
 
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import NamedTuple
 
 from lycheeslip_common.workload.fleet import Lifetime
@@ -39,6 +39,18 @@
 NO_DEMAND = Demand(0, 0, 0)
 
 
+def _add(a: Demand, b: Demand) -> Demand:
+    return Demand(
+        a.cpu_milli + b.cpu_milli, a.memory_mb + b.memory_mb, a.accelerators + b.accelerators
+    )
+
+
+def _subtract(a: Demand, b: Demand) -> Demand:
+    return Demand(
+        a.cpu_milli - b.cpu_milli, a.memory_mb - b.memory_mb, a.accelerators - b.accelerators
+    )
+
+
 def cores_of(demand: Demand) -> float:
     """Return `demand` in cores, with each accelerator as `ACCELERATOR_CORES`."""
     return demand.cpu_milli / 1_000 + demand.accelerators * ACCELERATOR_CORES
@@ -49,7 +61,8 @@
 
     `delay_cost` is what it counts for, also in core-seconds, if it starts again after
     `latest_start_ms`, the Unix time by which it has to start to meet its latency objective.
-    The task has been preempted `times_preempted` times before.
+    The task has been preempted `times_preempted` times before. A run that `is_lasting` goes on
+    until its job is cancelled.
     `remaining_ms` is its estimated time to completion; a run that `is_protected` by a disruption
     budget is never preempted. No other unit starts beside a run that `is_isolated`.
     """
@@ -72,6 +85,7 @@
     latest_start_ms: float = 0.0
     is_isolated: bool = False
     times_preempted: int = 0
+    is_lasting: bool = False
 
     @property
     def victim_key(self) -> VictimKey:
@@ -86,6 +100,8 @@
     `is_reserved` marks workers of the reserve, which units that are costly to stop avoid,
     `is_slow` those on which a run was lately seen to be slow, `is_suspect` those whose last run
     failed, and `is_exposed` those that may be among the next to leave while workers are replaced.
+    `reserved` is what blocked units that wait for the runs here to end keep from other units; it
+    isn't part of the free capacity. `held_by_lasting` runs is what doesn't become free by itself.
     """
 
     node: str
@@ -105,6 +121,8 @@
     is_slow: bool = False
     is_suspect: bool = False
     is_exposed: bool = False
+    reserved: Demand = NO_DEMAND
+    held_by_lasting: Demand = NO_DEMAND
 
     @property
     def has_costly_run(self) -> bool:
@@ -122,9 +140,9 @@
         )
         return self._task_slots_in(unit, free)
 
-    def task_slots_when_empty(self, unit: "Unit") -> int:
-        """Return how many tasks of `unit`, at most all, would fit here without other runs."""
-        return self._task_slots_in(unit, self.total)
+    def task_slots_when_drained(self, unit: "Unit") -> int:
+        """Return how many tasks of `unit`, at most all, would fit here beside lasting runs."""
+        return self._task_slots_in(unit, _subtract(self.total, self.held_by_lasting))
 
     def _task_slots_in(self, unit: "Unit", free: Demand) -> int:
         if unit.is_isolated and free != self.total:
@@ -141,18 +159,41 @@
 
     def allocate_task(self, unit: "Unit") -> None:
         """Place one task of `unit`."""
-        self.reserve(unit)
+        self.claim(unit)
         self.task_counts[unit.step_key] += 1
 
-    def reserve(self, unit: "Unit") -> None:
+    def claim(self, unit: "Unit") -> None:
         """Allocate the demand of one task of `unit`, or all if the unit is isolated."""
-        self.allocate(self.total if unit.is_isolated else unit.demand)
+        self.allocate(self._demand_here(unit))
+
+    def reserve(self, unit: "Unit") -> None:
+        """Claim capacity for one task of `unit`, which units that were held up may still use."""
+        demand = self._demand_here(unit)
+        self.allocate(demand)
+        self.reserved = _add(self.reserved, demand)
+
+    def _demand_here(self, unit: "Unit") -> Demand:
+        return self.total if unit.is_isolated else unit.demand
+
+    def without_reservations(self) -> "WorkerCapacity":
+        """Return this worker as it is for a unit that may use reserved capacity."""
+        if self.reserved == NO_DEMAND:
+            return self
+        return replace(
+            self,
+            free_cpu_milli=self.free_cpu_milli + self.reserved.cpu_milli,
+            free_memory_mb=self.free_memory_mb + self.reserved.memory_mb,
+            free_accelerators=self.free_accelerators + self.reserved.accelerators,
+            reserved=NO_DEMAND,
+        )
 
     def add_placed_run(self, placed_run: PlacedRun) -> None:
         """Allocate the demand of a run that is placed here, or all if it is isolated."""
         if placed_run.is_isolated:
             placed_run = placed_run._replace(demand=self.total)
         self.allocate(placed_run.demand)
+        if placed_run.is_lasting and not placed_run.is_stopping:
+            self.held_by_lasting = _add(self.held_by_lasting, placed_run.demand)
         self.placed_runs.append(placed_run)
         self.task_counts[placed_run.step_key] += 1
 
@@ -203,7 +244,8 @@
     `claimed_nodes` are the nodes on which an earlier round began to free capacity for it.
     A unit that `is_late` can't meet its latency objective any more.
     A unit that `is_isolated` starts only on workers without other work. With `is_last_attempt` its
-    next failure fails the job.
+    next failure fails the job. One that `may_use_reserved` capacity has waited for long while most
+    capacity was idle.
     """
 
     job_id: str
@@ -236,6 +278,7 @@
     claimed_nodes: frozenset[str] = frozenset()
     is_isolated: bool = False
     is_last_attempt: bool = False
+    may_use_reserved: bool = False
 
     @property
     def key(self) -> UnitKey:
--- a/packages/lycheeslip/lycheeslip/dispatch/reclaim.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/reclaim.py
@@ -70,7 +70,7 @@
             return False
         best = claimed_eviction
     for worker in best.workers:
-        worker.reserve(unit)
+        worker.claim(unit)
     plan.claims[unit.key] = frozenset(worker.node for worker in best.workers)
     for victim in best.victims:
         plan.preempted.add(victim.key)
--- a/packages/lycheeslip/lycheeslip/dispatch/relocation.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/relocation.py
@@ -63,7 +63,7 @@
                 result.append(running)
         elif not is_remote(running.unit, chosen):
             for worker in chosen:
-                worker.reserve(running.unit)
+                worker.claim(running.unit)
             result.append(running)
     return result
 
--- a/packages/lycheeslip/lycheeslip/dispatch/waiting.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/waiting.py
@@ -51,8 +51,13 @@
         for _, members in waiting_units(job.progress):
             times = objectives.step_times(job, *members[0][:2])
             unit = build_unit(board, job_id, job, members, times, guaranteed)
-            may_wait = _may_wait(job, unit, utilization_by_service.get(unit.service, 0.0))
-            units.append(unit._replace(may_wait=may_wait))
+            utilization = utilization_by_service.get(unit.service, 0.0)
+            units.append(
+                unit._replace(
+                    may_wait=_may_wait(job, unit, utilization),
+                    may_use_reserved=_is_held_up(job, unit, utilization),
+                )
+            )
     return [
         unit._replace(claimed_nodes=claims[unit.key]) if unit.key in claims else unit
         for unit in units
@@ -82,12 +87,22 @@
     return now - job.ready_at_ms.setdefault((unit.occurrence, unit.step), now)
 
 
+def _ready_ms(job: StoredJob, unit: Unit) -> int:
+    """Return since when a unit can start, in Unix ms: for a first step, since its job's arrival."""
+    if job.progress.spec.steps[unit.step].after:
+        return wall_ms() - _known_for_ms(job, unit)
+    return unit.waiting_since_ms
+
+
+def _is_held_up(job: StoredJob, unit: Unit, utilization: float) -> bool:
+    """Return whether a unit has waited long enough, while most capacity is idle, to be next."""
+    return utilization < IDLE_UTILIZATION and wall_ms() - _ready_ms(job, unit) >= MAX_IDLE_WAIT_MS
+
+
 def _may_wait(job: StoredJob, unit: Unit, utilization: float) -> bool:
     """Return whether a unit may wait longer for an unreserved worker."""
     now_ms = wall_ms()
-    ready_ms = unit.waiting_since_ms
-    if job.progress.spec.steps[unit.step].after:
-        ready_ms = now_ms - _known_for_ms(job, unit)
+    ready_ms = _ready_ms(job, unit)
     limit_ms = (unit.waiting_since_ms + unit.slack_ms - ready_ms) * SLACK_RATIO
     if utilization < IDLE_UTILIZATION:
         limit_ms = min(limit_ms, MAX_IDLE_WAIT_MS)
--- a/packages/lycheeslip/tests/dispatch/builders.py
+++ b/packages/lycheeslip/tests/dispatch/builders.py
@@ -15,12 +15,14 @@
 JOB = "a" * 16
 
 
-def worker(node: str, rack: str = "r1", free: int = 8, **fields) -> WorkerCapacity:
+def worker(
+    node: str, rack: str = "r1", free: int = 8, service: str = "service", **fields
+) -> WorkerCapacity:
     """Return a worker of 8 accelerators, `free` of which are free."""
     return WorkerCapacity(
         node,
         Lifetime(node, 1),
-        "service",
+        service,
         "zone",
         rack,
         frozenset({"a", rack}),
--- a/packages/lycheeslip/tests/dispatch/placement_tests.py
+++ b/packages/lycheeslip/tests/dispatch/placement_tests.py
@@ -3,8 +3,9 @@
 import pytest
 from lycheeslip.dispatch.placement import plan_round
 from lycheeslip.dispatch.placement_model import PlacedRun, WorkerCapacity
+from lycheeslip.dispatch.waiting import build_units
 
-from .builders import placed_run, unit, worker
+from .builders import add_job, board_with, placed_run, unit, worker
 
 
 def nodes(plan, index: int = 0) -> list[str]:
@@ -153,6 +154,83 @@
     assert plan.starts == []
 
 
+def held_by_lasting_run(node: str, rack: str = "r1", accelerators: int = 1) -> WorkerCapacity:
+    held = worker(node, rack)
+    held.add_placed_run(placed_run(f"lasting-{node}", accelerators, 1, is_lasting=True))
+    return held
+
+
+def test_gang_that_lasting_runs_keep_out_does_not_keep_others_from_starting():
+    """It would wait for ever, and with it all jobs of its priority that came later."""
+    workers = [held_by_lasting_run("n1"), held_by_lasting_run("n2")]
+    gang = unit("gang", members=2, accelerators=8)
+    plan = plan_round([gang, unit("small", waiting_since_ms=1)], workers)
+    assert [started.job_id for started, _ in plan.starts] == ["small"]
+
+
+def test_gang_reserves_the_workers_on_which_all_runs_end():
+    ending = worker("n2")
+    ending.add_placed_run(placed_run("ending", 1, 1))
+    workers = [held_by_lasting_run("n1"), ending, worker("n3")]
+    gang = unit("gang", members=2, accelerators=8)
+    small = [unit(f"small-{i}", accelerators=4, waiting_since_ms=1) for i in range(3)]
+    plan = plan_round([gang, *small], workers)
+    assert [nodes(plan, i) for i in range(len(plan.starts))] == [["n1"]]
+
+
+def test_suspect_that_lasting_runs_keep_from_being_isolated_reserves_nothing():
+    workers = [held_by_lasting_run("n1"), held_by_lasting_run("n2")]
+    suspect = unit("suspect", is_isolated=True)
+    plan = plan_round([suspect, unit("small", waiting_since_ms=1)], workers)
+    assert [started.job_id for started, _ in plan.starts] == ["small"]
+
+
+def test_unit_that_was_held_up_may_use_what_is_reserved_for_a_gang():
+    """The runs that a gang waits for may take longer than they were expected to."""
+    busy = worker("n2")
+    busy.add_placed_run(placed_run("busy", 1, 1))
+    gang = unit("gang", members=2, accelerators=8)
+    late = unit("late", indexes=(0,), waiting_since_ms=1, may_use_reserved=True)
+    other = unit("other", waiting_since_ms=2)
+    plan = plan_round([gang, late, other], [worker("n1"), busy])
+    assert [started.job_id for started, _ in plan.starts] == ["late"]
+
+
+def test_unit_that_was_held_up_leaves_reserved_capacity_to_the_gang_if_there_is_other():
+    busy = worker("n2")
+    busy.add_placed_run(placed_run("busy", 1, 1))
+    gang = unit("gang", members=2, accelerators=8, label="r1")
+    late = unit("late", waiting_since_ms=1, may_use_reserved=True)
+    plan = plan_round([gang, late], [worker("n1"), busy, worker("n3", "r2")])
+    assert nodes(plan) == ["n3"]
+
+
+@pytest.mark.parametrize(
+    ("waited_ms", "busy_nodes", "expected"),
+    [(2_100, 1, True), (1_500, 1, False), (2_100, 2, False)],
+    ids=["held up", "waits for a short while", "while half of the capacity is in use"],
+)
+def test_unit_counts_as_held_up_only_while_most_capacity_is_idle(waited_ms, busy_nodes, expected):
+    board = board_with(4)
+    add_job(board, waited_ms=waited_ms)
+    workers = [worker(f"n{i}", free=0 if i < busy_nodes else 8, service="s") for i in range(4)]
+    assert [unit.may_use_reserved for unit in build_units(board, workers, {})] == [expected]
+
+
+def test_gang_of_one_rack_is_split_if_lasting_runs_keep_it_out_of_every_rack():
+    """It would wait for ever, with capacity free for it."""
+    workers = [held_by_lasting_run("n1", "r1"), held_by_lasting_run("n2", "r2")]
+    workers += [worker("n3", "r1"), worker("n4", "r2")]
+    gang = unit(members=2, accelerators=8, same_rack=True)
+    assert sorted(nodes(plan_round([gang], workers))) == ["n3", "n4"]
+
+
+def test_worker_that_failed_the_task_is_used_if_lasting_runs_hold_all_others():
+    """Otherwise the task would wait for ever beside a free worker."""
+    failed = unit(accelerators=8, avoided_workers=frozenset({"n1"}))
+    assert nodes(plan_round([failed], [worker("n1"), held_by_lasting_run("n2")])) == ["n1"]
+
+
 def test_worker_that_failed_the_task_is_avoided_while_others_remain():
     failed = unit(accelerators=4, avoided_workers=frozenset({"n1"}))
     assert plan_round([failed], [worker("n1"), worker("n2", free=2)]).starts == []
--- a/tests/dispatch/capacity_tests.py
+++ b/tests/dispatch/capacity_tests.py
@@ -1,5 +1,7 @@
 """Tests of workers whose capacity changes while they run."""
 
+import asyncio
+
 from tests.harness.platform_cell import Cell
 
 ONE = {"count": 1, "cpu": 1000, "mem_mb": 100, "gpu": 1}
@@ -61,3 +63,15 @@
     assert cell.starts() == {}
     shrink(cell, 0, 8)
     await cell.until_state(path, "completed")
+
+
+async def test_gang_that_lasting_tasks_keep_out_does_not_hold_up_later_jobs(cell: Cell):
+    """Reserving workers for it would keep later jobs waiting for as long as those tasks last."""
+    lasting = {**ONE, "count": 2, "long_running": True, "anti_affinity": 1}
+    await cell.submit(1, lasting, work_ms=600_000)
+    await cell.until(lambda: all(len(agent.worker.runs) == 1 for agent in cell.agents))
+    gang = await cell.submit(2, {**ONE, "count": 2, "gpu": 8, "gang": True, "estimate_ms": 100})
+    await asyncio.sleep(2.0)  # from three times its latency objective on it comes before later jobs
+    path = await cell.submit(3, {**ONE, "estimate_ms": 100})
+    await cell.until_state(path, "completed")
+    assert await cell.state(gang) == "queued"
