--- a/packages/lycheeslip_agent/lycheeslip_agent/dispatch/orders.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/dispatch/orders.py
@@ -28,6 +28,7 @@
 # A worker that refuses stops is overloaded or unhealthy, for seconds or for a call by chance.
 REFUSED_RETRY_FIRST_S = 0.4
 REFUSED_RETRY_LIMIT_S = 2.0
+UNHEALTHY = "unhealthy"  # reason for which a worker refuses single calls, or all for a while
 SILENT = "silent"  # reason of an order that isn't sent, since the worker may carry it out late
 SILENCE_MS = 700  # some calls may be lost by chance, but hardly four in a row
 CHECK_VALID_MS = 300  # from the begin of a check; a worker that crashes takes longer to be back
@@ -35,7 +36,12 @@
 
 @dataclass(frozen=True, slots=True)
 class NotSent:
-    """No start was sent, since the worker did not answer the check before it in time."""
+    """No start was sent, since the worker did not confirm its lifetime in the check before it.
+
+    `reason` is that of the order's result if it is given up.
+    """
+
+    reason: str
 
 
 class Listing(Enum):
@@ -94,10 +100,10 @@
                     await self._report_not_started(order, refusal, was_unanswered)
                     return
                 match await self._check_and_start(order):
-                    case NotSent():
-                        is_silent = steady_ms() - board.pending_starts[run_key] >= SILENCE_MS
-                        if is_silent and not was_unanswered:
-                            self._post_result(order.lifetime, order.task, order.run, SILENT)
+                    case NotSent(reason):
+                        is_overdue = steady_ms() - board.pending_starts[run_key] >= SILENCE_MS
+                        if is_overdue and not was_unanswered:
+                            self._post_result(order.lifetime, order.task, order.run, reason)
                             return
                         await asyncio.sleep(RETRY_S)
                     case Taken():
@@ -132,7 +138,9 @@
         check = await self._worker.check_lifetime(order.lifetime, epoch)
         # the lifetime may be over after a pause of this process
         if isinstance(check, NoAnswer) or steady_ms() - began_at_ms > CHECK_VALID_MS:
-            return NotSent()
+            return NotSent(SILENT)
+        if check == Rejected(UNHEALTHY):
+            return NotSent(UNHEALTHY)
         if not isinstance(check, Taken):
             return check
         return await self._worker.start(order, self._board.lease_end_on_worker_ms(), epoch)
--- a/packages/lycheeslip_agent/tests/dispatch/orders_tests.py
+++ b/packages/lycheeslip_agent/tests/dispatch/orders_tests.py
@@ -106,6 +106,25 @@
     assert worker.calls == ["check", "check", "check", "start"]
 
 
+async def test_a_start_is_not_sent_to_a_worker_that_refuses_to_confirm_its_lifetime():
+    """It might begin in the next lifetime of a worker that keeps its id, beside the next run."""
+    worker = ScriptedWorker(EXECUTED, checks=(Rejected("unhealthy"),))
+    assert await reported_reasons(worker, START) == ["unhealthy"]
+    assert set(worker.calls) == {"check"}
+
+
+async def test_a_start_is_sent_once_a_worker_that_refuses_single_calls_has_confirmed_its_lifetime():
+    worker = ScriptedWorker(EXECUTED, checks=(Rejected("unhealthy"), Taken(1)))
+    assert await reported_reasons(worker, START) == []
+    assert worker.calls == ["check", "check", "start"]
+
+
+async def test_a_start_with_an_outdated_epoch_is_not_sent():
+    worker = ScriptedWorker(EXECUTED, checks=(Rejected("fence"),))
+    assert await reported_reasons(worker, START) == ["fence"]
+    assert worker.calls == ["check"]
+
+
 async def test_an_unanswered_start_is_not_repeated_before_the_worker_answers():
     """It may have run, so the leader isn't told that it has not."""
     silence = [NoAnswer("late")] * 10
--- a/tests/platform_adapter/worker_tests.py
+++ b/tests/platform_adapter/worker_tests.py
@@ -2,7 +2,13 @@
 
 import msgspec
 import pytest
-from lycheeslip_agent.dispatch.worker_port import NoAnswer, NoWorker, OtherLifetime, Taken
+from lycheeslip_agent.dispatch.worker_port import (
+    NoAnswer,
+    NoWorker,
+    OtherLifetime,
+    Rejected,
+    Taken,
+)
 from lycheeslip_common.workload.fleet import Lifetime
 from lycheeslip_platform.http_client import HttpResponse, NoResponse
 from lycheeslip_platform.worker import HeartbeatError, PlatformWorker, parse_heartbeat
@@ -67,8 +73,8 @@
         (HttpResponse(200, {"clock_ms": 1}), Taken),
         (HttpResponse(200, {"clock_ms": 1, "born": 6}), OtherLifetime),
         (HttpResponse(200, {"clock_ms": "soon"}), NoAnswer),
-        (HttpResponse(409, {"clock_ms": 1, "reason": "fence"}), Taken),
-        (HttpResponse(503, None), Taken),
+        (HttpResponse(409, {"clock_ms": 1, "reason": "fence"}), Rejected),
+        (HttpResponse(503, None), Rejected),
         (HttpResponse(421, None), OtherLifetime),
         (HttpResponse(500, None), NoAnswer),
         (NoResponse(False, True, "refused"), NoWorker),
