--- a/packages/lycheeslip_agent/lycheeslip_agent/dispatch/lists.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/dispatch/lists.py
@@ -1,10 +1,11 @@
 """Keeps the worker's lease and its lists of runs up to date."""
 
 import asyncio
+from enum import StrEnum
 
 from lycheeslip_common.utils.clock import steady_ms
 from lycheeslip_common.utils.logs import log_event, log_warning
-from lycheeslip_common.workload.fleet import EndedRun, RunningRun
+from lycheeslip_common.workload.fleet import EndedRun, Lifetime, RunningRun
 
 from lycheeslip_agent.dispatch.board import Board
 from lycheeslip_agent.dispatch.worker_port import (
@@ -13,11 +14,12 @@
     OtherLifetime,
     Rejected,
     RunLists,
+    Taken,
     WorkerPort,
     WorkerStatus,
 )
 
-__all__ = ["WorkerLists"]
+__all__ = ["HeartbeatOutcome", "WorkerLists"]
 
 POLL_WAIT_MS = 1_500  # poll interval of an idle worker; it answers at once when a run ends
 SHORT_POLL_WAIT_MS = 300  # latencies cover half a second; calls within the instance are cheap
@@ -26,6 +28,17 @@
 RETRY_S = 0.2
 GONE_AFTER_REFUSED_CONNECTIONS = 3  # a restarting process listens again within two attempts
 CHECKPOINT_REPORT_MS = 1_000  # checkpoints change once per second
+CONFIRM_LIMIT_MS = 600  # the worker waits for an answer to its heartbeat for 1 s
+CONFIRM_RETRY_S = 0.05
+FENCE = "fence"  # reason for which a worker rejects an epoch lower than it has seen
+
+
+class HeartbeatOutcome(StrEnum):
+    """What became of a heartbeat."""
+
+    ACCEPTED = "accepted"
+    OTHER_LIFETIME = "other_lifetime"  # of another worker, or of an earlier lifetime
+    UNCONFIRMED = "unconfirmed"  # the worker did not say whether it is of its present lifetime
 
 
 class WorkerLists:
@@ -40,21 +53,27 @@
         self._answered_at_ms = 0
         self._started_at_ms: dict[tuple[str, int], int] = {}
 
-    def handle_heartbeat(self, worker_status: WorkerStatus) -> bool:
-        """Handle a worker's heartbeat; return whether it is from the newest lifetime."""
+    async def handle_heartbeat(self, worker_status: WorkerStatus) -> HeartbeatOutcome:
+        """Handle a heartbeat that reached this agent.
+
+        It may be another worker's, or have been delayed until after the lifetime that sent it. So
+        one that names a new lifetime counts only once the worker has confirmed it at its address.
+        """
         board = self._board
+        lifetime = worker_status.lifetime
+        if not self._is_current(lifetime):
+            outcome = await self._confirm_lifetime(lifetime)
+            if outcome is not HeartbeatOutcome.ACCEPTED:
+                log_warning(
+                    "heartbeat_rejected", lifetime=lifetime, known=board.lifetime, reason=outcome
+                )
+                board.counters.count("heartbeats_rejected", outcome)
+                return outcome
         known = board.worker_status
-        if known is not None:
-            if worker_status.lifetime.born_ms < known.lifetime.born_ms:
-                log_warning("stale_heartbeat", lifetime=worker_status.lifetime)
-                return False
-            is_same = worker_status.lifetime == known.lifetime
-            if is_same and worker_status.sequence <= known.sequence:
-                return True
-            if not is_same:
-                self._begin_lifetime(worker_status)
-        if known is None:
+        if known is None or known.lifetime != lifetime:
             self._begin_lifetime(worker_status)
+        elif worker_status.sequence <= known.sequence:
+            return HeartbeatOutcome.ACCEPTED
         if known is None or known._replace(sequence=0, remaining_ms=0) != worker_status._replace(
             sequence=0, remaining_ms=0
         ):
@@ -69,7 +88,27 @@
             )
         board.worker_status = worker_status
         board.is_worker_gone = False
-        return True
+        return HeartbeatOutcome.ACCEPTED
+
+    def _is_current(self, lifetime: Lifetime) -> bool:
+        return lifetime == self._board.lifetime and not self._board.is_worker_gone
+
+    async def _confirm_lifetime(self, lifetime: Lifetime) -> HeartbeatOutcome:
+        """Ask the worker whether it is `lifetime`, for at most `CONFIRM_LIMIT_MS`."""
+        board = self._board
+        until_ms = steady_ms() + CONFIRM_LIMIT_MS
+        while steady_ms() < until_ms:
+            match await self._worker.confirm_lifetime(lifetime, board.epoch):
+                case Taken():
+                    return HeartbeatOutcome.ACCEPTED
+                case OtherLifetime():
+                    return HeartbeatOutcome.OTHER_LIFETIME
+                case Rejected(reason) if reason == FENCE and board.worker_status is None:
+                    # a new agent doesn't know the epoch yet; the id is that of the worker
+                    return HeartbeatOutcome.ACCEPTED
+                case _:
+                    await asyncio.sleep(CONFIRM_RETRY_S)
+        return HeartbeatOutcome.UNCONFIRMED
 
     def _begin_lifetime(self, worker_status: WorkerStatus) -> None:
         board = self._board
@@ -90,9 +129,11 @@
         board.poll_requested.set()
 
     def handle_deregistration(self, worker_id: str) -> bool:
-        """Handle a worker's deregistration; return whether it is the current worker."""
+        """Handle a worker's deregistration; return False if another worker is known here."""
         worker_status = self._board.worker_status
-        if worker_status is None or worker_status.lifetime.worker_id != worker_id:
+        if worker_status is None:
+            return True
+        if worker_status.lifetime.worker_id != worker_id:
             return False
         log_event("worker_leaves", lifetime=worker_status.lifetime)
         self._board.worker_status = worker_status._replace(is_ready=False)
--- a/packages/lycheeslip_agent/lycheeslip_agent/dispatch/worker_port.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/dispatch/worker_port.py
@@ -110,10 +110,14 @@
     ) -> OrderOutcome:
         """Set a run's speed to `percent` of full speed, with effect shortly after the answer."""
 
-    async def check_lifetime(
-        self, lifetime: Lifetime, epoch: int
-    ) -> Taken | OtherLifetime | NoWorker | NoAnswer:
-        """Return Taken if `lifetime` of the worker answers calls now, without any effect."""
+    async def check_lifetime(self, lifetime: Lifetime, epoch: int) -> OrderOutcome:
+        """Return Taken if `lifetime` of the worker answers calls now, without any effect.
+
+        Rejected says only that the worker has the id of `lifetime`, or that it is unhealthy.
+        """
+
+    async def confirm_lifetime(self, lifetime: Lifetime, epoch: int) -> OrderOutcome:
+        """Ask the worker whether it is `lifetime`, as a heartbeat says; outcomes as of a check."""
 
     async def is_unused(self) -> bool:
         """Return whether the worker answers in a lifetime that has never been called before.
--- a/packages/lycheeslip_agent/tests/dispatch/lists_tests.py
+++ b/packages/lycheeslip_agent/tests/dispatch/lists_tests.py
@@ -5,9 +5,18 @@
 import pytest
 from lycheeslip_agent.dispatch import lists
 from lycheeslip_agent.dispatch.board import Board
-from lycheeslip_agent.dispatch.lists import WorkerLists
-from lycheeslip_agent.dispatch.worker_port import NoAnswer, NoWorker, RunLists, WorkerStatus
-from lycheeslip_common.workload.fleet import Lifetime
+from lycheeslip_agent.dispatch.lists import HeartbeatOutcome, WorkerLists
+from lycheeslip_agent.dispatch.worker_port import (
+    NoAnswer,
+    NoWorker,
+    OrderOutcome,
+    OtherLifetime,
+    Rejected,
+    RunLists,
+    Taken,
+    WorkerStatus,
+)
+from lycheeslip_common.workload.fleet import EndCause, EndedRun, Lifetime, RunningRun
 from lycheeslip_common.workload.times import DispatchTimes
 
 LIFETIME = Lifetime("i-1", 5)
@@ -21,6 +30,10 @@
 
     def __init__(self, *script: tuple[object, float]) -> None:
         self._script = list(script)
+        self.confirmation: OrderOutcome = Taken(1)
+
+    async def confirm_lifetime(self, *_: object) -> OrderOutcome:
+        return self.confirmation
 
     async def hold(self, *_: object) -> object:
         outcome, after_s = self._script.pop(0) if len(self._script) > 1 else self._script[0]
@@ -33,7 +46,7 @@
     board = Board("agent-1", DispatchTimes())
     board.epoch = 1
     worker_lists = WorkerLists(board, worker)
-    worker_lists.handle_heartbeat(status)
+    await worker_lists.handle_heartbeat(status)
     polling = asyncio.create_task(worker_lists.run())
     async with asyncio.timeout(5):
         while not board.is_worker_gone:  # noqa: ASYNC110
@@ -45,6 +58,8 @@
 @pytest.fixture(autouse=True)
 def _short_times(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(lists, "RETRY_S", 0.02)
+    monkeypatch.setattr(lists, "CONFIRM_LIMIT_MS", 100)
+    monkeypatch.setattr(lists, "CONFIRM_RETRY_S", 0.02)
 
 
 async def test_crash_after_a_long_poll_is_not_taken_for_the_end_of_a_silence():
@@ -62,3 +77,87 @@
 async def test_end_of_a_draining_worker_is_no_crash():
     worker = PolledWorker((RunLists(1, 5, (), ()), 0.0), (NoWorker(), 0.0))
     assert await crashes_seen(worker, STATUS._replace(is_ready=False)) == []
+
+
+async def working_agent() -> tuple[Board, PolledWorker, WorkerLists]:
+    """Return an agent whose worker runs a task and has an end to report."""
+    board = Board("agent-1", DispatchTimes())
+    board.epoch = 1
+    worker = PolledWorker((RunLists(1, 5, (), ()), 0.0))
+    worker_lists = WorkerLists(board, worker)
+    await worker_lists.handle_heartbeat(STATUS)
+    board.running["task"] = RunningRun("task", 1, "", 0)
+    board.ended = (EndedRun(1, "other", 1, EndCause.DONE, ""),)
+    board.has_run_lists = True
+    return board, worker, worker_lists
+
+
+@pytest.mark.parametrize(
+    ("confirmation", "outcome"),
+    [
+        (OtherLifetime(), HeartbeatOutcome.OTHER_LIFETIME),
+        (NoAnswer("timeout"), HeartbeatOutcome.UNCONFIRMED),
+        (NoWorker(), HeartbeatOutcome.UNCONFIRMED),
+        (Rejected("unhealthy"), HeartbeatOutcome.UNCONFIRMED),
+        (Rejected("fence"), HeartbeatOutcome.UNCONFIRMED),
+    ],
+)
+@pytest.mark.parametrize("lifetime", [Lifetime("i-2", 9), Lifetime("i-1", 4), Lifetime("i-1", 6)])
+async def test_lifetime_that_the_worker_does_not_confirm_changes_nothing(
+    confirmation, outcome, lifetime
+):
+    """Its runs would be given up and started again elsewhere while they go on."""
+    board, worker, worker_lists = await working_agent()
+    worker.confirmation = confirmation
+    assert await worker_lists.handle_heartbeat(STATUS._replace(lifetime=lifetime)) is outcome
+    assert (board.lifetime, list(board.running), len(board.ended)) == (LIFETIME, ["task"], 1)
+    assert not board.crashed_at_ms
+
+
+@pytest.mark.parametrize("lifetime", [Lifetime("i-2", 9), Lifetime("i-1", 4), Lifetime("i-1", 6)])
+async def test_lifetime_that_the_worker_confirms_is_a_new_one(lifetime):
+    """Also one whose start, by the time of day, is before that of the lifetime before."""
+    board, _, worker_lists = await working_agent()
+    status = STATUS._replace(lifetime=lifetime)
+    assert await worker_lists.handle_heartbeat(status) is HeartbeatOutcome.ACCEPTED
+    assert (board.lifetime, board.running, board.ended) == (lifetime, {}, ())
+    assert list(board.crashed_at_ms) == [LIFETIME]
+
+
+async def test_heartbeat_of_the_known_lifetime_needs_no_confirmation():
+    board, worker, worker_lists = await working_agent()
+    worker.confirmation = NoAnswer("timeout")
+    draining = STATUS._replace(sequence=2, is_ready=False)
+    assert await worker_lists.handle_heartbeat(draining) is HeartbeatOutcome.ACCEPTED
+    assert not board.worker_status.is_ready
+    assert list(board.running) == ["task"]
+
+
+async def test_delayed_heartbeat_does_not_bring_back_a_worker_that_is_gone():
+    board, worker, worker_lists = await working_agent()
+    board.is_worker_gone = True
+    worker.confirmation = NoWorker()
+    delayed = STATUS._replace(sequence=2)
+    assert await worker_lists.handle_heartbeat(delayed) is HeartbeatOutcome.UNCONFIRMED
+    assert board.is_worker_gone
+
+
+@pytest.mark.parametrize(
+    ("confirmation", "lifetime"),
+    [(Rejected("fence"), LIFETIME), (OtherLifetime(), None), (NoAnswer("timeout"), None)],
+)
+async def test_new_agent_takes_no_other_worker_for_its_own(confirmation, lifetime):
+    """It doesn't know the epoch yet, which a worker in use rejects, but only by its own id."""
+    board = Board("agent-1", DispatchTimes())
+    worker = PolledWorker((RunLists(1, 5, (), ()), 0.0))
+    worker.confirmation = confirmation
+    await WorkerLists(board, worker).handle_heartbeat(STATUS)
+    assert board.lifetime == lifetime
+
+
+async def test_deregistration_of_another_worker_is_not_confirmed():
+    board, _, worker_lists = await working_agent()
+    assert not worker_lists.handle_deregistration("i-2")
+    assert board.worker_status.is_ready
+    assert worker_lists.handle_deregistration("i-1")
+    assert not board.worker_status.is_ready
--- a/packages/lycheeslip_common/lycheeslip_common/utils/events.py
+++ b/packages/lycheeslip_common/lycheeslip_common/utils/events.py
@@ -98,7 +98,10 @@
         "This entry decided a call of another entry.",
     ),
     Event(
-        "heartbeat_outdated", "agent", "worker", "A heartbeat of an earlier lifetime was ignored."
+        "heartbeat_rejected",
+        "agent",
+        "known lifetime reason",
+        "The worker did not confirm that it is of the `lifetime` that a heartbeat names.",
     ),
     Event(
         "heartbeat_unusable",
@@ -264,12 +267,6 @@
         "",
         "The process received SIGHUP; its settings do not change while it runs.",
     ),
-    Event(
-        "stale_heartbeat",
-        "agent",
-        "lifetime",
-        "A delayed heartbeat of an earlier lifetime arrived.",
-    ),
     Event(
         "start_ordered", "leader", "node run task", "A run is recorded and its start order is sent."
     ),
--- a/tests/harness/platform_cell.py
+++ b/tests/harness/platform_cell.py
@@ -221,12 +221,16 @@
         return next((entry for entry in self.entries if entry.board.is_loaded), None)
 
     def known_workers(self) -> bool:
-        """Return whether the leader has a link to every agent."""
+        """Return whether the leader has a link to every agent and knows its worker."""
         leader = self.leader()
         if leader is None:
             return False
-        linked = [view for view in leader.board.workers.values() if view.link is not None]
-        return len(linked) == len(self.agents)
+        known = [
+            view
+            for view in leader.board.workers.values()
+            if view.link is not None and view.lifetime is not None
+        ]
+        return len(known) == len(self.agents)
 
     async def call(
         self,
--- a/tests/platform_adapter/heartbeat_worker_tests.py
+++ b/tests/platform_adapter/heartbeat_worker_tests.py
@@ -211,8 +211,8 @@
     lists = WorkerLists(board, worker.port)
     for silence_s, crashes in ((0.2, 1), (0.6, 1)):
         status = WorkerStatus(Lifetime("i-1", worker.born), 1, "s", "z", (), 1, 1, 1, True, 0)
-        lists.handle_heartbeat(status)
+        await lists.handle_heartbeat(status)
         await asyncio.sleep(silence_s)
         worker.born += 1
-        lists.handle_heartbeat(status._replace(lifetime=Lifetime("i-1", worker.born)))
+        await lists.handle_heartbeat(status._replace(lifetime=Lifetime("i-1", worker.born)))
         assert len(board.crashed_at_ms) == crashes
--- a/tests/platform_adapter/worker_tests.py
+++ b/tests/platform_adapter/worker_tests.py
@@ -93,3 +93,11 @@
 
     monkeypatch.setattr(worker, "_call", call)
     assert type(await worker.check_lifetime(Lifetime("i-1", 5), 3)) is expected
+
+
+async def test_call_of_a_process_that_is_stopping_has_no_response():
+    """A heartbeat may still arrive, and asks the worker who it is."""
+    worker = PlatformWorker("127.0.0.1:1")
+    assert isinstance(await worker.confirm_lifetime(Lifetime("i-1", 5), 3), NoWorker)
+    await worker.close()
+    assert isinstance(await worker.confirm_lifetime(Lifetime("i-1", 5), 3), NoAnswer)
