--- a/packages/lycheeslip/lycheeslip/dispatch/starts.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/starts.py
@@ -106,7 +106,7 @@
                 name = format_task_name(job_id, key)
                 if task.lifetime != report.lifetime or name in unsent:
                     continue
-                order = self._build_order(job, key)
+                order = self._build_order(job, key)._replace(is_repeated=True)
                 self._send_traits(view, order)
                 if (name, task.run) not in agent_runs and view.link is not None:
                     view.link.post(order)
--- a/packages/lycheeslip_agent/lycheeslip_agent/dispatch/board.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/dispatch/board.py
@@ -37,7 +37,8 @@
 
     All times are on the agent's own clock except `worker_clock_ms`, a reading of the worker's.
     `is_worker_unused` is set if the worker had never been called when this agent started, so that
-    all of its earlier lifetimes are over.
+    all of its earlier lifetimes are over. `has_seen_whole_lifetime` is set if no earlier process of
+    this agent can have called the present lifetime.
     """
 
     def __init__(self, node: str, times: DispatchTimes) -> None:
@@ -48,6 +49,7 @@
         self.worker_status: WorkerStatus | None = None
         self.is_worker_gone = False
         self.is_worker_unused = False
+        self.has_seen_whole_lifetime = False
         self.crashed_at_ms: dict[Lifetime, int] = {}
         self.has_run_lists = False
         self.running: dict[str, RunningRun] = {}
--- a/packages/lycheeslip_agent/lycheeslip_agent/dispatch/lists.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/dispatch/lists.py
@@ -116,6 +116,8 @@
         log_event(
             "worker_announced", lifetime=worker_status.lifetime, service=worker_status.service
         )
+        has_seen_another = board.worker_clock_ms > 0
+        board.has_seen_whole_lifetime = board.is_worker_unused or has_seen_another
         board.running.clear()
         board.ended = ()
         board.last_recorded_end = 0
--- a/packages/lycheeslip_agent/lycheeslip_agent/dispatch/orders.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/dispatch/orders.py
@@ -85,12 +85,13 @@
 
         A start may be carried out late, and a repeated one would start the run again in the next
         lifetime of a worker that keeps its id. So one is sent only once the worker has answered in
-        the lifetime that the order is for.
+        the lifetime that the order is for. A repeated order may have been sent, without an answer,
+        by an earlier process of this agent.
         """
         board = self._board
         run_key = (order.task, order.run)
         board.pending_starts[run_key] = steady_ms()
-        was_unanswered = False
+        was_unanswered = order.is_repeated and not board.has_seen_whole_lifetime
         try:
             while True:
                 refusal = self._refusal_reason(order)
--- a/packages/lycheeslip_agent/tests/dispatch/lists_tests.py
+++ b/packages/lycheeslip_agent/tests/dispatch/lists_tests.py
@@ -155,6 +155,18 @@
     assert board.lifetime == lifetime
 
 
+@pytest.mark.parametrize("is_unused", [True, False])
+async def test_agent_has_seen_the_whole_lifetime_of_an_unused_worker_and_of_the_next(is_unused):
+    board = Board("agent-1", DispatchTimes())
+    board.is_worker_unused = is_unused
+    worker_lists = WorkerLists(board, PolledWorker((RunLists(1, 5, (), ()), 0.0)))
+    await worker_lists.handle_heartbeat(STATUS)
+    assert board.has_seen_whole_lifetime is is_unused
+    board.record_worker_clock(1)  # as its first lists do
+    await worker_lists.handle_heartbeat(STATUS._replace(lifetime=Lifetime("i-1", 6)))
+    assert board.has_seen_whole_lifetime
+
+
 async def test_deregistration_of_another_worker_is_not_confirmed():
     board, _, worker_lists = await working_agent()
     assert not worker_lists.handle_deregistration("i-2")
--- a/packages/lycheeslip_agent/tests/dispatch/orders_tests.py
+++ b/packages/lycheeslip_agent/tests/dispatch/orders_tests.py
@@ -200,6 +200,25 @@
     assert worker.calls.count("stop") == 1
 
 
+async def test_a_repeated_order_is_fenced_before_it_is_reported_by_a_new_agent():
+    """The agent before may have sent it without an answer, and it may begin beside the next run."""
+    worker = ScriptedWorker([Rejected("unhealthy")])
+    assert await reported_reasons(worker, START._replace(is_repeated=True)) == ["unhealthy"]
+    assert worker.calls == ["check", "start", "stop", "hold"]
+
+
+async def test_a_repeated_order_is_not_given_up_while_the_worker_is_silent():
+    worker = ScriptedWorker(EXECUTED, checks=[*[NoAnswer("late")] * 12, Taken(1)])
+    assert await reported_reasons(worker, START._replace(is_repeated=True)) == []
+
+
+async def test_a_repeated_order_is_new_to_an_agent_that_has_seen_the_whole_lifetime():
+    worker = ScriptedWorker([Rejected("unhealthy")])
+    order = START._replace(is_repeated=True)
+    assert await reported_reasons(worker, order, has_seen_whole_lifetime=True) == ["unhealthy"]
+    assert worker.calls == ["check", "start"]
+
+
 async def test_a_listed_ended_run_is_not_reported_as_not_started():
     """A start that is rejected as old may already have run to its end."""
     done = RunLists(1, 5, (), (EndedRun(1, TASK, 1, EndCause.DONE, ""),))
--- a/packages/lycheeslip_common/lycheeslip_common/workload/fleet.py
+++ b/packages/lycheeslip_common/lycheeslip_common/workload/fleet.py
@@ -176,7 +176,8 @@
 class StartOrder(NamedTuple):
     """Orders the start of one run, which the store already records.
 
-    `ticket` is the approval of the advice service, empty if the queue requires none.
+    `ticket` is the approval of the advice service, empty if the queue requires none. An order that
+    `is_repeated` may have reached the node before, and an earlier process of the agent the worker.
     """
 
     epoch: int
@@ -186,6 +187,7 @@
     payload: str
     checkpoint: str
     ticket: str = ""
+    is_repeated: bool = False
 
 
 class RunTraits(NamedTuple):
--- a/packages/lycheeslip_standins/lycheeslip_standins/platform/worker.py
+++ b/packages/lycheeslip_standins/lycheeslip_standins/platform/worker.py
@@ -27,15 +27,16 @@
 
     The next `delayed_starts` calls to start a run are not answered, and take effect after
     `start_delay_s`. `failing` makes each run fail at its end. Calls fail with `status` unless it
-    is 0. `requires_ticket` rejects starts without a ticket of the advice service. A worker that
-    has crashed is back after `restart_s`. If `loses_answer_in_crash` is set, the start that
-    crashes it is not answered.
+    is 0, and starts with 503 if `refuses_starts`. `requires_ticket` rejects starts without a
+    ticket of the advice service. A worker that has crashed is back after `restart_s`. If
+    `loses_answer_in_crash` is set, the start that crashes it is not answered.
     """
 
     delayed_starts: int = 0
     start_delay_s: float = 0.5
     failing: bool = False
     status: int = 0
+    refuses_starts: bool = False
     requires_ticket: bool = False
     restart_s: float = 0.5
     loses_answer_in_crash: bool = False
@@ -198,6 +199,8 @@
         body = msgspec.json.decode(await request.read())
         if self.faults.status:
             return web.Response(status=self.faults.status)
+        if self.faults.refuses_starts and request.path == "/run-start":
+            return web.Response(status=503)
         if request.headers.get("Expected-Instance", self.worker_id) != self.worker_id:
             return web.Response(status=421)
         if int(body.get("fencing_token", 0)) < self._fencing_token:
--- a/tests/dispatch/lifecycle_tests.py
+++ b/tests/dispatch/lifecycle_tests.py
@@ -159,6 +159,20 @@
     assert list(cell.starts().values()) == [[1]] * 2
 
 
+async def test_start_that_an_earlier_agent_process_left_unanswered_is_one_run(cell: Cell):
+    """The new process reported the repeated order as refused, and the next run began elsewhere."""
+    first = cell.agents[0]
+    first.worker.faults.delayed_starts, first.worker.faults.start_delay_s = 1, 1.0
+    path = await cell.submit(1, ONE, work_ms=2_000)
+    await cell.until(lambda: first.worker.calls["/run-start"] == 1)
+    await first.stop_agent()
+    first.worker.faults.refuses_starts = True
+    await first.start_agent()
+    while await cell.state(path) != "completed":
+        assert cell.running() <= 1
+        await asyncio.sleep(0.01)
+
+
 async def test_cancelled_job_is_stopped_and_starts_no_further_task(cell: Cell):
     path = await cell.submit(1, ONE, {**ONE, "after": [0]}, work_ms=5_000)
     await cell.until(lambda: cell.running() == 1)
