--- a/packages/lycheeslip_agent/lycheeslip_agent/dispatch/orders.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/dispatch/orders.py
@@ -31,6 +31,8 @@
 UNHEALTHY = "unhealthy"  # reason for which a worker refuses single calls, or all for a while
 SILENT = "silent"  # reason of an order that isn't sent, since the worker may carry it out late
 SILENCE_MS = 700  # some calls may be lost by chance, but hardly four in a row
+# Reasons of rejected starts whose run may have begun: earlier, or without having been listed yet.
+UNCERTAIN_REASONS = frozenset({"old", "not_listed"})
 CHECK_VALID_MS = 300  # from the begin of a check; a worker that crashes takes longer to be back
 
 
@@ -164,10 +166,9 @@
     ) -> None:
         """Report that the order started no run, once no delayed copy of it can start one.
 
-        A run that is rejected as "old" may have started and ended already, so it is handled like
-        one whose start was not answered.
+        A rejection for one of `UNCERTAIN_REASONS` is handled like a start without an answer.
         """
-        if was_unanswered or reason == "old":
+        if was_unanswered or reason in UNCERTAIN_REASONS:
             await self._fence_run(order)
             await self._report_if_absent(order, reason)
         else:
--- a/packages/lycheeslip_agent/tests/dispatch/orders_tests.py
+++ b/packages/lycheeslip_agent/tests/dispatch/orders_tests.py
@@ -219,6 +219,14 @@
     assert worker.calls == ["check", "start"]
 
 
+@pytest.mark.parametrize("reason", ["old", "not_listed"])
+async def test_a_start_that_may_have_begun_is_stopped_before_it_is_reported(reason: str):
+    """A start in answers to heartbeats may begin after it was given up, beside the next run."""
+    worker = ScriptedWorker([Rejected(reason)])
+    assert await reported_reasons(worker, START) == [reason]
+    assert worker.calls == ["check", "start", "stop", "hold"]
+
+
 async def test_a_listed_ended_run_is_not_reported_as_not_started():
     """A start that is rejected as old may already have run to its end."""
     done = RunLists(1, 5, (), (EndedRun(1, TASK, 1, EndCause.DONE, ""),))
