--- a/packages/lycheeslip/lycheeslip/dispatch/dispatcher.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/dispatcher.py
@@ -24,7 +24,11 @@
 )
 from lycheeslip.dispatch.recorder import Recorder
 from lycheeslip.dispatch.relocation import relocate
-from lycheeslip.dispatch.running import mark_slow, record_speed, running_units
+from lycheeslip.dispatch.running import (
+    record_speed,
+    running_units,
+    set_slow_workers_aside,
+)
 from lycheeslip.dispatch.starts import RunStarter
 from lycheeslip.dispatch.stops import RunStopper
 from lycheeslip.dispatch.waiting import accelerator_reserve, build_units
@@ -127,8 +131,7 @@
         """Stop the runs that do better elsewhere, and keep them from the workers they leave."""
         for running in relocate(running_units(self._board), workers, plan):
             self._run_stopper.relocate(running)
-            for node in running.nodes if not running.is_leaving else ():
-                mark_slow(self._board.workers[node])
+            set_slow_workers_aside(self._board, running)
 
     def _log_declined(self, declined: list[DeclinedPreemption]) -> None:
         """Log each declined preemption once for each limit."""
--- a/packages/lycheeslip/lycheeslip/dispatch/relocation.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/relocation.py
@@ -38,9 +38,9 @@
     due_in_ms: float
 
     @property
-    def is_leaving(self) -> bool:
-        """Whether a worker of it has said that it leaves."""
-        return self.leaves_in_ms < float("inf")
+    def is_slow(self) -> bool:
+        """Whether it takes much longer where it is than it would if it started again elsewhere."""
+        return self.remaining_ms > (RESTART_MS + self.run_ms) * SLOW_RATIO
 
 
 def relocate(
@@ -76,8 +76,7 @@
     if running.unit.priority != URGENT_PRIORITY:
         return False
     may_be_lost = running.remaining_ms * ERROR_RATIO + ERROR_MS > notice_ms
-    is_slow = running.remaining_ms > (RESTART_MS + running.run_ms) * SLOW_RATIO
-    is_late_here = is_slow and running.remaining_ms > running.due_in_ms
+    is_late_here = running.is_slow and running.remaining_ms > running.due_in_ms
     is_in_time_elsewhere = RESTART_MS + running.run_ms <= running.due_in_ms
     return is_in_time_elsewhere and (may_be_lost or is_late_here)
 
--- a/packages/lycheeslip/lycheeslip/dispatch/running.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/running.py
@@ -15,7 +15,7 @@
 from lycheeslip.dispatch.waiting import build_unit
 from lycheeslip.dispatch.work import guaranteed_accounts
 
-__all__ = ["mark_slow", "record_speed", "running_units"]
+__all__ = ["record_speed", "running_units", "set_slow_workers_aside"]
 
 FULL_PERCENT = 100
 SLOW_RATIO = 2.0  # of the usual time; run times of a step's tasks differ by up to 1.8
@@ -44,11 +44,20 @@
             remaining_ms=run.remaining_ms,
             limit_ms=round(limit_ms),
         )
-    mark_slow(view)
+    _mark_slow(view)
 
 
-def mark_slow(view: WorkerView) -> None:
-    """Let other workers be preferred to this one for a while."""
+def set_slow_workers_aside(board: Board, running: RunningUnit) -> None:
+    """Let other workers be preferred for a while to those that a slow unit is moved off.
+
+    Which member of a gang slows down the others is not known. A unit that moves off a worker that
+    leaves may be slow as well, because of another worker.
+    """
+    for node in running.nodes if running.is_slow else ():
+        _mark_slow(board.workers[node])
+
+
+def _mark_slow(view: WorkerView) -> None:
     view.slow_until_ms = steady_ms() + SLOW_MEMORY_MS
 
 
--- a/packages/lycheeslip/tests/dispatch/relocation_tests.py
+++ b/packages/lycheeslip/tests/dispatch/relocation_tests.py
@@ -3,9 +3,11 @@
 import pytest
 from lycheeslip.dispatch.placement_model import Advice, Plan
 from lycheeslip.dispatch.relocation import RESTART_MS, RunningUnit, relocate
+from lycheeslip.dispatch.running import set_slow_workers_aside
+from lycheeslip_common.utils.clock import steady_ms
 from lycheeslip_common.workload.fleet import Lifetime
 
-from .builders import placed_run, unit, worker
+from .builders import board_with, placed_run, unit, worker
 
 STAYS = float("inf")
 
@@ -46,6 +48,20 @@
     assert moved(running(remaining_ms, leaves_in_ms)) == ["n2"] * is_moved
 
 
+@pytest.mark.parametrize(
+    ("remaining_ms", "leaves_in_ms", "is_set_aside"),
+    [(8_000, STAYS, True), (8_000, 900, True), (1_000, 900, False)],
+    ids=["slow", "slow and leaving", "leaving"],
+)
+def test_unit_is_not_moved_back_to_a_slow_worker(remaining_ms, leaves_in_ms, is_set_aside):
+    """A gang that was moved since one of its workers left started again on its slow workers."""
+    board = board_with(2)
+    unit_on_both = running(remaining_ms, leaves_in_ms)._replace(nodes=frozenset({"n0", "n1"}))
+    set_slow_workers_aside(board, unit_on_both)
+    is_slow = [view.slow_until_ms > steady_ms() for view in board.workers.values()]
+    assert is_slow == [is_set_aside] * 2
+
+
 def test_run_that_would_be_late_elsewhere_too_is_not_stopped():
     late = running(8_000)._replace(due_in_ms=RESTART_MS + 1_900)
     assert moved(late) == []
