--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES := packages/lycheeslip_common packages/lycheeslip packages/lycheeslip_agent packages/lycheeslip_standins platform
 CODE := $(wildcard packages tests benchmarks platform)
 
-.PHONY: setup test lint format demo prove bench slopes overload
+.PHONY: setup test lint format demo prove soak bench slopes overload
 
 setup: $(VENV)/.ready
 
@@ -32,6 +32,9 @@
 prove: setup
 	$(BIN)/python -m tests.prove --seed $(or $(SEED),1) --trials $(or $(TRIALS),1)
 
+soak: setup
+	SOAK_SEEDS=$(or $(SEEDS),10) $(BIN)/python -m pytest tests/platform_adapter/soak_processes_tests.py
+
 bench: setup
 	$(BIN)/python -m benchmarks.run --size hooghly --out results/hooghly
 	$(BIN)/python -m benchmarks.run --size kite --out results/kite
--- a/packages/lycheeslip_standins/lycheeslip_standins/platform/worker.py
+++ b/packages/lycheeslip_standins/lycheeslip_standins/platform/worker.py
@@ -168,15 +168,23 @@
     async def _send_heartbeats(self, agent_address: str, every_s: float) -> None:
         async with aiohttp.ClientSession() as session:
             while True:
-                self._heartbeat_sequence += 1
-                url = f"http://{agent_address}/instances/{self.worker_id}/heartbeat"
-                try:
-                    async with session.post(url, json=self._heartbeat()):
-                        pass
-                except aiohttp.ClientError:
-                    pass
+                await self._send_heartbeat(session, agent_address)
                 await asyncio.sleep(every_s)
 
+    async def stray_heartbeat(self, agent_address: str) -> int:
+        """Send one heartbeat to any agent; return the status of its answer, 0 without one."""
+        async with aiohttp.ClientSession() as session:
+            return await self._send_heartbeat(session, agent_address)
+
+    async def _send_heartbeat(self, session: aiohttp.ClientSession, agent_address: str) -> int:
+        self._heartbeat_sequence += 1
+        url = f"http://{agent_address}/instances/{self.worker_id}/heartbeat"
+        try:
+            async with session.post(url, json=self._heartbeat()) as response:
+                return response.status
+        except aiohttp.ClientError:
+            return 0
+
     def _heartbeat(self) -> dict[str, Any]:
         return {
             "service": self.service,
@@ -248,13 +256,18 @@
     async def _start(self, request: web.BaseRequest, body: dict[str, Any]) -> web.Response:
         if self.faults.delayed_starts > 0:
             self.faults.delayed_starts -= 1
-            asyncio.get_running_loop().call_later(self.faults.start_delay_s, self._accept_run, body)
+            loop, born_ms = asyncio.get_running_loop(), self.born_ms
+            loop.call_later(self.faults.start_delay_s, self._accept_late_run, body, born_ms)
             await asyncio.sleep(3_600)
         response = self._accept_run(body)
         if body["spec"] == CRASH_PAYLOAD and self.faults.loses_answer_in_crash:
             await asyncio.sleep(3_600)
         return response
 
+    def _accept_late_run(self, body: dict[str, Any], born_ms: int) -> None:
+        if born_ms == self.born_ms:  # a crash ends what the lifetime before had still to do
+            self._accept_run(body)
+
     def _accept_run(self, body: dict[str, Any]) -> web.Response:
         task, run = body["task"], body["run"]
         active_run = self.runs.get(task)
--- a/tests/harness/platform_processes.py
+++ b/tests/harness/platform_processes.py
@@ -1,6 +1,7 @@
 """Runs entries and agents of the platform deployment as processes, beside stand-ins."""
 
 import asyncio
+import signal
 import sys
 from pathlib import Path
 
@@ -63,6 +64,21 @@
             self.agents.append(await self._start("agent", f"side-{number}", listen, worker.address))
             worker.announce(address)
 
+    async def restart_agent(self, number: int, how: signal.Signals) -> None:
+        """End an agent by a signal and start it again with the same settings."""
+        await self._end(self.agents[number], how)
+        self.agents[number] = await self._run("agent", f"side-{number}")
+
+    async def restart_entry(self, number: int, how: signal.Signals) -> None:
+        """End an entry by a signal and start it again with the same settings."""
+        await self._end(self.entries[number], how)
+        self.entries[number] = await self._run("entry", f"edge-{number}")
+
+    async def _end(self, process: asyncio.subprocess.Process, how: signal.Signals) -> None:
+        process.send_signal(how)
+        async with asyncio.timeout(WAIT_S):
+            await process.wait()
+
     async def _start(
         self, role: str, node: str, listen: dict[str, str], worker_address: str = "127.0.0.1:1"
     ) -> asyncio.subprocess.Process:
@@ -76,15 +92,17 @@
             "[listen]",
             *(f'{name} = "{address}"' for name, address in listen.items()),
         ]
-        path = self._folder / f"{node}.toml"
-        path.write_text("\n".join(lines))
-        with (self._folder / f"{node}.log").open("wb") as log:
+        (self._folder / f"{node}.toml").write_text("\n".join(lines))
+        return await self._run(role, node)
+
+    async def _run(self, role: str, node: str) -> asyncio.subprocess.Process:
+        with (self._folder / f"{node}.log").open("ab") as log:
             return await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
                 "lycheeslip_platform",
                 role,
-                env={"LYCHEESLIP_SETTINGS": str(path)},
+                env={"LYCHEESLIP_SETTINGS": str(self._folder / f"{node}.toml")},
                 stdout=log,
                 stderr=log,
             )
