--- a/tests/dispatch/lifetime_tests.py
+++ b/tests/dispatch/lifetime_tests.py
@@ -12,7 +12,7 @@
     """Start a task of 1 s; return the agent whose worker runs it, and the other one."""
     await cell.submit(1, ONE, work_ms=1_000)
     await cell.until(lambda: cell.running() == 1)
-    return tuple(sorted(cell.agents, key=lambda agent: not agent.worker.runs))  # type: ignore[return-value]
+    return tuple(sorted(cell.agents, key=lambda agent: not agent.worker.runs))
 
 
 async def assert_runs_once(cell: Cell, busy: AgentProcess) -> None:
--- a/tests/platform_adapter/soak_processes_tests.py
+++ b/tests/platform_adapter/soak_processes_tests.py
@@ -50,6 +50,19 @@
             self.twice += [task for task, count in tasks.items() if count > 1]
             await asyncio.sleep(0.01)
 
+    def run_after_their_end(self) -> list[str]:
+        """Return the tasks with a run after one whose end as done was acknowledged."""
+        last_run: Counter[str] = Counter()
+        for worker in self.processes.workers:
+            for task, runs in worker.started.by_task.items():
+                last_run[task] = max(last_run[task], *runs)
+        return [
+            task
+            for worker in self.processes.workers
+            for task, run, how in worker.acknowledged_ends
+            if how == "done" and run < last_run[task]
+        ]
+
     async def play(self, until: asyncio.Event) -> None:
         """Begin a fault at random intervals, some while others last; return when all are over."""
         kinds = (
@@ -166,5 +179,6 @@
             await until_completed(url)
         watching.cancel()
         assert not soak.twice, (seed, soak.twice, soak.played)
+        assert not soak.run_after_their_end(), (seed, soak.played)
     finally:
         await processes.stop()
