--- a/packages/lycheeslip_agent/lycheeslip_agent/dispatch/orders.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/dispatch/orders.py
@@ -108,6 +108,7 @@
                         if is_overdue and not was_unanswered:
                             self._post_result(order.lifetime, order.task, order.run, reason)
                             return
+                        board.counters.count("start_retries", reason)
                         await asyncio.sleep(RETRY_S)
                     case Taken():
                         took_ms = steady_ms() - board.pending_starts[run_key]
