--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -22,6 +22,7 @@
 
 import aiohttp
 import cbor2
+from lycheeslip_standins.platform.advice import PlatformAdviceServer
 from lycheeslip_standins.platform.store import PlatformStoreServer
 from lycheeslip_standins.platform.worker import PlatformWorkerServer
 from partition import SideNetwork
@@ -30,6 +31,7 @@
 HOST = "jobs.example"
 SERVICE = "service"
 KEY = "key-one"
+MAX_LOGGED_REJECTIONS = 5  # of starts, by each worker
 LEADER_KEY = "lycheeslip/leader"
 BOUNDS = {  # of sites/hlw-close.toml, as SYSTEM.md lists them
     "seed_lag_s": 3, "addr_reuse_s": 2, "contact_ms": 3000, "ack_ms": 4000, "catch_up_s": 4,
@@ -90,6 +92,7 @@
         self.ended_at: list[tuple[float, str, int, str]] = []
         self.is_hanging = self.is_over = False
         self.saving_steps: set[str] = set()
+        self.rejections = 0
 
     def announce(self, agent_address, every_s=1.5):
         super().announce(agent_address, every_s)
@@ -110,6 +113,8 @@
             self.started_at.append((self.record.now(), task, run))
             self.record.write(f"{self.node} starts {task} run {run}")
         elif response.status != 200:
+            self.rejections += 1
+        if response.status != 200 and self.rejections <= MAX_LOGGED_REJECTIONS:
             self.record.write(f"{self.node} rejects {task} run {run}: {response.body.decode()}")
         return response
 
@@ -150,8 +155,9 @@
     def __init__(
         self, record: Record, edges: int, workers: list[list[str]], bounds: dict | None = None,
         routes: list[dict] | None = None, zones: list[str] | None = None,
-        guaranteed: int = 0, can_cut: bool = False,
+        guaranteed: int = 0, can_cut: bool = False, has_advice: bool = False,
     ) -> None:  # fmt: skip
+        self.advice = PlatformAdviceServer() if has_advice else None
         self.record = record
         self.bounds = BOUNDS | (bounds or {})
         self._folder = Path(tempfile.mkdtemp(prefix="case-"))
@@ -187,6 +193,8 @@
 
     async def __aenter__(self) -> "Deployment":
         await self.store.start()
+        if self.advice is not None:
+            await self.advice.start()
         self.put_config()
         self.session = aiohttp.ClientSession()
         for number in range(self.edges):
@@ -222,6 +230,8 @@
         for network in self.networks:
             await network.stop()
         await self.session.close()
+        if self.advice is not None:
+            await self.advice.stop()
         await self.store.stop()
         if os.environ.get("KEEP_LOGS"):
             shutil.copytree(self._folder, os.environ["KEEP_LOGS"], dirs_exist_ok=True)
@@ -239,12 +249,14 @@
         if network is not None:
             seeds, store_address = network.entry_addresses, network.store_address
         limits = {"cpu_share": 0.537, "cores": 2, "memory_mb": 300, "max_fds": 4100}
+        advice = self.advice.address if self.advice is not None else ""
         lines = [
             f"node_name = {json.dumps(node)}", f'role = "{role}"',
             f'machine_class = "{machine_class}"', f'ip = "{ip}"', f'zone = "{zone}"',
             'region = "region"', "port_range = [7000, 7015]", f"seed_nodes = {json.dumps(seeds)}",
             "bootstrap = true", 'discovery = "local"', 'entry = "vip"', "heartbeat_ms = 1500",
-            'commands = "call"', f"app = {json.dumps(app)}", 'advice = ""',
+            'commands = "call"', f"app = {json.dumps(app)}",
+            f"advice = {json.dumps(advice)}",
             "[listen]", *(f'{name} = "{address}"' for name, address in listen.items()),
             "[limits]", *(f"{name} = {value}" for name, value in limits.items()),
             "[bounds]", *(f"{name} = {json.dumps(value)}" for name, value in self.bounds.items()),
