Drop what arrives late on a link that its agent has given up

Cause: the leader took each link that brought a report for the agent's newest. A report that the partition had held up on the old link replaced the new one; when the old link ended, the worker had none. Heartbeats on the new link were answered all the while, which extends the lease, but the leader noted that only for the link of the last report. So it counted as lost, after 10.7 s, what it kept alive.

Change: LinkServer numbers links as it accepts them. The first message on a link makes all earlier ones of that process out of date: they are closed, and what still arrives there is dropped, logged and counted. The opening alone doesn't count, since that of a link that was given up can be late too. Why it works: an agent reads the redirect on one link before it sends anything there, and opens the next one only after it has given that one up, so the order of acceptance is that of the agent.

The same cause on related paths: results of orders from an old link (dropped; the new link gets the recorded order again); leases extended on a link without a report yet, which nobody noted (lease_extended_at_ms). Such a link now extends the lease for link_timeout_ms only. Without that bound the runs of an agent that never reaches its worker would not count as lost any more.

--- a/packages/lycheeslip/lycheeslip/dispatch/board.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/board.py
@@ -170,6 +170,8 @@
         """Start without configuration, leader, jobs and workers; `seeds` are entry addresses.
 
         `campaign_delay_ms` is how long this entry leaves a free term to others.
+        `lease_extended_at_ms` is when this leader last extended the lease of an agent, by node; an
+        agent gets its lease extended before it has reported its worker.
         """
         self.node = node
         self.zone = zone
@@ -189,6 +191,7 @@
         self.leader_epoch = 0
         self.jobs: dict[str, StoredJob] = {}
         self.workers: dict[str, WorkerView] = {}
+        self.lease_extended_at_ms: dict[str, int] = {}
         self.departures_by_service: dict[str, Departures] = {}
         self.advice: dict[StepKey, StepAdvice] = {}
         self.is_loaded = False
--- a/packages/lycheeslip/lycheeslip/dispatch/ends.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/ends.py
@@ -64,7 +64,8 @@
                 if view is not None and view.link is not None:
                     continue
                 last_heard_ms = view.heard_at_ms if view is not None else last_extension_ms
-                if now_ms - last_heard_ms > lease_ms:
+                extended_at_ms = self._board.lease_extended_at_ms.get(task.node, 0)
+                if now_ms - max(last_heard_ms, extended_at_ms) > lease_ms:
                     self.end_run(job_id, job, key, task.run, EndCause.LOST, "")
 
     def end_older_lifetimes(self, node: str, report: WorkerReport) -> None:
--- a/packages/lycheeslip/lycheeslip/dispatch/entry.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/entry.py
@@ -109,6 +109,7 @@
         board.is_loaded = False
         board.jobs.clear()
         board.workers.clear()
+        board.lease_extended_at_ms.clear()
         self._dispatcher.begin_term()
         # an entry without the store may have missed an evacuation: leaders confirm versions only
         if not await self._operator.refresh() or not await self._loader.load():
--- a/packages/lycheeslip/lycheeslip/dispatch/links.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/links.py
@@ -1,7 +1,9 @@
 """Links of this entry: from agents and other entries, and its own link to the leader."""
 
 import asyncio
+import itertools
 from collections.abc import Awaitable, Callable
+from typing import NamedTuple
 
 from lycheeslip_common.store.outcomes import KeyValue
 from lycheeslip_common.utils.clock import steady_ms
@@ -79,9 +81,20 @@
         link.abort()
 
 
+class OpenedLink(NamedTuple):
+    """A link that this entry has accepted; the numbers increase with each one."""
+
+    link: Link
+    number: int
+    opened_at_ms: int
+
+
 class LinkServer:
     """Serves agents and entries while this entry leads; redirects them to the leader otherwise.
 
+    A process has one link at a time and opens the next only once it has given up the last. What
+    still arrives on an older link, after a partition for example, is out of date and dropped.
+
     Calls and announcements of other entries are served in any case.
     """
 
@@ -105,6 +118,8 @@
         self._board = board
         self._dispatcher = dispatcher
         self._links: set[Link] = set()
+        self._link_numbers = itertools.count(1)
+        self._newest_by_process: dict[tuple[str, str], OpenedLink] = {}
 
     async def serve(self, link: Link) -> None:
         """Serve one link until it ends or this entry no longer leads."""
@@ -118,12 +133,16 @@
             await asyncio.sleep(0.05)  # lets the redirect be sent before the link is closed
             return
         self._links.add(link)
+        opened = OpenedLink(link, next(self._link_numbers), steady_ms())
         try:
             while True:
                 message = await link.receive(board.times.link_timeout_ms / 1_000)
                 if board.leadership is not term:
                     return
-                self._handle(link, message)
+                if not self._is_newest(opened):
+                    self._drop_late_message(link, message)
+                    return
+                self._handle(opened, message)
         except (LinkClosedError, InvalidMessageError) as error:
             if link.role == "agent":
                 log_warning("agent_link_ended", node=link.node, reason=error)
@@ -132,6 +151,25 @@
             self._entry_address_by_link.pop(link, None)
             self._detach_worker(link)
 
+    def _is_newest(self, candidate: OpenedLink) -> bool:
+        """Return whether no newer link of the process is in use; close an older one.
+
+        A link is in use from its first message on: the opening of one that the process has given up
+        may arrive late, too.
+        """
+        process = (candidate.link.role, candidate.link.node)
+        newest = self._newest_by_process.setdefault(process, candidate)
+        if newest.number >= candidate.number:
+            return newest is candidate
+        self._newest_by_process[process] = candidate
+        newest.link.abort()
+        return True
+
+    def _drop_late_message(self, link: Link, message: object) -> None:
+        kind = type(message).__name__
+        log_event("late_message_dropped", role=link.role, node=link.node, kind=kind)
+        self._board.counters.count("late_messages_dropped", kind)
+
     async def _serve_peer(self, link: Link) -> None:
         """Serve one message of another entry; raises LinkClosedError when that closes the link."""
         message = await link.receive(PEER_TIMEOUT_S)
@@ -149,7 +187,6 @@
         term = self._board.leadership
         if term is not None:
             for link in self._links:
-                # 0, since this answers no heartbeat
                 link.post(HeartbeatReply(0, term.epoch, True, is_confirmed=False))
 
     def close_all(self) -> None:
@@ -157,6 +194,7 @@
         leader = Redirect(self._board.leader_address, self._board.leader_epoch)
         for link in list(self._links):
             link.post_last(leader)
+        self._newest_by_process.clear()  # messages that come after the term are not handled
 
     def _detach_worker(self, link: Link) -> None:
         view = self._board.workers.get(link.node)
@@ -164,10 +202,11 @@
             view.link = None
             self._board.planning_needed.set()
 
-    def _handle(self, link: Link, message: object) -> None:
+    def _handle(self, opened: OpenedLink, message: object) -> None:
+        link = opened.link
         match message:
             case Heartbeat(sent_ms, _, config_version):
-                self._reply_to_heartbeat(link, sent_ms)
+                self._reply_to_heartbeat(opened, sent_ms)
                 if link.role == "entry":
                     self._relay_config(link, config_version)
             case EntryAddress(address):
@@ -191,13 +230,13 @@
             case _:
                 log_warning("unexpected_message", node=link.node, kind=type(message).__name__)
 
-    def _reply_to_heartbeat(self, link: Link, sent_ms: int) -> None:
+    def _reply_to_heartbeat(self, opened: OpenedLink, sent_ms: int) -> None:
         """Confirm leadership, which extends an agent's lease, while this entry certainly leads.
 
         Agents get this for `leader_grace_ms` longer; other entries don't, since they campaign
         as soon as the lease in the store may have expired.
         """
-        board = self._board
+        board, link = self._board, opened.link
         term = board.leadership
         if term is None:
             return
@@ -205,9 +244,8 @@
         if steady_ms() - term.valid_until_ms > grace_ms:
             link.post(HeartbeatReply(sent_ms, term.epoch, False))
             return
-        view = board.workers.get(link.node)
-        if view is not None and view.link is link:
-            view.heard_at_ms = steady_ms()
+        if link.role == "agent" and not self._note_extension(opened):
+            sent_ms = 0  # confirms leadership only
         version = board.config.version if board.config else 0
         since_renewal_ms = board.times.leader_lease_ms - (term.valid_until_ms - steady_ms())
         is_confirmed = since_renewal_ms < board.times.lease_in_doubt_ms
@@ -215,6 +253,22 @@
             HeartbeatReply(sent_ms, term.epoch, True, version, board.config_age_ms, is_confirmed)
         )
 
+    def _note_extension(self, opened: OpenedLink) -> bool:
+        """Note that an agent's lease is extended now; return False if it must not be.
+
+        A new link extends the lease before the first report, since runs may be at work. An agent
+        that doesn't reach its worker never reports, and its runs have to count as lost some time.
+        """
+        board, now = self._board, steady_ms()
+        view = board.workers.get(opened.link.node)
+        has_reported = view is not None and view.link is opened.link
+        if view is not None and has_reported:
+            view.heard_at_ms = now
+        elif now - opened.opened_at_ms > board.times.link_timeout_ms:
+            return False
+        board.lease_extended_at_ms[opened.link.node] = now
+        return True
+
     def _send_entry_addresses(self, link: Link) -> None:
         board = self._board
         for address in self._entry_address_by_link.values():
--- a/packages/lycheeslip_agent/lycheeslip_agent/dispatch/leader_link.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/dispatch/leader_link.py
@@ -143,7 +143,7 @@
                 if not is_leader or epoch < board.epoch:
                     return False
                 self._is_leader_unconfirmed = not is_confirmed
-                lease_until_ms = sent_ms + board.times.run_lease_ms
+                lease_until_ms = sent_ms + board.times.run_lease_ms if sent_ms else 0
                 board.lease_until_ms = max(board.lease_until_ms, lease_until_ms)
             case StartOrder() | StopOrder():
                 self._orders.handle(message)
--- a/packages/lycheeslip_common/lycheeslip_common/utils/events.py
+++ b/packages/lycheeslip_common/lycheeslip_common/utils/events.py
@@ -145,6 +145,12 @@
         "The store did not answer the watch request for jobs.",
     ),
     Event("jobs_forgotten", "leader", "count", "Expired records of ended jobs were deleted."),
+    Event(
+        "late_message_dropped",
+        "leader",
+        "kind node role",
+        "A message came on a link for which the process had opened a newer one already.",
+    ),
     Event(
         "leader_elected",
         "entry",
--- a/packages/lycheeslip_common/lycheeslip_common/workload/fleet.py
+++ b/packages/lycheeslip_common/lycheeslip_common/workload/fleet.py
@@ -145,6 +145,7 @@
 class HeartbeatReply(NamedTuple):
     """Grants the lease that the heartbeat sent at `sent_ms` asked for, if `is_leader`.
 
+    With `sent_ms` 0 it grants none, and only confirms who leads.
     `config_age_ms` is the time since the store confirmed that `config_version` is the newest.
     `is_confirmed` is false while the renewal of the leader's own lease is overdue; another leader
     may then have been elected.
