Compute what the steps of a job have in common once in a round

Cause: Objectives computed the times of each step from the run times and the longest chain of all steps. So a planning round took time with the square of a job's steps, and outlasted the lease of each leader in turn.

Change: the times that a job's steps share are computed once (JobTimes). The chain from a step on is its own length and the longest tail after it, so the figures are the same. Related paths whose work multiplied in the same way: whether earlier steps are done, members of a placed gang, blocked single tasks that need the same as one that has just not fitted, the search for placed runs among all tasks, and steps without tasks for each occurrence.

--- a/packages/lycheeslip/lycheeslip/dispatch/loader.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/loader.py
@@ -26,6 +26,7 @@
 RETRY_FIRST_S = 0.1
 RETRY_LIMIT_S = 0.5
 MAX_AGE_MS = 24 * 3_600_000  # a job that waits for longer has missed any latency objective
+MAX_LOGGED_STEPS = 20  # bounds the line of a job with thousands of steps
 WATCH_WAIT_MS = 2_000  # a stalled connection is detected well within a job's latency objective
 
 
@@ -134,7 +135,8 @@
             account=spec.account,
             priority=spec.priority,
             state=job.progress.state,
-            steps=[_step_summary(step) for step in spec.steps],
+            step_count=len(spec.steps),
+            steps=[_step_summary(step) for step in spec.steps[:MAX_LOGGED_STEPS]],
             occurrences=spec.occurrences,
             delay_ms=wall_ms() - spec.accepted_at_ms,
         )
--- a/packages/lycheeslip/lycheeslip/dispatch/objective.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/objective.py
@@ -10,6 +10,7 @@
 
 from lycheeslip_common.utils.clock import steady_ms, wall_ms
 from lycheeslip_common.workload.jobs import Demand, StepSpec, demand_of
+from lycheeslip_common.workload.operator import Queue
 from lycheeslip_common.workload.progress import unit_members
 
 from lycheeslip.dispatch.board import Board, StoredJob
@@ -22,6 +23,17 @@
 LATE_LIMIT_RATIO = 3  # multiple of a job's latency objective up to which a late result has value
 
 
+class JobTimes(NamedTuple):
+    """Times of a job in ms: its objective, and by step number a run and the steps that follow it.
+
+    `tails_ms` are the longest chains of steps from after a step to the end of the job.
+    """
+
+    objective_ms: float
+    run_ms: list[float]
+    tails_ms: list[float]
+
+
 class StepTimes(NamedTuple):
     """Times of a step in ms, the slack counted from when callers began to wait for the job.
 
@@ -51,9 +63,22 @@
     The lower median is not misled by a run on a slow worker.
     """
     measured = [run_ms for key, run_ms in job.measured_run_ms.items() if key[1] == step]
-    if measured:
-        return float(statistics.median_low(measured))
-    return float(job.progress.spec.steps[step].estimate_ms)
+    return _expected_ms(job.progress.spec.steps[step], measured)
+
+
+def _expected_runs_ms(job: StoredJob) -> list[float]:
+    """Return the run times of all steps of a job, as of `expected_run_ms`."""
+    measured_by_step: dict[int, list[int]] = {}
+    for key, run_ms in job.measured_run_ms.items():
+        measured_by_step.setdefault(key[1], []).append(run_ms)
+    return [
+        _expected_ms(step, measured_by_step.get(number, []))
+        for number, step in enumerate(job.progress.spec.steps)
+    ]
+
+
+def _expected_ms(step: StepSpec, measured: list[int]) -> float:
+    return float(statistics.median_low(measured) if measured else step.estimate_ms)
 
 
 class Objectives:
@@ -65,6 +90,7 @@
         # with only some of the workers known, every step would seem wide
         self._capacity_by_service = _capacity_by_service(board) if board.is_view_complete else {}
         self._times_by_step: dict[StepKey, StepTimes] = {}
+        self._times_by_job: dict[str, JobTimes] = {}
 
     def step_times(self, job: StoredJob, occurrence: int, step: int) -> StepTimes:
         """Return the times of a step; a long-running step or one without a queue has no slack."""
@@ -76,25 +102,38 @@
     def _step_times(self, job: StoredJob, occurrence: int, step: int) -> StepTimes:
         spec = job.progress.spec
         queue = self._queues.get(spec.queue)
-        run_ms = expected_run_ms(job, step)
+        objective_ms, all_run_ms, tails_ms = self._job_times(job, queue)
+        run_ms = all_run_ms[step]
         if queue is None or spec.steps[step].long_running:
             return StepTimes(run_ms, 0.0, 0.0, 0.0)
         capacity = self._capacity_by_service.get(queue.service)
-        lengths_ms = [
-            expected_run_ms(job, i) * _waves(other, other.task_count, capacity)
-            for i, other in enumerate(spec.steps)
-        ]
-        objective_ms = queue.stretch * max(_chains_ms(job, lengths_ms)) + queue.objective_ms
         members = unit_members(job.progress, occurrence, step)
         unfinished = sum(not job.progress.tasks[key].is_done for key in members)
-        lengths_ms[step] = run_ms * math.ceil(_waves(spec.steps[step], unfinished, capacity))
-        rest_ms = _chains_ms(job, lengths_ms)[step] + SHOW_MS
+        waves = math.ceil(_waves(spec.steps[step], unfinished, capacity))
+        rest_ms = run_ms * waves + tails_ms[step] + SHOW_MS
         # whole waves of a few tasks may exceed the share of them that the objective counts
         run_slack_ms = (queue.stretch - 1) * run_ms + queue.objective_ms - SHOW_MS
         slack_ms = max(objective_ms - rest_ms, run_slack_ms)
         late_slack_ms = slack_ms + (LATE_LIMIT_RATIO - 1) * objective_ms
         return StepTimes(run_ms, slack_ms, late_slack_ms, run_slack_ms)
 
+    def _job_times(self, job: StoredJob, queue: Queue | None) -> JobTimes:
+        """Return the times of a job, computed once for all of its steps."""
+        spec = job.progress.spec
+        known = self._times_by_job.get(spec.job_id)
+        if known is not None:
+            return known
+        run_ms = _expected_runs_ms(job)
+        capacity = self._capacity_by_service.get(queue.service) if queue else None
+        lengths_ms = [
+            run_ms[i] * _waves(step, step.task_count, capacity) for i, step in enumerate(spec.steps)
+        ]
+        tails_ms = _tails_ms(job, lengths_ms)
+        longest_ms = max(a + b for a, b in zip(lengths_ms, tails_ms, strict=True))
+        objective_ms = queue.stretch * longest_ms + queue.objective_ms if queue else 0.0
+        times = self._times_by_job[spec.job_id] = JobTimes(objective_ms, run_ms, tails_ms)
+        return times
+
 
 def _capacity_by_service(board: Board) -> dict[str, Demand]:
     result: dict[str, Demand] = {}
@@ -116,12 +155,12 @@
     return max(1.0, min(tasks, max(shares, default=0.0) / WAVE_RATIO))
 
 
-def _chains_ms(job: StoredJob, lengths_ms: list[float]) -> list[float]:
-    """Return the longest chain from each step on, with that step; steps follow earlier ones."""
+def _tails_ms(job: StoredJob, lengths_ms: list[float]) -> list[float]:
+    """Return the longest chain of the steps that follow each step; steps follow earlier ones."""
     steps = job.progress.spec.steps
-    chains_ms = list(lengths_ms)
+    tails_ms = [0.0] * len(steps)
     for later in range(len(steps) - 1, -1, -1):
+        chain_ms = lengths_ms[later] + tails_ms[later]
         for earlier in steps[later].after:
-            chain_ms = lengths_ms[earlier] + chains_ms[later]
-            chains_ms[earlier] = max(chains_ms[earlier], chain_ms)
-    return chains_ms
+            tails_ms[earlier] = max(tails_ms[earlier], chain_ms)
+    return tails_ms
--- a/packages/lycheeslip/lycheeslip/dispatch/placement.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/placement.py
@@ -7,6 +7,9 @@
 
 from collections import Counter
 from collections.abc import Sequence
+from typing import NamedTuple
+
+from lycheeslip_common.workload.jobs import Demand
 
 from lycheeslip.dispatch.approval import advice_request, approved, with_ticket
 from lycheeslip.dispatch.packing import (
@@ -30,6 +33,20 @@
 __all__ = ["plan_round"]
 
 
+class UnitKind(NamedTuple):
+    """Units of one kind fit onto the same workers; `step_key` is None if the step is irrelevant."""
+
+    step_key: StepKey | None
+    service: str
+    label: str
+    demand: Demand
+    avoided_workers: frozenset[str]
+    is_isolated: bool
+    avoids_reserve: bool
+    is_last_attempt: bool
+    may_use_reserved: bool
+
+
 def plan_round(
     units: Sequence[Unit],
     workers: Sequence[WorkerCapacity],
@@ -45,11 +62,11 @@
     """
     plan = Plan()
     _mark_reserve(workers, reserve)
-    blocked_kinds: set[tuple[StepKey, frozenset[str], bool, bool]] = set()
+    blocked_kinds: set[UnitKind] = set()
     for unit in sorted(units, key=_priority_key):
         if not is_view_complete and unit.priority != URGENT_PRIORITY:
             break
-        kind = (unit.step_key, unit.avoided_workers, unit.is_isolated, unit.may_use_reserved)
+        kind = _kind(unit)
         if kind in blocked_kinds:  # capacity only shrinks within a round
             plan.blocked.append(unit)
             continue
@@ -67,6 +84,25 @@
     return plan
 
 
+def _kind(unit: Unit) -> UnitKind:
+    """Return what decides whether a blocked unit that isn't urgent fits, and what follows if not.
+
+    Single tasks that nothing is reserved for are alike whatever step they are of.
+    """
+    is_of_its_step = unit.is_gang or unit.is_isolated or unit.advice or unit.max_per_worker
+    return UnitKind(
+        unit.step_key if is_of_its_step else None,
+        unit.service,
+        unit.label,
+        unit.demand,
+        unit.avoided_workers,
+        unit.is_isolated,
+        unit.is_costly_to_stop and unit.may_wait,
+        unit.is_last_attempt,
+        unit.may_use_reserved,
+    )
+
+
 def _choose_workers(unit: Unit, workers: list[WorkerCapacity]) -> list[WorkerCapacity] | None:
     """Return a worker for each task of `unit`, on reserved capacity only if there is no other."""
     chosen = choose_workers(unit, workers)
--- a/packages/lycheeslip/lycheeslip/dispatch/stops.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/stops.py
@@ -1,5 +1,8 @@
 """Stops preempted runs, runs of ended jobs, incomplete gangs and runs that no record places."""
 
+from collections import Counter
+from collections.abc import Container
+
 from lycheeslip_common.utils.clock import steady_ms
 from lycheeslip_common.utils.logs import log_event
 from lycheeslip_common.workload.fleet import Lifetime, StopOrder, WorkerReport
@@ -110,12 +113,25 @@
     def stop_obsolete(self) -> None:
         """Stop runs of ended jobs and of incomplete gangs, and repeat pending stops."""
         for job_id, job in self._board.jobs.items():
-            for key, task in list(job.progress.placed()):
-                cause = self._obsolete_cause(job, key, task)
+            whole_gangs = self._whole_gangs(job)
+            for key, task in job.progress.placed():
+                cause = self._obsolete_cause(job, key, task, whole_gangs)
                 if cause is not None:
                     self._stop(job_id, job, key, cause)
 
-    def _obsolete_cause(self, job: StoredJob, key: TaskKey, task: TaskProgress) -> LossCause | None:
+    def _whole_gangs(self, job: StoredJob) -> set[tuple[int, int]]:
+        """Return the gangs all of whose members are placed, by occurrence and step."""
+        placed = Counter(key[:2] for key in job.progress.placed_keys)
+        steps = job.progress.spec.steps
+        return {unit for unit, count in placed.items() if count == steps[unit[1]].task_count}
+
+    def _obsolete_cause(
+        self,
+        job: StoredJob,
+        key: TaskKey,
+        task: TaskProgress,
+        whole_gangs: Container[tuple[int, int]],
+    ) -> LossCause | None:
         """Return why a placed run has to stop, None if it may go on.
 
         The members of a gang end together, so a member of one that is done has ended as well: its
@@ -125,7 +141,7 @@
             return LossCause.STOPPED if self._is_end_overdue(job.task_name(key), task.run) else None
         if job.progress.has_ended:
             return LossCause.CANCELLED
-        if job.progress.spec.steps[key[1]].gang and self._is_incomplete_gang(job, key):
+        if job.progress.spec.steps[key[1]].gang and key[:2] not in whole_gangs:
             return LossCause.GANG_INCOMPLETE
         return job.stopping.get((job.task_name(key), task.run))
 
@@ -134,11 +150,6 @@
         done_since_ms = self._done_since_ms_by_run.setdefault((task, run), steady_ms())
         return steady_ms() - done_since_ms >= END_LISTING_MS
 
-    def _is_incomplete_gang(self, job: StoredJob, key: TaskKey) -> bool:
-        members = unit_members(job.progress, key[0], key[1])
-        tasks = [job.progress.tasks[member] for member in members]
-        return not all(task.is_placed for task in tasks)
-
     def withdraw_starts_over_capacity(self, report: WorkerReport) -> None:
         """Withdraw the latest starts that the worker doesn't list yet, until the others fit.
 
--- a/packages/lycheeslip/tests/dispatch/builders.py
+++ b/packages/lycheeslip/tests/dispatch/builders.py
@@ -2,7 +2,8 @@
 
 from types import SimpleNamespace
 
-from lycheeslip.dispatch.board import Board, StoredJob, WorkerView
+from lycheeslip.dispatch.board import Board, Leadership, StoredJob, WorkerView
+from lycheeslip.dispatch.dispatcher import Dispatcher
 from lycheeslip.dispatch.placement_model import PlacedRun, Unit, WorkerCapacity
 from lycheeslip_common.utils.clock import steady_ms, wall_ms
 from lycheeslip_common.workload.fleet import Lifetime, WorkerReport
@@ -100,3 +101,31 @@
     open_occurrences(job.progress, wall_ms())
     board.jobs[job_id] = job
     return job
+
+
+def job_of(steps: tuple[StepSpec, ...], occurrences: int = 0) -> StoredJob:
+    """Return an accepted job of these steps, all of its occurrences due."""
+    spec = JobSpec(JOB, "q", "a", "s", 1, 4, "", steps, wall_ms(), 0, 0, occurrences)
+    job = StoredJob(JobProgress(spec), 0, JobState.QUEUED, steady_ms())
+    open_occurrences(job.progress, wall_ms())
+    return job
+
+
+def leaders_board() -> Board:
+    """Return the board of a leader that has loaded all records, with four workers."""
+    board = board_with()
+    for view in board.workers.values():
+        view.link = SimpleNamespace(post=lambda message: None)
+    board.leadership = Leadership(1, 1, steady_ms() + 60_000, 0)
+    board.confirmed_at_ms = steady_ms()
+    board.is_loaded = True
+    return board
+
+
+def dispatcher_of(board: Board) -> Dispatcher:
+    """Return a dispatcher that records nothing and takes its view of the fleet for complete."""
+    recorder = SimpleNamespace(schedule_write=lambda job: None)
+    advisor = SimpleNamespace(begin_term=lambda: None, replace_requests=lambda requests: None)
+    dispatcher = Dispatcher(board, recorder, advisor)
+    dispatcher._term_started_ms -= 60_000
+    return dispatcher
--- /dev/null
+++ b/packages/lycheeslip/tests/dispatch/job_size_tests.py
@@ -0,0 +1,96 @@
+"""Tests of how the work of a planning round grows with the size of a job."""
+
+from collections import Counter
+
+from lycheeslip.dispatch import objective
+from lycheeslip.dispatch.placement import plan_round
+from lycheeslip.dispatch.stops import RunStopper
+from lycheeslip_common.utils.clock import steady_ms, wall_ms
+from lycheeslip_common.workload.jobs import StepSpec
+from lycheeslip_common.workload.progress import (
+    begin_runs,
+    decode_progress,
+    encode_progress,
+    waiting_units,
+)
+
+from .builders import JOB, board_with, dispatcher_of, job_of, leaders_board, lifetime, unit, worker
+
+STEPS = 200
+STEP = StepSpec(1, 1_000, 1_000, 1, 60_000)
+
+
+class CountedTasks(dict):
+    """The tasks of a job, which counts how often one is looked up."""
+
+    lookups = 0
+
+    def __getitem__(self, key: object) -> object:
+        self.lookups += 1
+        return super().__getitem__(key)
+
+
+def test_round_looks_at_each_step_a_few_times_however_many_there_are(monkeypatch):
+    # Guards against rounds that take time with the square of a job's steps and outlast the lease.
+    counted: Counter[str] = Counter()
+
+    def waves(*arguments: object) -> float:
+        counted["steps"] += 1
+        return 1.0
+
+    monkeypatch.setattr(objective, "_waves", waves)
+    board = leaders_board()
+    board.jobs[JOB] = job_of((STEP,) * STEPS)
+    dispatcher_of(board).plan()
+    assert 0 < counted["steps"] <= 6 * STEPS
+
+
+def test_steps_after_a_wide_one_do_not_look_at_all_of_its_tasks_each():
+    # Guards against rounds that take time with the product of a job's steps and tasks.
+    job = job_of((STEP._replace(task_count=STEPS), *(STEP._replace(after=(0, 0)),) * STEPS))
+    for key, task in job.progress.tasks.items():
+        task.is_done = key[1] == 0
+    job.progress.tasks = CountedTasks(job.progress.tasks)
+    assert len(list(waiting_units(job.progress))) == STEPS
+    assert job.progress.tasks.lookups <= 4 * STEPS
+
+
+def test_placed_members_of_a_wide_gang_are_not_each_compared_with_all_others():
+    # Guards against rounds that take time with the square of a gang's size.
+    board = leaders_board()
+    job = board.jobs[JOB] = job_of((STEP._replace(task_count=STEPS, gang=True),))
+    placement = dict.fromkeys(job.progress.tasks, ("n0", lifetime("n0")))
+    begin_runs(job.progress, placement, True, wall_ms())
+    job.progress.tasks = CountedTasks(job.progress.tasks)
+    RunStopper(board).stop_obsolete()
+    assert job.progress.tasks.lookups <= 4 * STEPS
+
+
+def test_repeated_steps_without_tasks_cost_nothing():
+    # Guards against a small body whose steps and occurrences multiply to millions.
+    empty = StepSpec(0, 1_000, 1_000, 1, 60_000)
+    steps = (STEP, *(empty,) * 20_000)
+    began_at_ms = steady_ms()
+    job = job_of(steps, occurrences=5_000)
+    assert len(list(waiting_units(job.progress))) == 5_000
+    decoded = decode_progress(job.progress.spec, encode_progress(job.progress))
+    assert decoded == job.progress
+    assert steady_ms() - began_at_ms < board_with().times.leader_lease_ms
+
+
+def test_blocked_tasks_of_other_steps_are_not_tried_again_one_by_one(monkeypatch):
+    # Guards against rounds that take time with the product of waiting steps and workers.
+    tried: Counter[str] = Counter()
+    choose = plan_round.__globals__["choose_workers"]
+
+    def counting(*arguments: object) -> object:
+        tried["units"] += 1
+        return choose(*arguments)
+
+    monkeypatch.setitem(plan_round.__globals__, "choose_workers", counting)
+    units = [unit(step=step, accelerators=8) for step in range(STEPS)]
+    other = unit("small", accelerators=1, waiting_since_ms=1)
+    plan = plan_round([*units, other], [worker("n1", free=4)])
+    assert [started.job_id for started, _ in plan.starts] == ["small"]
+    assert len(plan.blocked) == STEPS
+    assert tried["units"] <= 3
--- a/packages/lycheeslip_common/lycheeslip_common/utils/events.py
+++ b/packages/lycheeslip_common/lycheeslip_common/utils/events.py
@@ -135,8 +135,8 @@
     Event(
         "job_known",
         "leader",
-        "account delay_ms job occurrences priority queue state steps",
-        "The leader loaded a job, `delay_ms` after its acceptance.",
+        "account delay_ms job occurrences priority queue state step_count steps",
+        "The leader loaded a job, `delay_ms` after its acceptance; `steps` are the first of them.",
     ),
     Event(
         "job_watch_failed",
--- a/packages/lycheeslip_common/lycheeslip_common/workload/progress.py
+++ b/packages/lycheeslip_common/lycheeslip_common/workload/progress.py
@@ -4,7 +4,7 @@
 caller writes a change to the store before it acts on it.
 """
 
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import Any, NamedTuple
@@ -100,7 +100,7 @@
     """Progress of one job; `tasks` holds those of the first `opened_occurrences` occurrences.
 
     `ended_at_ms` is Unix time, 0 while the job has not ended. `reason` says why a job has failed if
-    that wasn't the number of its failed attempts.
+    that wasn't the number of its failed attempts. `placed_keys` are the keys of the placed tasks.
     """
 
     spec: JobSpec
@@ -109,6 +109,7 @@
     ended_at_ms: int = 0
     tasks: dict[TaskKey, TaskProgress] = field(default_factory=dict)
     reason: str = ""
+    placed_keys: set[TaskKey] = field(default_factory=set)
 
     @property
     def has_ended(self) -> bool:
@@ -116,17 +117,22 @@
         return self.state in TERMINAL_STATES
 
     def placed(self) -> Iterator[tuple[TaskKey, TaskProgress]]:
-        """Iterate over the tasks that may have a run in progress."""
-        return ((key, task) for key, task in self.tasks.items() if task.is_placed)
+        """Iterate over the tasks that may have a run in progress, which may end meanwhile."""
+        return ((key, self.tasks[key]) for key in sorted(self.placed_keys))
+
+    def steps_with_tasks(self) -> list[tuple[int, StepSpec]]:
+        """Return the numbers and the steps that have any task."""
+        return [(number, step) for number, step in enumerate(self.spec.steps) if step.task_count]
 
 
 def open_occurrences(job: JobProgress, now_ms: int) -> bool:
     """Create the tasks of all occurrences due by Unix time `now_ms`; return whether any was."""
     changed = False
+    steps = job.steps_with_tasks()
     while job.opened_occurrences < job.spec.occurrence_count():
         if job.spec.due_at_ms(job.opened_occurrences) > now_ms:
             break
-        for step_number, step in enumerate(job.spec.steps):
+        for step_number, step in steps:
             for index in range(step.task_count):
                 job.tasks[(job.opened_occurrences, step_number, index)] = TaskProgress()
         job.opened_occurrences += 1
@@ -147,12 +153,13 @@
     """
     if job.has_ended:
         return
+    steps = [(number, step, frozenset(step.after)) for number, step in job.steps_with_tasks()]
     for occurrence in range(job.opened_occurrences):
-        for step_number, step in enumerate(job.spec.steps):
-            if not _predecessors_done(job, occurrence, step):
-                continue
-            members = unit_members(job, occurrence, step_number)
-            yield from _waiting_units_of_step(job, step, members)
+        is_done_by_step: dict[int, bool] = {}
+        for step_number, step, earlier_steps in steps:
+            if _are_done(job, occurrence, earlier_steps, is_done_by_step):
+                members = unit_members(job, occurrence, step_number)
+                yield from _waiting_units_of_step(job, step, members)
 
 
 def _waiting_units_of_step(
@@ -169,11 +176,16 @@
             yield step, [key]
 
 
-def _predecessors_done(job: JobProgress, occurrence: int, step: StepSpec) -> bool:
-    for earlier in step.after:
-        for key in unit_members(job, occurrence, earlier):
-            if not job.tasks[key].is_done:
-                return False
+def _are_done(
+    job: JobProgress, occurrence: int, steps: Collection[int], is_done_by_step: dict[int, bool]
+) -> bool:
+    """Return whether all tasks of `steps` are done; what is found goes to `is_done_by_step`."""
+    for number in steps:
+        if number not in is_done_by_step:
+            members = unit_members(job, occurrence, number)
+            is_done_by_step[number] = all(job.tasks[key].is_done for key in members)
+        if not is_done_by_step[number]:
+            return False
     return True
 
 
@@ -194,6 +206,7 @@
         task.run = shared_run if is_gang else task.run + 1
         task.checkpoint = shared_checkpoint if is_gang else task.checkpoint
         task.node, task.lifetime = node, lifetime
+        job.placed_keys.add(key)
         task.started_at_ms = now_ms
     job.state = JobState.ACTIVE
     return shared_run
@@ -214,6 +227,7 @@
         return False
     worker_id = task.lifetime.worker_id if task.lifetime else ""
     task.node, task.lifetime = "", None
+    job.placed_keys.discard(key)
     task.checkpoint = checkpoint or task.checkpoint
     step = job.spec.steps[key[1]]
     match cause:
@@ -380,12 +394,14 @@
     job = JobProgress(spec, state, opened_occurrences, ended_at_ms, reason=reason)
     for occurrence, step, index, *fields in rows:
         job.tasks[(occurrence, step, index)] = TaskProgress(*fields)
+    job.placed_keys.update(key for key, task in job.tasks.items() if task.is_placed)
     if not 0 <= opened_occurrences <= spec.occurrence_count():
         raise ValueError(f"not the progress of this job: {opened_occurrences} occurrences")
+    steps = job.steps_with_tasks()
     if job.tasks.keys() != {
         key
         for occurrence in range(opened_occurrences)
-        for step in range(len(spec.steps))
+        for step, _ in steps
         for key in unit_members(job, occurrence, step)
     }:
         raise ValueError("not the progress of this job: its tasks are others")
--- a/tests/harness/platform_cell.py
+++ b/tests/harness/platform_cell.py
@@ -47,10 +47,12 @@
 class EntryProcess:
     """An entry and its caller API, run in the test process."""
 
-    def __init__(self, number: int, store_address: str, advice_address: str) -> None:
+    def __init__(
+        self, number: int, store_address: str, advice_address: str, times: DispatchTimes
+    ) -> None:
         """Create entry `number` without starting it."""
         self._advice_address = advice_address
-        self.board = EntryBoard(f"entry-{number}", "zone-a", "", TIMES)
+        self.board = EntryBoard(f"entry-{number}", "zone-a", "", times)
         self.store = PlatformStore(store_address)
         self.entry: DispatchEntry
         self.listeners = Listeners(0.1)
@@ -81,8 +83,11 @@
 class AgentProcess:
     """An agent and the worker that it manages, run in the test process."""
 
-    def __init__(self, number: int, zone: str, rack: str, store_address: str) -> None:
+    def __init__(
+        self, number: int, zone: str, rack: str, store_address: str, times: DispatchTimes = TIMES
+    ) -> None:
         """Create agent and worker `number` without starting them."""
+        self._times = times
         self.node = f"side-{number}"
         self.worker = PlatformWorkerServer(f"i-{number}", "service", zone, rack)
         self._store = PlatformStore(store_address)
@@ -103,7 +108,7 @@
 
     async def start_agent(self) -> None:
         """Start a new agent for the worker."""
-        board = AgentBoard(self.node, TIMES)
+        board = AgentBoard(self.node, self._times)
         port = PlatformWorker(self.worker.address)
         self.agent = DispatchAgent(board, port, (), self._find_leader)
         self.listeners = Listeners(0.1)
@@ -138,11 +143,13 @@
         entries: int = 2,
         agents: int = 2,
         weak_entries: Container[int] = (),
+        times: DispatchTimes = TIMES,
     ) -> None:
         """Set the number of processes, which start when the context is entered.
 
-        `weak_entries` leave a free term to the others.
+        `weak_entries` leave a free term to the others; `times` are those of all processes.
         """
+        self._times = times
         self._weak_entries = weak_entries
         self._free_port = free_port
         self._process_counts = (entries, agents)
@@ -164,7 +171,9 @@
         for number in range(self._process_counts[0]):
             await self.add_entry(number)
         for number in range(self._process_counts[1]):
-            agent = AgentProcess(number, f"zone-{number}", "rack-1", self.store.address)
+            agent = AgentProcess(
+                number, f"zone-{number}", "rack-1", self.store.address, self._times
+            )
             await agent.start(self._free_port())
             self.agents.append(agent)
         await self.until(lambda: self.leader() is not None and self.known_workers())
@@ -181,7 +190,7 @@
 
     async def add_entry(self, number: int) -> None:
         """Start another entry."""
-        entry = EntryProcess(number, self.store.address, self.advice.address)
+        entry = EntryProcess(number, self.store.address, self.advice.address, self._times)
         if number in self._weak_entries:
             entry.board.campaign_delay_ms = WEAK_DELAY_MS
         await entry.start(self._free_port(), self._free_port())
