Run planning rounds in slices, so that the lease is renewed meanwhile

Cause: the leader's lease is renewed by a task of the same event loop, which gets no turn before a round, a load of all records or the encoding of a batch is over.

Change: such work is an iterator that yields where it may be paused (slices.py), run in slices of 20 ms with a turn of the event loop in between. Since the board changes in a pause, each start and each preemption is checked again when it is carried out (validity.py), and a round decides nothing more once the lease has run out, the configuration is another, or the term has ended. A round that ends within a slice is as before.

--- a/packages/lycheeslip/lycheeslip/dispatch/dispatcher.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/dispatcher.py
@@ -1,24 +1,27 @@
 """Runs the leader's planning rounds and handles worker reports and order results."""
 
 import asyncio
+from collections.abc import Iterator
 
 from lycheeslip_common.utils.clock import steady_ms, wall_ms
 from lycheeslip_common.utils.logs import log_event
 from lycheeslip_common.workload.fleet import EndCause, OrderResult, WorkerReport
 from lycheeslip_common.workload.jobs import Demand
 from lycheeslip_common.workload.link import Link
+from lycheeslip_common.workload.operator import OperatorConfig
 from lycheeslip_common.workload.progress import open_occurrences
 
 from lycheeslip.dispatch.advice import Advisor
-from lycheeslip.dispatch.board import Board, WorkerView
+from lycheeslip.dispatch.board import Board, Leadership, WorkerView
 from lycheeslip.dispatch.claims import Claims
 from lycheeslip.dispatch.departures import record_departure
 from lycheeslip.dispatch.ends import RunEndProcessor
 from lycheeslip.dispatch.occupancy import build_worker_capacities
-from lycheeslip.dispatch.placement import plan_round
+from lycheeslip.dispatch.placement import plan_units
 from lycheeslip.dispatch.placement_model import (
     DeclinedPreemption,
     Plan,
+    Unit,
     UnitKey,
     WorkerCapacity,
 )
@@ -29,9 +32,11 @@
     running_units,
     set_slow_workers_aside,
 )
+from lycheeslip.dispatch.slices import run_at_once, run_in_slices
 from lycheeslip.dispatch.starts import RunStarter
 from lycheeslip.dispatch.stops import RunStopper
-from lycheeslip.dispatch.waiting import accelerator_reserve, build_units
+from lycheeslip.dispatch.validity import may_preempt, may_start
+from lycheeslip.dispatch.waiting import accelerator_reserve, collect_units
 
 __all__ = ["Dispatcher"]
 
@@ -81,9 +86,13 @@
         self._run_ends.acknowledge_recorded()
 
     async def run(self) -> None:
-        """Plan on each change, and at least every `MAX_PLAN_INTERVAL_S`, while leading."""
+        """Plan on each change, and at least every `MAX_PLAN_INTERVAL_S`, while leading.
+
+        Rounds are run in slices, so that a long one leaves time for the renewal of the lease.
+        """
         await asyncio.sleep(ELECTION_SETTLE_S)
-        while self._board.leadership is not None:
+        term = self._board.leadership
+        while self._leads_in(term):
             try:
                 async with asyncio.timeout(MAX_PLAN_INTERVAL_S):
                     await self._board.planning_needed.wait()
@@ -91,41 +100,71 @@
             except TimeoutError:
                 pass
             self._board.planning_needed.clear()
-            if self._board.leadership is not None:
-                self.plan()
+            if self._leads_in(term):
+                await run_in_slices(self._run_round(), lambda: self._leads_in(term))
+
+    def _leads_in(self, term: Leadership | None) -> bool:
+        return term is not None and self._board.leadership is term
 
     def plan(self) -> None:
-        """Run one planning round.
+        """Run one planning round without a pause."""
+        run_at_once(self._run_round())
+
+    def _run_round(self) -> Iterator[None]:
+        """Run one planning round; yields where it may pause.
 
         Once the lease has run out nothing is decided: another entry may lead, and starts can't be
         recorded for which other work would be stopped.
         """
         began = steady_ms()
+        yield from self._open_occurrences()
+        yield from self._run_ends.end_lost_runs(began)
+        yield from self._run_stopper.stop_obsolete()
+        self._record_checkpoints(began)
+        self._board.is_view_complete = self._is_view_complete(began)
+        if self._may_decide(self._board.config):
+            yield from self._place_units(began)
+        self._board.counters.observe_ms("planning_round", steady_ms() - began)
+
+    def _open_occurrences(self) -> Iterator[None]:
         now_ms = wall_ms()
-        for job in self._board.jobs.values():
+        for job in list(self._board.jobs.values()):
+            yield
             if not job.progress.has_ended and open_occurrences(job.progress, now_ms):
                 self._recorder.schedule_write(job)
-        self._run_ends.end_lost_runs(began)
-        self._run_stopper.stop_obsolete()
-        self._record_checkpoints(began)
-        self._board.is_view_complete = self._is_view_complete(began)
-        if self._board.holds_lease and self._is_config_confirmed():
-            workers = build_worker_capacities(self._board)
-            units = build_units(self._board, workers, self._claims.current())
-            plan = plan_round(
-                units, workers, accelerator_reserve(self._board), self._board.is_view_complete
-            )
-            if self._board.is_view_complete:
-                self._relocate(workers, plan)
-            for unit, chosen in plan.starts:
+
+    def _place_units(self, began: int) -> Iterator[None]:
+        """Decide what starts and what is preempted, and order what still holds after a pause."""
+        board, config = self._board, self._board.config
+        workers = build_worker_capacities(board)
+        units: list[Unit] = []
+        yield from collect_units(board, workers, self._claims.current(), units)
+        plan = Plan()
+        yield from plan_units(
+            plan, units, workers, accelerator_reserve(board), board.is_view_complete
+        )
+        if not self._may_decide(config):
+            board.planning_needed.set()
+            return
+        if board.is_view_complete:
+            self._relocate(workers, plan)
+        for unit, chosen in plan.starts:
+            if self._may_decide(config) and may_start(board, unit, chosen):
                 self._run_starter.start_unit(unit, chosen)
-            for preemption in plan.stops:
+            yield
+        for preemption in plan.stops:
+            if may_preempt(board, preemption):
                 self._run_stopper.preempt(preemption)
-            self._claims.replace(plan.claims)
-            self._advisor.replace_requests(plan.advice_requests)
-            self._log_declined(plan.declined)
-            self._log_if_slow(steady_ms() - began, len(workers), len(units), len(plan.blocked))
-        self._board.counters.observe_ms("planning_round", steady_ms() - began)
+        self._claims.replace(plan.claims)
+        self._advisor.replace_requests(plan.advice_requests)
+        self._log_declined(plan.declined)
+        self._log_if_slow(steady_ms() - began, len(workers), len(units), len(plan.blocked))
+
+    def _may_decide(self, config: OperatorConfig | None) -> bool:
+        """Return whether this entry certainly leads, and `config` is known to be in force."""
+        board = self._board
+        is_confirmed = board.config_age_ms <= board.times.config_valid_ms
+        return board.holds_lease and config is not None and board.config is config and is_confirmed
 
     def _relocate(self, workers: list[WorkerCapacity], plan: Plan) -> None:
         """Stop the runs that do better elsewhere, and keep them from the workers they leave."""
@@ -152,7 +191,7 @@
             )
 
     def _log_if_slow(self, took_ms: int, workers: int, units: int, blocked: int) -> None:
-        """Log a round that held up the event loop, and with it all links of this entry."""
+        """Log a round that took long, in which what is urgent may have waited."""
         if took_ms >= SLOW_ROUND_MS:
             log_event(
                 "planning_round_slow",
@@ -168,11 +207,6 @@
         is_quiet = now_ms - self._last_worker_added_ms >= LINK_QUIET_MS
         return term_age_ms >= MAX_VIEW_WAIT_MS or (term_age_ms >= MIN_VIEW_AGE_MS and is_quiet)
 
-    def _is_config_confirmed(self) -> bool:
-        """Return whether the store confirmed the configuration within `config_valid_ms`."""
-        board = self._board
-        return board.config is not None and board.config_age_ms <= board.times.config_valid_ms
-
     def handle_report(self, node: str, link: Link, report: WorkerReport) -> None:
         """Update the view of a worker from its agent's report and reconcile its runs."""
         view = self._board.workers.get(node)
--- a/packages/lycheeslip/lycheeslip/dispatch/ends.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/ends.py
@@ -1,5 +1,7 @@
 """Applies the ends of runs: reported by workers, by expired leases or by new lifetimes."""
 
+from collections.abc import Iterator
+
 from lycheeslip_common.utils.clock import steady_ms, wall_ms
 from lycheeslip_common.utils.logs import log_event, log_warning
 from lycheeslip_common.workload.fleet import EndCause, Lifetime, RecordedEnds, WorkerReport
@@ -49,8 +51,8 @@
         for view in self._board.workers.values():
             self._acknowledge(view)
 
-    def end_lost_runs(self, now_ms: int) -> None:
-        """End the runs of workers whose leases have certainly expired."""
+    def end_lost_runs(self, now_ms: int) -> Iterator[None]:
+        """End the runs of workers whose leases have certainly expired; yields between jobs."""
         times = self._board.times
         lease_ms = times.run_lease_ms * (1 + CLOCK_DRIFT) + times.lost_margin_ms
         term = self._board.leadership
@@ -58,8 +60,9 @@
             return
         # a worker unseen in this term may have had its lease extended by the previous leader
         last_extension_ms = term.predecessor_until_ms + times.leader_grace_ms
-        for job_id, job in self._board.jobs.items():
-            for key, task in list(job.progress.placed()):
+        for job_id, job in list(self._board.jobs.items()):
+            yield
+            for key, task in job.progress.placed():
                 view = self._board.workers.get(task.node)
                 if view is not None and view.link is not None:
                     continue
--- a/packages/lycheeslip/lycheeslip/dispatch/loader.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/loader.py
@@ -1,6 +1,7 @@
 """Loads all job records when a term begins, then watches for new jobs and cancellations."""
 
 import asyncio
+from collections.abc import Iterable, Iterator, Sequence
 
 from lycheeslip_common.store.outcomes import KeyValue, Unreachable
 from lycheeslip_common.store.port import ChangedKeys, HistoryLost, KeyValueStore
@@ -20,6 +21,7 @@
 from lycheeslip.dispatch.board import Board, StoredJob
 from lycheeslip.dispatch.keys import CANCEL_PREFIX, JOBS_PREFIX, RUNS_PREFIX, SPEC_PREFIX
 from lycheeslip.dispatch.recorder import Recorder
+from lycheeslip.dispatch.slices import run_in_slices
 
 __all__ = ["Loader"]
 
@@ -57,15 +59,30 @@
         if isinstance(jobs, Unreachable) or isinstance(runs, Unreachable):
             return False
         progress_by_id = {item.key.removeprefix(RUNS_PREFIX): item for item in runs.items}
-        for item in jobs.items:
+        term = self._board.leadership
+        work = self._add_all(jobs.items, progress_by_id)
+        if not await run_in_slices(work, lambda: self._board.leadership is term):
+            return False
+        self._revision = jobs.revision
+        log_event("records_loaded", jobs=len(self._board.jobs), revision=jobs.revision)
+        return True
+
+    def _add_all(
+        self, items: Sequence[KeyValue], progress_by_id: dict[str, KeyValue]
+    ) -> Iterator[None]:
+        """Add all jobs, then cancel those whose cancellation is recorded; yields between them."""
+        for item in items:
             if item.key.startswith(SPEC_PREFIX):
                 self._add_job(item, progress_by_id, MAX_AGE_MS)
-        for item in jobs.items:
+                yield
+        for item in items:
             if item.key.startswith(CANCEL_PREFIX):
                 self._cancel_job(item.key.removeprefix(CANCEL_PREFIX))
-        self._revision = jobs.revision
-        log_event("records_loaded", jobs=len(self._board.jobs), revision=jobs.revision)
-        return True
+
+    def _apply_all(self, items: Iterable[KeyValue]) -> Iterator[None]:
+        for item in items:
+            self.apply(item)
+            yield
 
     async def run(self) -> None:
         """Watch for new jobs and cancellations while leading."""
@@ -76,9 +93,13 @@
                 return
             match outcome:
                 case ChangedKeys(events, revision):
-                    for event in events:
-                        if not event.deleted:
-                            self.apply(KeyValue(event.key, event.value, event.mod_revision))
+                    items = (
+                        KeyValue(event.key, event.value, event.mod_revision)
+                        for event in events
+                        if not event.deleted
+                    )
+                    if not await run_in_slices(self._apply_all(items), self._is_leading):
+                        return
                     self._revision = max(self._revision, revision)
                     backoff.reset()
                 case HistoryLost():
@@ -88,14 +109,19 @@
                     log_warning("job_watch_failed", reason=detail)
                     await asyncio.sleep(backoff.next_delay_s())
 
+    def _is_leading(self) -> bool:
+        return self._board.leadership is not None
+
     async def _reload(self) -> None:
         """Read all jobs and cancellations again; the progress of loaded jobs is not replaced."""
         jobs = await self._store.read_prefix(JOBS_PREFIX)
         if isinstance(jobs, Unreachable):
             await asyncio.sleep(RETRY_FIRST_S)
             return
-        for item in sorted(jobs.items, key=lambda item: item.key, reverse=True):
-            self.apply(item)  # reverse order: specifications before cancellations
+        # reverse order: specifications before cancellations
+        items = sorted(jobs.items, key=lambda item: item.key, reverse=True)
+        if not await run_in_slices(self._apply_all(items), self._is_leading):
+            return
         self._revision = max(self._revision, jobs.revision)
 
     def apply(self, item: KeyValue) -> None:
--- a/packages/lycheeslip/lycheeslip/dispatch/placement.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/placement.py
@@ -6,7 +6,7 @@
 """
 
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from typing import NamedTuple
 
 from lycheeslip_common.workload.jobs import Demand
@@ -29,8 +29,9 @@
     WorkerCapacity,
 )
 from lycheeslip.dispatch.reclaim import reclaim
+from lycheeslip.dispatch.slices import run_at_once
 
-__all__ = ["plan_round"]
+__all__ = ["plan_round", "plan_units"]
 
 
 class UnitKind(NamedTuple):
@@ -61,11 +62,24 @@
     run is stopped for it, and it waits for a worker on its data rack or for a single rack.
     """
     plan = Plan()
+    run_at_once(plan_units(plan, units, workers, reserve, is_view_complete))
+    return plan
+
+
+def plan_units(
+    plan: Plan,
+    units: Sequence[Unit],
+    workers: Sequence[WorkerCapacity],
+    reserve: int,
+    is_view_complete: bool,
+) -> Iterator[None]:
+    """Add the decisions of `plan_round` to `plan`; yields where it may pause."""
     _mark_reserve(workers, reserve)
     blocked_kinds: set[UnitKind] = set()
     for unit in sorted(units, key=_priority_key):
         if not is_view_complete and unit.priority != URGENT_PRIORITY:
             break
+        yield
         kind = _kind(unit)
         if kind in blocked_kinds:  # capacity only shrinks within a round
             plan.blocked.append(unit)
@@ -81,7 +95,6 @@
         for worker in chosen:
             worker.allocate_task(unit)
         plan.starts.append((unit, chosen))
-    return plan
 
 
 def _kind(unit: Unit) -> UnitKind:
--- a/packages/lycheeslip/lycheeslip/dispatch/recorder.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/recorder.py
@@ -4,7 +4,7 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from lycheeslip_common.store import Compare, Put
 from lycheeslip_common.store.outcomes import Unreachable, Written
@@ -12,10 +12,11 @@
 from lycheeslip_common.utils.clock import steady_ms, wall_ms
 from lycheeslip_common.utils.logs import log_event, log_warning
 from lycheeslip_common.utils.retry import Backoff
-from lycheeslip_common.workload.progress import encode_progress
+from lycheeslip_common.workload.progress import JobState, encode_progress
 
 from lycheeslip.dispatch.board import Board, StoredJob
 from lycheeslip.dispatch.keys import LEADER_KEY, cancel_key, runs_key, spec_key
+from lycheeslip.dispatch.slices import run_in_slices
 
 __all__ = ["Recorder"]
 
@@ -64,13 +65,12 @@
         if not batch or term is None:
             return False
         values: dict[str, bytes] = {}
-        states = {job_id: job.progress.state for job_id, job in batch}
+        states: dict[str, JobState] = {}
+        work = self._encode_records(batch, values, states)
+        if not await run_in_slices(work, lambda: self._board.leadership is term):
+            return False
         compares = [Compare(LEADER_KEY, term.epoch)]
-        for job_id, job in batch:
-            values[runs_key(job_id)] = encode_progress(job.progress)
-            compares.append(Compare(runs_key(job_id), job.revision))
-            job.is_dirty, job.is_being_written = False, True
-            job.has_newer_checkpoint = False
+        compares += [Compare(runs_key(job_id), job.revision) for job_id, job in batch]
         puts = [Put(key, value) for key, value in values.items()]
         began_at = steady_ms()
         revisions = await self._write_until_resolved(compares, puts, values)
@@ -88,6 +88,20 @@
         self._on_recorded([job_id for job_id, job in batch if not job.is_dirty])
         return True
 
+    def _encode_records(
+        self,
+        batch: list[tuple[str, StoredJob]],
+        values: dict[str, bytes],
+        states: dict[str, JobState],
+    ) -> Iterator[None]:
+        """Encode the jobs' progress, each as it is when it is no longer marked as changed."""
+        for job_id, job in batch:
+            values[runs_key(job_id)] = encode_progress(job.progress)
+            states[job_id] = job.progress.state
+            job.is_dirty, job.is_being_written = False, True
+            job.has_newer_checkpoint = False
+            yield
+
     async def _write_until_resolved(
         self, compares: list[Compare], puts: list[Put], values: dict[str, bytes]
     ) -> dict[str, int] | None:
--- a/packages/lycheeslip/lycheeslip/dispatch/stops.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/stops.py
@@ -1,7 +1,7 @@
 """Stops preempted runs, runs of ended jobs, incomplete gangs and runs that no record places."""
 
 from collections import Counter
-from collections.abc import Container
+from collections.abc import Container, Iterator
 
 from lycheeslip_common.utils.clock import steady_ms
 from lycheeslip_common.utils.logs import log_event
@@ -110,9 +110,13 @@
         log_event("stop_ordered", task=task, run=run, node=node, epoch=term.epoch, cause=cause)
         view.link.post(StopOrder(term.epoch, lifetime, task, run))
 
-    def stop_obsolete(self) -> None:
-        """Stop runs of ended jobs and of incomplete gangs, and repeat pending stops."""
-        for job_id, job in self._board.jobs.items():
+    def stop_obsolete(self) -> Iterator[None]:
+        """Stop runs of ended jobs and of incomplete gangs, and repeat pending stops.
+
+        Yields between jobs.
+        """
+        for job_id, job in list(self._board.jobs.items()):
+            yield
             whole_gangs = self._whole_gangs(job)
             for key, task in job.progress.placed():
                 cause = self._obsolete_cause(job, key, task, whole_gangs)
--- a/packages/lycheeslip/lycheeslip/dispatch/waiting.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/waiting.py
@@ -1,7 +1,7 @@
 """Builds the waiting units of a planning round from the leader's jobs."""
 
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 
 from lycheeslip_common.utils.clock import steady_ms, wall_ms
 from lycheeslip_common.workload.jobs import demand_of
@@ -19,6 +19,7 @@
     WorkerCapacity,
     cores_of,
 )
+from lycheeslip.dispatch.slices import run_at_once
 from lycheeslip.dispatch.work import (
     MAX_OVERRUN_RATIO,
     guaranteed_accounts,
@@ -26,7 +27,7 @@
     is_guaranteed,
 )
 
-__all__ = ["accelerator_reserve", "build_unit", "build_units"]
+__all__ = ["accelerator_reserve", "build_unit", "build_units", "collect_units"]
 
 SLACK_RATIO = 0.5  # usable part of the slack to the latency objective; estimates are off by half
 MAX_WAIT_MS = 8_000  # longest wait for a worker outside the reserve while capacity is not scarce
@@ -43,11 +44,23 @@
     board: Board, workers: list[WorkerCapacity], claims: Mapping[UnitKey, frozenset[str]]
 ) -> list[Unit]:
     """Return all gangs and tasks that are ready to start, with the `claims` of earlier rounds."""
+    units: list[Unit] = []
+    run_at_once(collect_units(board, workers, claims, units))
+    return units
+
+
+def collect_units(
+    board: Board,
+    workers: list[WorkerCapacity],
+    claims: Mapping[UnitKey, frozenset[str]],
+    units: list[Unit],
+) -> Iterator[None]:
+    """Add all gangs and tasks that are ready to start to `units`; yields where it may pause."""
     guaranteed = guaranteed_accounts(board)
     utilization_by_service = _utilization_by_service(workers)
     objectives = Objectives(board)
-    units = []
-    for job_id, job in board.jobs.items():
+    for job_id, job in list(board.jobs.items()):
+        yield
         for _, members in waiting_units(job.progress):
             times = objectives.step_times(job, *members[0][:2])
             unit = build_unit(board, job_id, job, members, times, guaranteed)
@@ -56,12 +69,10 @@
                 unit._replace(
                     may_wait=_may_wait(job, unit, utilization),
                     may_use_reserved=_is_held_up(job, unit, utilization),
+                    claimed_nodes=claims.get(unit.key, frozenset()),
                 )
             )
-    return [
-        unit._replace(claimed_nodes=claims[unit.key]) if unit.key in claims else unit
-        for unit in units
-    ]
+            yield
 
 
 def accelerator_reserve(board: Board) -> int:
--- a/packages/lycheeslip/tests/dispatch/expired_lease_tests.py
+++ b/packages/lycheeslip/tests/dispatch/expired_lease_tests.py
@@ -8,6 +8,7 @@
 from lycheeslip.dispatch.dispatcher import Dispatcher
 from lycheeslip.dispatch.links import LinkServer
 from lycheeslip.dispatch.losses import LossCause
+from lycheeslip.dispatch.slices import run_at_once
 from lycheeslip.dispatch.stops import RunStopper
 from lycheeslip_common.utils.clock import steady_ms, wall_ms
 from lycheeslip_common.workload.fleet import Redirect
@@ -53,7 +54,7 @@
     job = add_job(board)
     begin_runs(job.progress, {KEY: ("n0", lifetime("n0"))}, False, wall_ms())
     job.stopping[(job.task_name(KEY), 1)] = LossCause.PREEMPTED
-    RunStopper(board).stop_obsolete()
+    run_at_once(RunStopper(board).stop_obsolete())
     assert len(sent) == acts
 
 
--- a/packages/lycheeslip/tests/dispatch/job_size_tests.py
+++ b/packages/lycheeslip/tests/dispatch/job_size_tests.py
@@ -4,6 +4,7 @@
 
 from lycheeslip.dispatch import objective
 from lycheeslip.dispatch.placement import plan_round
+from lycheeslip.dispatch.slices import run_at_once
 from lycheeslip.dispatch.stops import RunStopper
 from lycheeslip_common.utils.clock import steady_ms, wall_ms
 from lycheeslip_common.workload.jobs import StepSpec
@@ -62,7 +63,7 @@
     placement = dict.fromkeys(job.progress.tasks, ("n0", lifetime("n0")))
     begin_runs(job.progress, placement, True, wall_ms())
     job.progress.tasks = CountedTasks(job.progress.tasks)
-    RunStopper(board).stop_obsolete()
+    run_at_once(RunStopper(board).stop_obsolete())
     assert job.progress.tasks.lookups <= 4 * STEPS
 
 
--- a/packages/lycheeslip/tests/dispatch/late_messages_tests.py
+++ b/packages/lycheeslip/tests/dispatch/late_messages_tests.py
@@ -8,6 +8,7 @@
 from lycheeslip.dispatch.dispatcher import Dispatcher
 from lycheeslip.dispatch.ends import RunEndProcessor
 from lycheeslip.dispatch.links import LinkServer
+from lycheeslip.dispatch.slices import run_at_once
 from lycheeslip_common.utils.clock import steady_ms, wall_ms
 from lycheeslip_common.workload.fleet import (
     Heartbeat,
@@ -81,7 +82,7 @@
         """Return whether the run counts as lost after that time without another message."""
         run_stopper = SimpleNamespace(forget=lambda task, run: None)
         ends = RunEndProcessor(self.board, self._recorder, run_stopper)
-        ends.end_lost_runs(steady_ms() + after_ms)
+        run_at_once(ends.end_lost_runs(steady_ms() + after_ms))
         return not self.job.progress.tasks[KEY].is_placed
 
 
