Keep the run times of a step in order

What callers could see: while a job of 10,000 tasks is at work, each report of its worker holds up the leader for 3.5 s, longer than its lease.

Cause: for each run that a report lists, the median of its step was computed from the run times of all tasks of the job.

Change: RunTimes keeps the last run time of each task in order within its step, so that the median is looked up. It is the same as before, the lower one.

A hypothesis test compares the median with that of the statistics module.

--- a/packages/lycheeslip/lycheeslip/dispatch/board.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/board.py
@@ -21,6 +21,7 @@
 from lycheeslip.dispatch.entry_directory import EntryDirectory
 from lycheeslip.dispatch.losses import LossCause
 from lycheeslip.dispatch.placement_model import StepKey
+from lycheeslip.dispatch.run_times import RunTimes
 
 __all__ = [
     "Board",
@@ -83,7 +84,7 @@
     `loaded_at_ms` is when this leader loaded the job, on its steady clock, `age_at_load_ms` after
     its acceptance. `ready_at_ms` is since when this leader knows that a step may start, by
     occurrence and step. `stopping` is why each run is being stopped, by task name and run number.
-    `measured_run_ms` are the run times that workers' reports show; `relocations` counts
+    `run_times` are those that workers' reports show; `relocations` counts
     the runs of a task that were stopped to start again elsewhere, and `preemptions` those that were
     stopped for other work, both by a gang's first task. `failed_in_run` are the ids of
     the workers on which a unit's run has failed, by the unit's first task and the run number.
@@ -99,7 +100,7 @@
     has_newer_checkpoint: bool = False
     stopping: dict[tuple[str, int], LossCause] = field(default_factory=dict)
     ready_at_ms: dict[tuple[int, int], int] = field(default_factory=dict)
-    measured_run_ms: dict[TaskKey, int] = field(default_factory=dict)
+    run_times: RunTimes = field(default_factory=RunTimes)
     relocations: Counter[TaskKey] = field(default_factory=Counter)
     preemptions: Counter[TaskKey] = field(default_factory=Counter)
     failed_in_run: dict[tuple[TaskKey, int], set[str]] = field(default_factory=dict)
--- a/packages/lycheeslip/lycheeslip/dispatch/objective.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/objective.py
@@ -5,7 +5,6 @@
 """
 
 import math
-import statistics
 from typing import NamedTuple
 
 from lycheeslip_common.utils.clock import steady_ms, wall_ms
@@ -58,27 +57,9 @@
 
 
 def expected_run_ms(job: StoredJob, step: int) -> float:
-    """Return the run time of a step's tasks: as measured, else as declared.
-
-    The lower median is not misled by a run on a slow worker.
-    """
-    measured = [run_ms for key, run_ms in job.measured_run_ms.items() if key[1] == step]
-    return _expected_ms(job.progress.spec.steps[step], measured)
-
-
-def _expected_runs_ms(job: StoredJob) -> list[float]:
-    """Return the run times of all steps of a job, as of `expected_run_ms`."""
-    measured_by_step: dict[int, list[int]] = {}
-    for key, run_ms in job.measured_run_ms.items():
-        measured_by_step.setdefault(key[1], []).append(run_ms)
-    return [
-        _expected_ms(step, measured_by_step.get(number, []))
-        for number, step in enumerate(job.progress.spec.steps)
-    ]
-
-
-def _expected_ms(step: StepSpec, measured: list[int]) -> float:
-    return float(statistics.median_low(measured) if measured else step.estimate_ms)
+    """Return the run time of a step's tasks: as measured, else as declared."""
+    measured_ms = job.run_times.median(step)
+    return float(job.progress.spec.steps[step].estimate_ms if measured_ms is None else measured_ms)
 
 
 class Objectives:
@@ -123,7 +104,7 @@
         known = self._times_by_job.get(spec.job_id)
         if known is not None:
             return known
-        run_ms = _expected_runs_ms(job)
+        run_ms = [expected_run_ms(job, number) for number in range(len(spec.steps))]
         capacity = self._capacity_by_service.get(queue.service) if queue else None
         lengths_ms = [
             run_ms[i] * _waves(step, step.task_count, capacity) for i, step in enumerate(spec.steps)
--- a/packages/lycheeslip/lycheeslip/dispatch/running.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/running.py
@@ -30,7 +30,7 @@
     if found is None or run.remaining_ms < 0:
         return
     if run.whole_run_ms > 0:
-        found.job.measured_run_ms[found.key] = run.whole_run_ms
+        found.job.run_times.record(found.key, run.whole_run_ms)
     limit_ms = _slow_limit_ms(found.job, found.key, run, view)
     if limit_ms is None or run.remaining_ms <= limit_ms:
         return
@@ -68,7 +68,7 @@
     rack is slow on any worker.
     """
     step = job.progress.spec.steps[key[1]]
-    is_measured = any(other[1] == key[1] for other in job.measured_run_ms)
+    is_measured = job.run_times.median(key[1]) is not None
     is_remote = bool(step.data_rack) and step.data_rack not in view.report.labels
     if not is_measured or is_remote or step.gang:
         return None
--- a/packages/lycheeslip/tests/dispatch/job_size_tests.py
+++ b/packages/lycheeslip/tests/dispatch/job_size_tests.py
@@ -7,7 +7,8 @@
 from lycheeslip.dispatch.slices import run_at_once
 from lycheeslip.dispatch.stops import RunStopper
 from lycheeslip_common.utils.clock import steady_ms, wall_ms
-from lycheeslip_common.workload.jobs import StepSpec
+from lycheeslip_common.workload.fleet import RunningRun
+from lycheeslip_common.workload.jobs import MAX_TASKS, StepSpec
 from lycheeslip_common.workload.progress import (
     begin_runs,
     decode_progress,
@@ -95,3 +96,22 @@
     assert [started.job_id for started, _ in plan.starts] == ["small"]
     assert len(plan.blocked) == STEPS
     assert tried["units"] <= 3
+
+
+def test_report_of_many_measured_runs_takes_less_than_the_lease():
+    # Guards against reports that take time with the square of a job's tasks and hold up the lease.
+    board = leaders_board()
+    tasks = MAX_TASKS
+    job = board.jobs[JOB] = job_of((STEP._replace(task_count=tasks),))
+    begin_runs(
+        job.progress, dict.fromkeys(job.progress.tasks, ("n0", lifetime("n0"))), False, wall_ms()
+    )
+    running = tuple(
+        RunningRun(job.task_name(key), 1, "", 10, 0, 50_000, 60_000 + number)
+        for number, key in enumerate(job.progress.tasks)
+    )
+    view = board.workers["n0"]
+    began_at_ms = steady_ms()
+    dispatcher_of(board).handle_report("n0", view.link, view.report._replace(running=running))
+    assert steady_ms() - began_at_ms < board.times.leader_lease_ms
+    assert job.run_times.median(0) == 60_000 + (tasks - 1) // 2
--- a/packages/lycheeslip/tests/dispatch/objective_tests.py
+++ b/packages/lycheeslip/tests/dispatch/objective_tests.py
@@ -1,6 +1,10 @@
 """Tests of run times and latency objectives."""
 
+from statistics import median_low
+
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 from lycheeslip.dispatch import objective
 from lycheeslip.dispatch.board import Board, StoredJob
 from lycheeslip.dispatch.objective import (
@@ -11,6 +15,7 @@
     waiting_since_ms,
 )
 from lycheeslip.dispatch.occupancy import build_worker_capacities
+from lycheeslip.dispatch.run_times import RunTimes
 from lycheeslip.dispatch.waiting import build_units
 from lycheeslip_common.utils.clock import wall_ms
 from lycheeslip_common.workload.jobs import StepSpec
@@ -41,10 +46,22 @@
 def test_declared_run_time_is_not_used_once_runs_are_measured():
     job = add_job(board_for_urgent_work(), task_count=3, estimate_ms=200)
     assert expected_run_ms(job, 0) == 200
-    job.measured_run_ms = {(0, 0, 0): 6_000, (0, 0, 1): 1_100, (0, 0, 2): 1_000}
+    for index, run_ms in enumerate((6_000, 1_100, 1_000)):
+        job.run_times.record((0, 0, index), run_ms)
     assert expected_run_ms(job, 0) == 1_100
 
 
+@given(st.lists(st.tuples(st.integers(0, 1), st.integers(0, 3), st.integers(1, 9))))
+def test_run_time_of_a_step_is_the_lower_median_of_the_last_ones_of_its_tasks(measured):
+    run_times, last = RunTimes(), {}
+    for step, index, run_ms in measured:
+        run_times.record((0, step, index), run_ms)
+        last[(step, index)] = run_ms
+    for step in (0, 1):
+        of_step = [run_ms for key, run_ms in last.items() if key[0] == step]
+        assert run_times.median(step) == (median_low(of_step) if of_step else None)
+
+
 @pytest.mark.parametrize(("tasks", "waves"), [(1, 1), (2, 2), (4, 4)])
 def test_wide_step_does_not_count_as_late_before_its_waves_are_over(tasks: int, waves: int):
     board = board_for_urgent_work()  # a task needs a quarter of it
