Close a link because its peer is stuck, not because its queue is long

Cause: a link with more than 1,000 queued messages was closed, though its peer was reading, and none of them was sent. On the next link the leader sends the recorded orders again, all at once, which closed that one as well, some ten times a second. The agent's reports kept coming in between, so that its runs never counted as lost.

Change: the queue has no limit of its own. What the limit was to guard against is measured instead: a link is closed, and link_stuck logged, once its peer takes no message for 5 s. Messages are encoded when their turn comes, and the sender gives way after 32 of them. That holds for everything that goes over links: orders, traits, stops after a wave of cancellations or an evacuation, results and reports of agents, queries of entries.

--- a/packages/lycheeslip_common/lycheeslip_common/utils/events.py
+++ b/packages/lycheeslip_common/lycheeslip_common/utils/events.py
@@ -192,6 +192,12 @@
         "address reason",
         "The entry could not connect to the leader.",
     ),
+    Event(
+        "link_stuck",
+        "both",
+        "node queued",
+        "The peer has taken no message for 5 s, so the connection is closed with `queued` unsent.",
+    ),
     Event(
         "operator_history_lost",
         "entry",
--- a/packages/lycheeslip_common/lycheeslip_common/workload/link.py
+++ b/packages/lycheeslip_common/lycheeslip_common/workload/link.py
@@ -1,11 +1,13 @@
 """WebSocket links between entries and agents, for multi-step jobs.
 
 Unlike the sessions of `lycheeslip_common.wire`, links have no authentication.
-Sending never blocks: messages are queued, and a link whose queue is full is closed, so that a
-peer that stops reading delays no other link.
+Sending never blocks: messages are queued, and a link is closed once its peer takes nothing for
+some time, so that a peer that stops reading delays no other link. The length of the queue doesn't
+matter: a burst that closed the link would come again over the next one.
 """
 
 import asyncio
+from collections import deque
 from collections.abc import Awaitable, Callable
 
 import cbor2
@@ -13,6 +15,7 @@
 from websockets.asyncio.server import Server, ServerConnection, serve
 from websockets.exceptions import ConnectionClosed, WebSocketException
 
+from lycheeslip_common.utils.logs import log_warning
 from lycheeslip_common.utils.usable import is_usable_address, parse_cbor, shorten
 from lycheeslip_common.workload.fleet import InvalidMessageError, Message, decode, encode
 
@@ -21,7 +24,8 @@
 PEER_ROLE = "peer"  # of an entry that opens a link to another one for a single message
 
 MAX_FRAME_BYTES = 4 * 1024 * 1024  # a report of 500 ended runs with checkpoints is below 100 KB
-MAX_QUEUED_FRAMES = 1_000  # over ten times the messages of restarting all runs of a worker
+SEND_TIMEOUT_S = 5.0  # for one message; one of 2 MB takes 3 s on a link of 5 Mbit/s
+MESSAGES_PER_TURN = 32  # sent before other work of the process gets a turn; about 1 ms
 OPEN_TIMEOUT_S = 1.0  # other zones are about 1 ms away; on a timeout the next entry is tried
 CLOSE_TIMEOUT_S = 0.5
 
@@ -40,40 +44,50 @@
     def __init__(self, connection: ClientConnection | ServerConnection) -> None:
         """Wrap an open connection; nothing is sent unless `run_sender` runs."""
         self._connection = connection
-        self._frames: asyncio.Queue[bytes | None] = asyncio.Queue(MAX_QUEUED_FRAMES)
+        self._queue: deque[Message | None] = deque()  # None: to be closed
+        self._has_queued = asyncio.Event()
         self.node = ""
         self.role = ""
         self.is_closed = False
 
     def post(self, message: Message) -> None:
-        """Queue a message for sending; closes the link if the queue is full."""
-        self.post_frame(encode(message))
+        """Queue a message for sending; does nothing on a closed link."""
+        if not self.is_closed:
+            self._queue.append(message)
+            self._has_queued.set()
 
     def post_last(self, message: Message) -> None:
         """Queue a message after which the link is closed."""
         self.post(message)
-        self.post_frame(None)
-
-    def post_frame(self, frame: bytes | None) -> None:
-        """Queue an encoded message, or None to close the link; does nothing on a closed link."""
-        if self.is_closed:
-            return
-        try:
-            self._frames.put_nowait(frame)
-        except asyncio.QueueFull:
-            self.abort()
+        self._queue.append(None)
 
     async def run_sender(self) -> None:
-        """Send queued messages until the link is closed."""
+        """Send queued messages until the link is closed, by this process if the peer is stuck."""
         try:
             while not self.is_closed:
-                frame = await self._frames.get()
-                if frame is None:
-                    await self._connection.close()
-                    return
-                await self._connection.send(frame)
+                await self._has_queued.wait()
+                self._has_queued.clear()
+                await self._send_queued()
+        except TimeoutError:
+            log_warning("link_stuck", node=self.node, queued=len(self._queue))
         except (ConnectionClosed, OSError):
-            self.abort()
+            pass
+        finally:
+            self.abort()  # nothing is sent any more
+
+    async def _send_queued(self) -> None:
+        """Send all queued messages; raises TimeoutError if one isn't taken in time."""
+        sent = 0
+        while self._queue and not self.is_closed:
+            message = self._queue.popleft()
+            if message is None:
+                await self._connection.close()
+                return
+            async with asyncio.timeout(SEND_TIMEOUT_S):
+                await self._connection.send(encode(message))
+            sent += 1
+            if sent % MESSAGES_PER_TURN == 0:
+                await asyncio.sleep(0)
 
     async def receive(self, timeout_s: float) -> Message:
         """Return the next message; raises LinkClosedError or InvalidMessageError.
