Let a burst of orders wait for its turn at the worker

What callers saw: two jobs of 600 small tasks on two sound workers; 1,092 starts were given up as silent, and most tasks first ran as run 2 or 3 (users' measurement on; in the cell of the tests the same burst did not get to work within 15 s).

Cause: the agent began all orders at once, a check of the worker and a start each. Beside hundreds of other calls the answer to a check took longer than its 0.15 s, and after 0.7 s in the agent's own queue an order counted as the worker's silence. The leader then left the worker out for 2 s and placed the tasks elsewhere.

Change: at most 16 starts and 16 stops are under way at a worker, of the 64 connections that it takes. The check before a start and the read of the lists after a stop are shared by all orders that ask before the call begins. Only checks that the worker itself leaves unanswered add up to its silence; an order whose check is older than 0.3 s when its turn comes gets another one. So a silent worker is still known after 0.7 s, for a burst as for one order. Reports that list many runs follow each other after 0.25 ms a run, since the leader goes through all runs each time.

--- a/packages/lycheeslip_agent/lycheeslip_agent/dispatch/leader_link.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/dispatch/leader_link.py
@@ -30,6 +30,7 @@
 RETRY_LIMIT_S = 0.6
 SUCCESSOR_LOOKUP_S = 0.3  # only while the leader is unconfirmed; store reads are not rate-limited
 REPORT_BATCH_S = 0.01  # batches changes that occur together into one report
+REPORT_BATCH_PER_RUN_S = 0.00025  # a report lists all runs, which the leader goes through each time
 BEATS_PER_ADDRESSES_QUERY = 10  # entries are replaced some times a day
 
 
@@ -195,7 +196,8 @@
         board.report_due.set()
         while True:
             await board.report_due.wait()
-            await asyncio.sleep(REPORT_BATCH_S)
+            runs = len(board.running) + len(board.pending_starts)
+            await asyncio.sleep(max(REPORT_BATCH_S, REPORT_BATCH_PER_RUN_S * runs))
             board.report_due.clear()
             is_known = board.worker_status is not None and board.has_run_lists
             is_none = board.is_worker_gone or (
--- a/packages/lycheeslip_agent/lycheeslip_agent/dispatch/orders.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/dispatch/orders.py
@@ -11,7 +11,9 @@
 
 from lycheeslip_agent.dispatch.board import Board
 from lycheeslip_agent.dispatch.lists import WorkerLists
+from lycheeslip_agent.dispatch.shared_calls import SharedCall
 from lycheeslip_agent.dispatch.worker_port import (
+    HoldOutcome,
     NoAnswer,
     NoWorker,
     OrderOutcome,
@@ -31,19 +33,28 @@
 UNHEALTHY = "unhealthy"  # reason for which a worker refuses single calls, or all for a while
 SILENT = "silent"  # reason of an order that isn't sent, since the worker may carry it out late
 SILENCE_MS = 700  # some calls may be lost by chance, but hardly four in a row
+# Of the 64 connections that a worker takes; the other half is for polls, checks and speed limits.
+MAX_STARTS_AT_ONCE = 16
+MAX_STOPS_AT_ONCE = 16
 # Reasons of rejected starts whose run may have begun: earlier, or without having been listed yet.
 UNCERTAIN_REASONS = frozenset({"old", "not_listed"})
 CHECK_VALID_MS = 300  # from the begin of a check; a worker that crashes takes longer to be back
 
 
+@dataclass(frozen=True, slots=True)
+class CheckExpired:
+    """No start was sent, since the check before it had become too old in the queue of starts."""
+
+
 @dataclass(frozen=True, slots=True)
 class NotSent:
     """No start was sent, since the worker did not confirm its lifetime in the check before it.
 
-    `reason` is that of the order's result if it is given up.
+    `reason` is that of the order's result if it is given up; the check took `waited_ms`.
     """
 
     reason: str
+    waited_ms: int
 
 
 class Listing(Enum):
@@ -55,7 +66,10 @@
 
 
 class OrderExecutor:
-    """Executes each order in its own task; an order that is already in progress is ignored."""
+    """Executes each order in its own task; an order that is already in progress is ignored.
+
+    A burst of orders has to wait for its turn at the worker, which is no fault of the worker's.
+    """
 
     def __init__(self, board: Board, worker: WorkerPort, lists: WorkerLists) -> None:
         """Call `worker`, and pass confirmed starts on to `lists`."""
@@ -64,6 +78,10 @@
         self._lists = lists
         self._tasks: dict[tuple[str, int, str], asyncio.Task[None]] = {}
         self._stopped: set[tuple[str, int]] = set()
+        self._starts = asyncio.Semaphore(MAX_STARTS_AT_ONCE)
+        self._stops = asyncio.Semaphore(MAX_STOPS_AT_ONCE)
+        self._checks = SharedCall(self._check_lifetime)
+        self._listings = SharedCall(self._read_lists)
 
     def handle(self, order: StartOrder | StopOrder) -> None:
         """Start executing `order` in the background."""
@@ -94,6 +112,7 @@
         run_key = (order.task, order.run)
         board.pending_starts[run_key] = steady_ms()
         was_unanswered = order.is_repeated and not board.has_seen_whole_lifetime
+        silent_ms = 0
         try:
             while True:
                 refusal = self._refusal_reason(order)
@@ -103,13 +122,16 @@
                     await self._report_not_started(order, refusal, was_unanswered)
                     return
                 match await self._check_and_start(order):
-                    case NotSent(reason):
-                        is_overdue = steady_ms() - board.pending_starts[run_key] >= SILENCE_MS
-                        if is_overdue and not was_unanswered:
+                    case CheckExpired():
+                        continue
+                    case NotSent(reason, waited_ms):
+                        silent_ms += waited_ms
+                        if silent_ms >= SILENCE_MS and not was_unanswered:
                             self._post_result(order.lifetime, order.task, order.run, reason)
                             return
                         board.counters.count("start_retries", reason)
                         await asyncio.sleep(RETRY_S)
+                        silent_ms += int(RETRY_S * 1_000)
                     case Taken():
                         took_ms = steady_ms() - board.pending_starts[run_key]
                         log_event("run_started", task=order.task, run=order.run, took_ms=took_ms)
@@ -135,19 +157,31 @@
             board.pending_starts.pop(run_key, None)
             board.report_due.set()
 
-    async def _check_and_start(self, order: StartOrder) -> OrderOutcome | NotSent:
+    async def _check_and_start(self, order: StartOrder) -> OrderOutcome | NotSent | CheckExpired:
         """Send a start if the worker answers in the lifetime that the order is for."""
-        epoch = max(order.epoch, self._board.epoch)
-        began_at_ms = steady_ms()
-        check = await self._worker.check_lifetime(order.lifetime, epoch)
+        (lifetime, check), began_at_ms, took_ms = await self._checks.ask()
+        if lifetime != order.lifetime:
+            return CheckExpired()
         # the lifetime may be over after a pause of this process
-        if isinstance(check, NoAnswer) or steady_ms() - began_at_ms > CHECK_VALID_MS:
-            return NotSent(SILENT)
+        if isinstance(check, NoAnswer) or took_ms > CHECK_VALID_MS:
+            return NotSent(SILENT, took_ms)
         if check == Rejected(UNHEALTHY):
-            return NotSent(UNHEALTHY)
+            return NotSent(UNHEALTHY, took_ms)
         if not isinstance(check, Taken):
             return check
-        return await self._worker.start(order, self._board.lease_end_on_worker_ms(), epoch)
+        async with self._starts:
+            if steady_ms() - began_at_ms > CHECK_VALID_MS or self._refusal_reason(order):
+                return CheckExpired()
+            board = self._board
+            epoch = max(order.epoch, board.epoch)
+            return await self._worker.start(order, board.lease_end_on_worker_ms(), epoch)
+
+    async def _check_lifetime(self) -> tuple[Lifetime | None, OrderOutcome]:
+        """Check the worker's present lifetime; return that and the outcome."""
+        lifetime = self._board.lifetime
+        if lifetime is None:
+            return None, NoWorker()
+        return lifetime, await self._worker.check_lifetime(lifetime, self._board.epoch)
 
     def _refusal_reason(self, order: StartOrder) -> str:
         """Return why the order must not be executed now, or "" if it may."""
@@ -196,11 +230,8 @@
 
     async def _listing(self, order: StartOrder | StopOrder) -> Listing | None:
         """Return where the worker lists the run of `order`, None if it does not answer."""
-        board = self._board
-        lists = await self._worker.hold(
-            order.lifetime, 0, max(order.epoch, board.epoch), board.last_recorded_end, 0
-        )
-        if not isinstance(lists, RunLists):
+        lifetime, lists = (await self._listings.ask()).outcome
+        if lifetime != order.lifetime or not isinstance(lists, RunLists):
             return None
         key = (order.task, order.run)
         if any((run.task, run.run) == key for run in lists.running):
@@ -209,6 +240,16 @@
             return Listing.ENDED
         return Listing.ABSENT
 
+    async def _read_lists(self) -> tuple[Lifetime | None, HoldOutcome]:
+        """Read the lists of the worker's present lifetime; return that and the outcome."""
+        board = self._board
+        lifetime = board.lifetime
+        if lifetime is None:
+            return None, NoWorker()
+        return lifetime, await self._worker.hold(
+            lifetime, 0, board.epoch, board.last_recorded_end, 0
+        )
+
     async def _fence_run(self, order: StartOrder | StopOrder) -> OrderOutcome:
         """Repeat the stop of a run until the worker confirms it or is gone.
 
@@ -218,7 +259,10 @@
         board = self._board
         backoff = Backoff(REFUSED_RETRY_FIRST_S, REFUSED_RETRY_LIMIT_S)
         while True:
-            outcome = await self._worker.stop(order.lifetime, order.task, order.run, board.epoch)
+            async with self._stops:
+                outcome = await self._worker.stop(
+                    order.lifetime, order.task, order.run, board.epoch
+                )
             if isinstance(outcome, Taken):
                 return outcome
             if not self._is_current(order.lifetime):
--- a/packages/lycheeslip_agent/lycheeslip_agent/dispatch/worker_port.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/dispatch/worker_port.py
@@ -8,6 +8,7 @@
 __all__ = [
     "WorkerStatus",
     "RunLists",
+    "HoldOutcome",
     "NoAnswer",
     "NoWorker",
     "OrderOutcome",
@@ -78,6 +79,7 @@
 
 
 OrderOutcome = Taken | Rejected | OtherLifetime | NoWorker | NoAnswer
+HoldOutcome = RunLists | Rejected | OtherLifetime | NoWorker | NoAnswer
 
 
 class WorkerPort(Protocol):
@@ -92,7 +94,7 @@
 
     async def hold(
         self, lifetime: Lifetime, until_ms: int, epoch: int, recorded: int, wait_ms: int
-    ) -> RunLists | Rejected | OtherLifetime | NoWorker | NoAnswer:
+    ) -> HoldOutcome:
         """Extend the lease to `until_ms` (0: leave it unchanged) and return both lists.
 
         The worker may forget ends up to number `recorded`, and may delay its answer by up to
