Place a burst in parts, so that urgent starts need not wait for all of it

Cause: the planner gave a worker as many tasks at once as fit there, and the agent starts them in the order in which they come.

Change: a worker gets tasks only while fewer than MAX_STARTING (64) that were placed there are not listed by it yet. The round after the next report places more, the most urgent first. Gangs, which have to be placed whole, and jobs of priority 0 are not held back.

Its test in placement_tests.py fails without the limit.

--- a/packages/lycheeslip/lycheeslip/dispatch/occupancy.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/occupancy.py
@@ -46,6 +46,8 @@
         worker = _worker_capacity(board, view, view.lifetime)
         for placed_run in placed_runs.get(view.lifetime, []):
             worker.add_placed_run(placed_run)
+        listed = {(run.task, run.run) for run in view.report.running}
+        worker.starting = sum((run.task, run.run) not in listed for run in worker.placed_runs)
         _allocate_unrecorded_runs(board, view, worker)
         is_in_service = view.report.is_ready and view.report.zone not in board.evacuated_zones
         if is_in_service and steady_ms() >= view.backoff_until_ms:
--- a/packages/lycheeslip/lycheeslip/dispatch/placement.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/placement.py
@@ -22,6 +22,7 @@
     pack,
 )
 from lycheeslip.dispatch.placement_model import (
+    MAX_STARTING,
     URGENT_PRIORITY,
     Plan,
     StepKey,
@@ -208,6 +209,10 @@
 def _may_use(unit: Unit, worker: WorkerCapacity) -> bool:
     if worker.is_reserved and unit.is_costly_to_stop and unit.may_wait:
         return False
+    # the next round places more, so that what is more urgent need not wait for all of a burst
+    is_deferrable = unit.priority != URGENT_PRIORITY and not unit.is_gang
+    if is_deferrable and worker.starting >= MAX_STARTING:
+        return False
     if unit.advice is not None and worker.lifetime in unit.advice.denied:
         return False
     return worker.service == unit.service and (not unit.label or unit.label in worker.labels)
--- a/packages/lycheeslip/lycheeslip/dispatch/placement_model.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/placement_model.py
@@ -13,6 +13,7 @@
     "Advice",
     "AdviceRequest",
     "DeclinedPreemption",
+    "MAX_STARTING",
     "PlacedRun",
     "Plan",
     "Preemption",
@@ -37,6 +38,7 @@
 ACCELERATOR_CORES = 8  # weight of one accelerator in cores, for work and loss in core-seconds
 URGENT_PRIORITY = 0
 NO_DEMAND = Demand(0, 0, 0)
+MAX_STARTING = 64  # tasks on their way to a worker; its agent starts 16 at once, in some 10 ms
 
 
 def _add(a: Demand, b: Demand) -> Demand:
@@ -102,6 +104,7 @@
     failed, and `is_exposed` those that may be among the next to leave while workers are replaced.
     `reserved` is what blocked units that wait for the runs here to end keep from other units; it
     isn't part of the free capacity. `held_by_lasting` runs is what doesn't become free by itself.
+    `starting` counts the tasks that were placed here and that the worker doesn't list yet.
     """
 
     node: str
@@ -123,6 +126,7 @@
     is_exposed: bool = False
     reserved: Demand = NO_DEMAND
     held_by_lasting: Demand = NO_DEMAND
+    starting: int = 0
 
     @property
     def has_costly_run(self) -> bool:
@@ -160,6 +164,7 @@
     def allocate_task(self, unit: "Unit") -> None:
         """Place one task of `unit`."""
         self.claim(unit)
+        self.starting += 1
         self.task_counts[unit.step_key] += 1
 
     def claim(self, unit: "Unit") -> None:
--- a/packages/lycheeslip/tests/dispatch/placement_tests.py
+++ b/packages/lycheeslip/tests/dispatch/placement_tests.py
@@ -1,11 +1,16 @@
 """Tests of where units start and which runs are preempted."""
 
 import pytest
+from lycheeslip.dispatch.occupancy import build_worker_capacities
 from lycheeslip.dispatch.placement import plan_round
-from lycheeslip.dispatch.placement_model import PlacedRun, WorkerCapacity
+from lycheeslip.dispatch.placement_model import MAX_STARTING, PlacedRun, WorkerCapacity
 from lycheeslip.dispatch.waiting import build_units
+from lycheeslip_common.utils.clock import wall_ms
+from lycheeslip_common.workload.fleet import RunningRun
+from lycheeslip_common.workload.jobs import Demand
+from lycheeslip_common.workload.progress import begin_runs
 
-from .builders import add_job, board_with, placed_run, unit, worker
+from .builders import add_job, board_with, lifetime, placed_run, unit, worker
 
 
 def nodes(plan, index: int = 0) -> list[str]:
@@ -448,3 +453,33 @@
     workers = [worker("slow", "r2", is_slow=True), worker("full", free=0)]
     plan = plan_round([unit(accelerators=8, **fields)], workers)
     assert [w.node for _, chosen_workers in plan.starts for w in chosen_workers] == chosen
+
+
+def test_burst_is_placed_in_parts_that_more_urgent_work_need_not_wait_for():
+    # Guards against urgent starts that wait behind thousands of others at an agent.
+    tiny = Demand(1, 1, 0)
+    burst = [unit("burst", indexes=(index,), demand=tiny) for index in range(2 * MAX_STARTING)]
+    urgent = unit("urgent", demand=tiny, priority=0)
+    (full,) = workers = [worker("n1")]
+    first = plan_round([*burst, urgent], workers)
+    assert [started.job_id for started, _ in first.starts] == [
+        "urgent",
+        *["burst"] * (MAX_STARTING - 1),
+    ]
+    assert len(first.blocked) == MAX_STARTING + 1
+    assert full.starting == MAX_STARTING
+    assert plan_round(burst, workers).starts == []
+    assert len(plan_round([urgent], workers).starts) == 1
+
+
+def test_tasks_that_the_worker_lists_do_not_count_as_starting():
+    # Guards against bursts of which only the first part is ever placed.
+    board = board_with(1)
+    job = add_job(board, task_count=3, accelerators=1)
+    node = {key: ("n0", lifetime("n0")) for key in job.progress.tasks}
+    begin_runs(job.progress, node, False, wall_ms())
+    view = board.workers["n0"]
+    running = (RunningRun(job.task_name((0, 0, 1)), 1, "", 0),)
+    view.report = view.report._replace(running=running)
+    (capacity,) = build_worker_capacities(board)
+    assert capacity.starting == 2
