--- a/packages/lycheeslip/lycheeslip/dispatch/placement_model.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/placement_model.py
@@ -38,7 +38,7 @@
 ACCELERATOR_CORES = 8  # weight of one accelerator in cores, for work and loss in core-seconds
 URGENT_PRIORITY = 0
 NO_DEMAND = Demand(0, 0, 0)
-MAX_STARTING = 64  # tasks on their way to a worker; its agent starts 16 at once, in some 10 ms
+MAX_STARTING = 64  # tasks on their way to a worker; its agent starts 16 at once
 
 
 def _add(a: Demand, b: Demand) -> Demand:
--- a/packages/lycheeslip_common/lycheeslip_common/workload/link.py
+++ b/packages/lycheeslip_common/lycheeslip_common/workload/link.py
@@ -25,7 +25,7 @@
 
 MAX_FRAME_BYTES = 4 * 1024 * 1024  # a report of 500 ended runs with checkpoints is below 100 KB
 SEND_TIMEOUT_S = 5.0  # for one message; one of 2 MB takes 3 s on a link of 5 Mbit/s
-MESSAGES_PER_TURN = 32  # sent before other work of the process gets a turn; about 1 ms
+MESSAGES_PER_TURN = 32  # sent before other work of the process gets a turn
 OPEN_TIMEOUT_S = 1.0  # other zones are about 1 ms away; on a timeout the next entry is tried
 CLOSE_TIMEOUT_S = 0.5
 
