Keep the lines of a valid configuration, and the keys of differences

Checks of a valid file need the line of each key. Differences carry the key that changes. The lease per member of a gang moves to the common package, since the check of gang_lease needs it too.

--- a/packages/lycheeslip/lycheeslip/config/capacity.py
+++ b/packages/lycheeslip/lycheeslip/config/capacity.py
@@ -7,7 +7,7 @@
 
 from lycheeslip.config.model import Account, FleetConfig, Zone
 
-__all__ = ["CapacityProblem", "find_capacity_problems"]
+__all__ = ["CapacityProblem", "Scenario", "find_capacity_problems", "service_scenarios"]
 
 GUARANTEE_KEY = "guarantee"
 
@@ -19,7 +19,7 @@
     message: str
 
 
-class _Scenario(NamedTuple):
+class Scenario(NamedTuple):
     """Available zones and a description of them for messages, such as "in service"."""
 
     zones: tuple[Zone, ...]
@@ -34,24 +34,25 @@
     in_service = [zone for zone in config.zones_by_id.values() if zone.in_service]
     if any(zone.accelerators == 0 for zone in in_service) or not config.zones_by_id:
         return []
-    scenarios = _scenarios(config, in_service)
+    scenarios = service_scenarios(config)
     problems: list[CapacityProblem] = []
     for account in config.accounts_by_id.values():
         problems += _shape_problems(account, scenarios)
     return problems or _total_problems(config.accounts_by_id.values(), scenarios)
 
 
-def _scenarios(config: FleetConfig, in_service: Sequence[Zone]) -> list[_Scenario]:
+def service_scenarios(config: FleetConfig) -> list[Scenario]:
     """Return the scenarios in which the guarantees must be satisfied.
 
     With `survive_zone_loss` these are the losses of any one zone; a zone that is already out of
     service counts as the lost one.
     """
+    in_service = [zone for zone in config.zones_by_id.values() if zone.in_service]
     all_in_service = len(in_service) == len(config.zones_by_id)
     if not config.survive_zone_loss or not all_in_service:
-        return [_Scenario(tuple(in_service), "in service")]
+        return [Scenario(tuple(in_service), "in service")]
     return [
-        _Scenario(
+        Scenario(
             tuple(zone for zone in in_service if zone is not lost),
             f"left after the loss of zone {lost.zone_id}",
         )
@@ -59,7 +60,7 @@
     ]
 
 
-def _shape_problems(account: Account, scenarios: list[_Scenario]) -> Iterable[CapacityProblem]:
+def _shape_problems(account: Account, scenarios: list[Scenario]) -> Iterable[CapacityProblem]:
     if account.guarantee is None or account.guarantee.accelerators == 0:
         return
     for scenario in scenarios:
@@ -100,7 +101,7 @@
     return min(members_in_full_rack, _members_per_zone(shape, zone))
 
 
-def _shape_message(shape: Shape, scenario: _Scenario) -> str:
+def _shape_message(shape: Shape, scenario: Scenario) -> str:
     gang = f"{shape.members} members with {shape.accelerators} accelerators each"
     match shape.adjacency:
         case Adjacency.SAME_WORKER:
@@ -112,7 +113,7 @@
 
 
 def _total_problems(
-    accounts: Iterable[Account], scenarios: list[_Scenario]
+    accounts: Iterable[Account], scenarios: list[Scenario]
 ) -> list[CapacityProblem]:
     shapes = [account.guarantee for account in accounts if account.guarantee is not None]
     guaranteed = sum(shape.total_accelerators for shape in shapes)
--- a/packages/lycheeslip/lycheeslip/config/diff.py
+++ b/packages/lycheeslip/lycheeslip/config/diff.py
@@ -22,16 +22,28 @@
 
 
 class Change(NamedTuple):
-    """One difference: the part of the configuration and what changes in it."""
+    """One difference: the part of the configuration, what changes in it, and its dotted key."""
 
     subject: str
     text: str
+    key: str
 
     def __str__(self) -> str:
         """Return the line that is printed for operators."""
         return f"{self.subject}: {self.text}"
 
 
+class _Subject(NamedTuple):
+    """A part of the configuration: its name for operators and its dotted key."""
+
+    name: str
+    key: str
+
+    def change(self, text: str, key: str = "") -> Change:
+        """Return a change of the part itself, or of `key` within it."""
+        return Change(self.name, text, f"{self.key}.{key}" if key and self.key else self.key or key)
+
+
 def describe_changes(before: FleetConfig, after: FleetConfig) -> list[Change]:
     """Return all differences between two configurations, zones first."""
     return [
@@ -72,88 +84,102 @@
 
 def _zone_changes(before: Mapping[str, Zone], after: Mapping[str, Zone]) -> Iterator[Change]:
     for zone_id, old, new in _pair_by_key(before, after):
-        subject = f"zone {zone_id}"
+        subject = _Subject(f"zone {zone_id}", f"zones.{zone_id}")
         if new is None:
-            yield Change(subject, "removed")
+            yield subject.change("removed")
         elif old is None:
             service = "in service" if new.in_service else "out of service"
-            yield Change(subject, f"added, {service}, {new.accelerators} accelerators declared")
+            yield subject.change(f"added, {service}, {new.accelerators} accelerators declared")
             yield from _quiet_changes(subject, (), new.quiet_hours)
         else:
             yield from _changed_zone(subject, old, new)
 
 
-def _changed_zone(subject: str, old: Zone, new: Zone) -> Iterator[Change]:
+def _changed_zone(subject: _Subject, old: Zone, new: Zone) -> Iterator[Change]:
     if old.in_service != new.in_service:
-        yield Change(
-            subject, "brought back into service" if new.in_service else "taken out of service"
-        )
+        text = "brought back into service" if new.in_service else "taken out of service"
+        yield subject.change(text, "in_service")
     yield from _value_change(subject, "accelerators", old.accelerators, new.accelerators)
     yield from _value_change(
         subject,
-        "accelerators per worker",
+        "accelerators_per_worker",
         old.accelerators_per_worker,
         new.accelerators_per_worker,
     )
     yield from _value_change(
-        subject, "workers per rack", old.workers_per_rack, new.workers_per_rack
+        subject, "workers_per_rack", old.workers_per_rack, new.workers_per_rack
     )
     yield from _value_change(
         subject,
-        "offset from UTC",
+        "utc_offset",
         old.utc_offset_minutes,
         new.utc_offset_minutes,
         format_utc_offset,
+        name="offset from UTC",
     )
     yield from _quiet_changes(subject, old.quiet_hours, new.quiet_hours)
 
 
 def _quiet_changes(
-    subject: str, old: tuple[QuietHours, ...], new: tuple[QuietHours, ...]
+    subject: _Subject, old: tuple[QuietHours, ...], new: tuple[QuietHours, ...]
 ) -> Iterator[Change]:
     for quiet in old:
         if quiet not in new:
-            yield Change(subject, f"quiet hours removed: {describe_quiet_hours(quiet)}")
+            yield subject.change(
+                f"quiet hours removed: {describe_quiet_hours(quiet)}", "quiet_hours"
+            )
     for quiet in new:
         if quiet not in old:
-            yield Change(subject, f"quiet hours added: {describe_quiet_hours(quiet)}")
+            yield subject.change(f"quiet hours added: {describe_quiet_hours(quiet)}", "quiet_hours")
 
 
 def _account_changes(
     before: Mapping[str, Account], after: Mapping[str, Account]
 ) -> Iterator[Change]:
     for account_id, old, new in _pair_by_key(before, after):
-        subject = f"account {account_id}"
+        subject = _Subject(f"account {account_id}", f"accounts.{account_id}")
         if new is None:
-            yield Change(subject, "removed")
+            yield subject.change("removed")
             continue
         if old is None:
-            yield Change(subject, "added")
+            yield subject.change("added")
             old = Account(account_id)
         yield from _value_change(subject, "guarantee", old.guarantee, new.guarantee, describe_shape)
         yield from _value_change(subject, "weight", old.weight, new.weight, "{:g}".format)
-        yield from _token_change(subject, old.token_sha256, new.token_sha256)
+        yield from _token_change(subject, "token_sha256", old.token_sha256, new.token_sha256)
         yield from _value_change(
-            subject, "waiting jobs", old.max_waiting_jobs, new.max_waiting_jobs
+            subject,
+            "max_waiting_jobs",
+            old.max_waiting_jobs,
+            new.max_waiting_jobs,
+            name="waiting jobs",
         )
 
 
 def _limit_changes(old: Limits, new: Limits) -> Iterator[Change]:
-    subject = "limits"
+    subject = _Subject("limits", "limits")
     duration = format_duration
     yield from _value_change(
-        subject, "reclaim grace", old.reclaim_grace_ms, new.reclaim_grace_ms, duration
+        subject, "reclaim_grace", old.reclaim_grace_ms, new.reclaim_grace_ms, duration
+    )
+    yield from _value_change(subject, "task_lease", old.task_lease_ms, new.task_lease_ms, duration)
+    yield from _value_change(subject, "gang_lease", old.gang_lease_ms, new.gang_lease_ms, duration)
+    yield from _value_change(
+        subject,
+        "max_waiting_jobs",
+        old.max_waiting_jobs,
+        new.max_waiting_jobs,
+        name="waiting jobs",
+    )
+    yield from _value_change(
+        subject, "max_attempts", old.max_attempts, new.max_attempts, name="attempts"
     )
-    yield from _value_change(subject, "task lease", old.task_lease_ms, new.task_lease_ms, duration)
-    yield from _value_change(subject, "gang lease", old.gang_lease_ms, new.gang_lease_ms, duration)
-    yield from _value_change(subject, "waiting jobs", old.max_waiting_jobs, new.max_waiting_jobs)
-    yield from _value_change(subject, "attempts", old.max_attempts, new.max_attempts)
     yield from _value_change(
-        subject, "retry budget ratio", old.retry_budget_ratio, new.retry_budget_ratio
+        subject, "retry_budget_ratio", old.retry_budget_ratio, new.retry_budget_ratio
     )
     yield from _value_change(
         subject,
-        "answer retention",
+        "answer_retention",
         old.answer_retention_s * MILLISECONDS_PER_SECOND,
         new.answer_retention_s * MILLISECONDS_PER_SECOND,
         duration,
@@ -161,10 +187,17 @@
 
 
 def _fleet_changes(old: FleetConfig, new: FleetConfig) -> Iterator[Change]:
-    yield from _token_change("operators", old.operator_token_sha256, new.operator_token_sha256)
+    yield from _token_change(
+        _Subject("operators", ""),
+        "operator_token_sha256",
+        old.operator_token_sha256,
+        new.operator_token_sha256,
+    )
     if old.survive_zone_loss != new.survive_zone_loss:
         word = "must" if new.survive_zone_loss else "need not"
-        yield Change("guarantees", f"{word} hold after the loss of any one zone")
+        yield Change(
+            "guarantees", f"{word} hold after the loss of any one zone", "survive_zone_loss"
+        )
 
 
 def _pair_by_key(
@@ -175,14 +208,21 @@
 
 
 def _value_change(
-    subject: str, name: str, old: T, new: T, describe: Callable[[T], str] = str
+    subject: _Subject,
+    key: str,
+    old: T,
+    new: T,
+    describe: Callable[[T], str] = str,
+    name: str = "",
 ) -> Iterator[Change]:
+    """Yield the change of a value; its name is derived from the key unless it is given."""
     if old != new:
-        yield Change(subject, f"{name} from {describe(old)} to {describe(new)}")
+        name = name or key.replace("_", " ")
+        yield subject.change(f"{name} from {describe(old)} to {describe(new)}", key)
 
 
-def _token_change(subject: str, old: str, new: str) -> Iterator[Change]:
+def _token_change(subject: _Subject, key: str, old: str, new: str) -> Iterator[Change]:
     if old == new:
         return
     word = "withdrawn" if not new else "changed" if old else "declared"
-    yield Change(subject, f"token {word}")
+    yield subject.change(f"token {word}", key)
--- a/packages/lycheeslip/lycheeslip/config/loader.py
+++ b/packages/lycheeslip/lycheeslip/config/loader.py
@@ -1,6 +1,7 @@
 """Parses and validates the configuration file and reports all its problems at once."""
 
 from collections import defaultdict
+from typing import NamedTuple
 
 from lycheeslip_common.config.validation import ProblemsError, validate_document
 from lycheeslip_common.config.yaml_lines import Document, Path, Problem, read_yaml
@@ -17,7 +18,13 @@
     ZoneSchema,
 )
 
-__all__ = ["MAX_CONFIG_BYTES", "ConfigError", "parse_config"]
+__all__ = [
+    "MAX_CONFIG_BYTES",
+    "ConfigError",
+    "LocatedConfig",
+    "parse_config",
+    "parse_located_config",
+]
 
 MAX_CONFIG_BYTES = 512 * 1024
 MILLISECONDS_PER_SECOND = 1_000
@@ -27,8 +34,24 @@
     """The configuration is invalid; no part of it has been applied."""
 
 
+class LocatedConfig(NamedTuple):
+    """A valid configuration with the document that gives the lines of its keys."""
+
+    config: FleetConfig
+    document: Document
+
+    def has_key(self, *path: str) -> bool:
+        """Return whether the file gives the key, rather than leaving it at its default."""
+        return path in self.document.line_by_path
+
+
 def parse_config(text: str, source: str = "config", revision: int = 0) -> FleetConfig:
     """Return the configuration in `text`; raises ConfigError with all problems."""
+    return parse_located_config(text, source, revision).config
+
+
+def parse_located_config(text: str, source: str = "config", revision: int = 0) -> LocatedConfig:
+    """Return the configuration in `text` with its lines; raises ConfigError with all problems."""
     if len(text.encode("utf-8", "replace")) > MAX_CONFIG_BYTES:
         message = f"the file is larger than {MAX_CONFIG_BYTES} bytes"
         raise ConfigError((Problem(source, 1, "", message),))
@@ -44,7 +67,7 @@
         problems = [document.problem_at(path, message) for path, message in capacity_problems]
     if problems:
         raise ConfigError(tuple(sorted(problems, key=lambda problem: problem.line)))
-    return config
+    return LocatedConfig(config, document)
 
 
 def _build_config(parsed: ConfigSchema, revision: int) -> FleetConfig:
--- a/packages/lycheeslip_agent/lycheeslip_agent/runs.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/runs.py
@@ -4,7 +4,7 @@
 from contextlib import suppress
 
 from lycheeslip_common.structure.fleet import Grant
-from lycheeslip_common.structure.jobs import AttemptRef
+from lycheeslip_common.structure.jobs import LEASE_MS_PER_MEMBER, AttemptRef
 from lycheeslip_common.utils.clock import monotonic_ms
 from lycheeslip_common.utils.logs import log_event
 from lycheeslip_common.wire.messages import AttemptReport, Prepare, ReportState
@@ -21,7 +21,6 @@
 __all__ = ["Runs"]
 
 ANCHOR_RETENTION_S = 60.0
-LEASE_MS_PER_MEMBER = 50
 _STATE_BY_CAUSE = {
     GangCause.TASK_FAILED: ReportState.TASK_FAILED,
     GangCause.INTERRUPTED: ReportState.INTERRUPTED,
--- a/packages/lycheeslip_common/lycheeslip_common/structure/jobs.py
+++ b/packages/lycheeslip_common/lycheeslip_common/structure/jobs.py
@@ -15,6 +15,7 @@
     "JobRecord",
     "JobSpec",
     "JobState",
+    "LEASE_MS_PER_MEMBER",
     "MAX_ANSWER_BYTES",
     "MAX_MEMBERS",
     "MAX_PAYLOAD_BYTES",
@@ -25,6 +26,9 @@
 ]
 
 MAX_MEMBERS = 128
+LEASE_MS_PER_MEMBER = 50
+"""Shortest lease of a gang's members, for each member of the gang."""
+
 MAX_PAYLOAD_BYTES = 256 * 1024
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
 JOB_ID_HEX_DIGITS = 24
