--- a/packages/lycheeslip/lycheeslip/cli.py
+++ b/packages/lycheeslip/lycheeslip/cli.py
@@ -18,6 +18,7 @@
 __all__ = ["app"]
 
 DEFAULT_ENTRY = "127.0.0.1:8080"
+IN_FORCE = "in-force"
 DEFAULT_MEMORY_MB = 256
 DEFAULT_WAIT_MS = 3_600_000
 MILLISECONDS_PER_SECOND = 1_000
@@ -95,9 +96,24 @@
 
 
 @config_app.command("check")
-def config_check(context: typer.Context, file: ConfigFile) -> None:
-    """Check a file without contacting an entry."""
-    _run_and_exit(lambda: config_commands.check_config(context.obj, file))
+def config_check(
+    context: typer.Context,
+    file: ConfigFile,
+    against: Annotated[
+        str,
+        typer.Option(
+            metavar="in-force|FILE",
+            help="Also check what changes from the active configuration, or from a file.",
+        ),
+    ] = "",
+) -> None:
+    """Check a file; an entry is contacted only with --against in-force."""
+    baseline: config_commands.Baseline | None = None
+    if against == IN_FORCE:
+        baseline = config_commands.InForceBaseline()
+    elif against:
+        baseline = config_commands.FileBaseline(Path(against))
+    _run_async_and_exit(config_commands.check_config(context.obj, file, baseline))
 
 
 @config_app.command("diff")
--- a/packages/lycheeslip/lycheeslip/commands/config.py
+++ b/packages/lycheeslip/lycheeslip/commands/config.py
@@ -1,6 +1,7 @@
 """Commands for the configuration of the fleet."""
 
 from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any, NamedTuple
 from urllib.parse import quote
@@ -18,47 +19,80 @@
 )
 from lycheeslip.commands.render import format_time, print_json, print_result, print_table
 from lycheeslip.config.diff import Change, describe_changes
-from lycheeslip.config.loader import ConfigError, parse_config
+from lycheeslip.config.loader import (
+    ConfigError,
+    LocatedConfig,
+    parse_config,
+    parse_located_config,
+)
 from lycheeslip.config.model import FleetConfig
-
-__all__ = ["apply_config", "check_config", "diff_config", "show_config", "show_history"]
+from lycheeslip.config_checks import Finding, Severity, find_change_findings, find_findings
+
+__all__ = [
+    "Baseline",
+    "FileBaseline",
+    "InForceBaseline",
+    "apply_config",
+    "check_config",
+    "diff_config",
+    "show_config",
+    "show_history",
+]
 
 CONFIG_PATH = "/v1/config"
 PRECONDITION_FAILED_STATUS = 412
 
 
+@dataclass(frozen=True, slots=True)
+class InForceBaseline:
+    """Compare with the active configuration, which an entry returns."""
+
+
+@dataclass(frozen=True, slots=True)
+class FileBaseline:
+    """Compare with a file."""
+
+    path: Path
+
+
+Baseline = InForceBaseline | FileBaseline
+
+
 class _CurrentConfig(NamedTuple):
     revision: int
     text: str
     applied_at_ms: int
 
 
-def check_config(options: Options, path: Path) -> ExitCode:
-    """Check a file without contacting an entry; print all problems with line and key."""
+async def check_config(options: Options, path: Path, baseline: Baseline | None) -> ExitCode:
+    """Check a file, and its differences from `baseline`; print problems with line and key.
+
+    An entry is contacted only for the active configuration.
+    """
     try:
-        text = _read_file(path)
-        config = parse_config(text, source=str(path))
+        after = parse_located_config(_read_file(path), source=str(path))
     except ConfigError as error:
         if options.output is OutputFormat.JSON:
             problems = [problem._asdict() for problem in error.problems]
-            print_json({"accepted": False, "problems": problems})
+            print_json({"accepted": False, "problems": problems, "findings": []})
         raise CommandError(str(error), ExitCode.REFUSED) from None
-    document = {"accepted": True, "problems": []}
-    summary = f"{path}: {len(config.accounts_by_id)} accounts, {len(config.zones_by_id)} zones, ok"
-    print_result(options.output, document, [summary])
-    return ExitCode.OK
+    findings = find_findings(after)
+    if baseline is None:
+        _print_check(options, after, findings, None)
+    else:
+        before = await _read_baseline(options, baseline)
+        findings += find_change_findings(before, after)
+        _print_check(options, after, findings, describe_changes(before.config, after.config))
+    failed = any(finding.severity is Severity.ERROR for finding in findings)
+    return ExitCode.REFUSED if failed else ExitCode.OK
 
 
 async def diff_config(options: Options, path: Path, against: Path | None) -> ExitCode:
     """Print how `path` differs from the file `against`, or else the active configuration."""
     after = _parse_file(path)
-    if against is not None:
-        before = _parse_file(against)
-    else:
-        async with open_client(options) as client:
-            current = await _fetch_current(client)
-        before = parse_config(current.text, source=f"revision {current.revision}")
-    changes = describe_changes(before, after)
+    baseline = InForceBaseline() if against is None else FileBaseline(against)
+    before = await _read_baseline(options, baseline)
+    changes = describe_changes(before.config, after)
     _print_changes(options, changes)
     return ExitCode.OK
 
@@ -124,12 +158,26 @@
 
 
 def _parse_file(path: Path) -> FleetConfig:
+    return _parse_text(_read_file(path), source=str(path)).config
+
+
+def _parse_text(text: str, source: str) -> LocatedConfig:
     try:
-        return parse_config(_read_file(path), source=str(path))
+        return parse_located_config(text, source)
     except ConfigError as error:
         raise CommandError(str(error), ExitCode.REFUSED) from None
 
 
+async def _read_baseline(options: Options, baseline: Baseline) -> LocatedConfig:
+    match baseline:
+        case FileBaseline(path):
+            return _parse_text(_read_file(path), source=str(path))
+        case InForceBaseline():
+            async with open_client(options) as client:
+                current = await _fetch_current(client)
+            return _parse_text(current.text, source=f"revision {current.revision}")
+
+
 def _parse_current(current: _CurrentConfig) -> FleetConfig:
     try:
         return parse_config(current.text, revision=current.revision)
@@ -174,6 +222,53 @@
     print_result(options.output, document, lines)
 
 
+def _print_check(
+    options: Options,
+    located: LocatedConfig,
+    findings: list[Finding],
+    changes: list[Change] | None,
+) -> None:
+    """Print findings, and the changes if the file was compared, with the codes about each."""
+    document: dict[str, object] = {"accepted": True, "problems": []}
+    document["findings"] = [finding._asdict() for finding in findings]
+    lines = []
+    if changes is not None:
+        codes = [_codes_about(change, findings) for change in changes]
+        document["changes"] = [
+            change._asdict() | {"attention": about}
+            for change, about in zip(changes, codes, strict=True)
+        ]
+        lines += [
+            f"{change} [{', '.join(about)}]" if about else str(change)
+            for change, about in zip(changes, codes, strict=True)
+        ] or ["no changes"]
+    lines += [str(finding) for finding in findings]
+    lines.append(_check_summary(located, findings))
+    print_result(options.output, document, lines)
+
+
+def _codes_about(change: Change, findings: list[Finding]) -> list[str]:
+    """Return the codes of the findings about a changed key, or about a section it is in."""
+    return [
+        finding.code
+        for finding in findings
+        if change.key == finding.key or change.key.startswith(f"{finding.key}.")
+    ]
+
+
+def _check_summary(located: LocatedConfig, findings: list[Finding]) -> str:
+    accounts, zones = len(located.config.accounts_by_id), len(located.config.zones_by_id)
+    errors = sum(finding.severity is Severity.ERROR for finding in findings)
+    warnings = len(findings) - errors
+    counts = f"{_counted(errors, 'error')}, {_counted(warnings, 'warning')}"
+    result = counts if findings else "ok"
+    return f"{located.document.source}: {accounts} accounts, {zones} zones, {result}"
+
+
+def _counted(number: int, noun: str) -> str:
+    return f"{number} {noun}" if number == 1 else f"{number} {noun}s"
+
+
 def _apply_summary(document: Mapping[str, Any]) -> Iterator[str]:
     yield from document["changes"] or ["no changes"]
     confirmed = ", ".join(document["confirmed_by"]) or "not yet known"
--- a/packages/lycheeslip/lycheeslip/config/reference.py
+++ b/packages/lycheeslip/lycheeslip/config/reference.py
@@ -24,6 +24,10 @@
 for an account and the operators, and guarantees that the declared hardware can't satisfy (see
 [Guarantees](../operations/guarantees.md)). Plain values follow YAML 1.2: `yes` and `22:00` are
 text, and text is never converted to numbers. The maximum file size is 512 KB.
+
+A file without errors may still have keys that never take effect, or limits that contradict each
+other. `lycheeslip config check` finds them; see its
+[findings](cli.md#findings-of-config-check).
 """
 
 SETTINGS_INTRODUCTION = """\
--- a/packages/lycheeslip/tests/cli_tests.py
+++ b/packages/lycheeslip/tests/cli_tests.py
@@ -356,6 +356,47 @@
     assert f"{config_file}:1: zone: unknown key" in result.stderr
 
 
+@pytest.mark.parametrize(
+    ("text", "code", "severity"),
+    [
+        ("survive_zone_loss: true\n", 0, "warning"),
+        (f"operator_token_sha256: {hashlib.sha256(b'').hexdigest()}\n", 3, "error"),
+    ],
+)
+def test_config_check_fails_for_errors_but_not_for_warnings(config_file, text, code, severity):
+    config_file.write_text(text)
+    result = run(["config", "check", str(config_file)], output="json")
+    findings = json.loads(result.stdout)["findings"]
+    assert (result.exit_code, [item["severity"] for item in findings]) == (code, [severity])
+    assert set(findings[0]) == {"code", "severity", "source", "line", "key", "message"}
+    text = run(["config", "check", str(config_file)]).stdout
+    assert f"{config_file}:1: {findings[0]['key']}: {severity}: " in text
+    assert f" [{findings[0]['code']}]\n" in text
+
+
+def test_config_check_against_the_fleet_marks_changes_that_need_attention(current, config_file):
+    config_file.write_text("zones:\n  y: {}\n")
+    arguments = ["config", "check", str(config_file), "--against"]
+    result = run([*arguments, "in-force"], current)
+    assert result.exit_code == 0
+    assert "zone z: removed [zone_removed]\n" in result.stdout
+    assert f"{config_file}:1: zones.z: warning: is removed while" in result.stdout
+    document = json.loads(run([*arguments, "in-force"], current, output="json").stdout)
+    assert [change["attention"] for change in document["changes"]] == [[], ["zone_removed"]]
+    assert run([*arguments, str(config_file)]).stdout.startswith("no changes\n")
+    assert run([*arguments, "in-force"]).exit_code == 6
+
+
+def test_unreadable_baseline_is_reported_without_a_stack_trace(entry, config_file):
+    entry.on("GET", "/v1/config", ok({"revision": 4, "text": "zone: 1", "applied_at_ms": 1}))
+    for command in (
+        ["check", str(config_file), "--against", "in-force"],
+        ["diff", str(config_file)],
+    ):
+        result = run(["config", *command], entry)
+        assert (result.exit_code, "revision 4:1: zone: unknown key" in result.stderr) == (3, True)
+
+
 def test_config_diff_against_the_fleet(current, config_file):
     result = run(["config", "diff", str(config_file)], current)
     assert result.stdout == "zone z: taken out of service\n"
