--- a/packages/lycheeslip/lycheeslip/dispatch/board.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/board.py
@@ -21,6 +21,7 @@
 from lycheeslip.dispatch.entry_directory import EntryDirectory
 from lycheeslip.dispatch.losses import LossCause
 from lycheeslip.dispatch.placement_model import StepKey
+from lycheeslip.dispatch.run_time_history import History, StepSample
 from lycheeslip.dispatch.run_times import RunTimes
 
 __all__ = [
@@ -88,6 +89,8 @@
     the runs of a task that were stopped to start again elsewhere, and `preemptions` those that were
     stopped for other work, both by a gang's first task. `failed_in_run` are the ids of
     the workers on which a unit's run has failed, by the unit's first task and the run number.
+    `step_samples` are the samples taken of its steps, and `estimates` their estimated run times
+    with the version of the history, both by step number.
     """
 
     progress: JobProgress
@@ -104,6 +107,8 @@
     relocations: Counter[TaskKey] = field(default_factory=Counter)
     preemptions: Counter[TaskKey] = field(default_factory=Counter)
     failed_in_run: dict[tuple[TaskKey, int], set[str]] = field(default_factory=dict)
+    step_samples: dict[int, StepSample] = field(default_factory=dict)
+    estimates: dict[int, tuple[int, float]] = field(default_factory=dict)
 
     def task_name(self, key: TaskKey) -> str:
         """Return the name of a task as workers know it."""
@@ -192,6 +197,7 @@
         self.leader_epoch = 0
         self.jobs: dict[str, StoredJob] = {}
         self.workers: dict[str, WorkerView] = {}
+        self.history = History()
         self.lease_extended_at_ms: dict[str, int] = {}
         self.departures_by_service: dict[str, Departures] = {}
         self.advice: dict[StepKey, StepAdvice] = {}
--- a/packages/lycheeslip/lycheeslip/dispatch/dispatcher.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/dispatcher.py
@@ -222,6 +222,7 @@
         if view.lifetime is not None and view.lifetime != report.lifetime:
             view.lost_lifetime_at_ms = steady_ms()
             view.backoff_until_ms = 0  # the new lifetime has rejected nothing
+            self._board.history.forget_worker(view.lifetime.worker_id)
         is_only_forecast = _without_forecasts(report) == _without_forecasts(view.report)
         has_shrunk = any(
             now < before
--- a/packages/lycheeslip/lycheeslip/dispatch/ends.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/ends.py
@@ -18,6 +18,7 @@
 from lycheeslip.dispatch.losses import loss_cause, lost_core_s
 from lycheeslip.dispatch.occupancy import FAILURE_MEMORY_MS
 from lycheeslip.dispatch.recorder import Recorder
+from lycheeslip.dispatch.run_samples import observe_end
 from lycheeslip.dispatch.stops import RunStopper
 
 __all__ = ["RunEndProcessor"]
@@ -221,6 +222,7 @@
             loss=why or "none",
             lost_core_s=round(lost, 1),
         )
+        observe_end(self._board, job, key, node, cause)
         self._board.counters.count("runs_ended", cause)
         if why is not None:
             self._board.counters.count("lost_core_seconds", why, lost)
--- a/packages/lycheeslip/lycheeslip/dispatch/entry.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/entry.py
@@ -21,6 +21,7 @@
 from lycheeslip.dispatch.local_intake import LocalIntake
 from lycheeslip.dispatch.operator_sync import OperatorKeys, OperatorSync
 from lycheeslip.dispatch.recorder import Recorder
+from lycheeslip.dispatch.run_time_history import History
 
 __all__ = ["DispatchEntry"]
 
@@ -110,6 +111,7 @@
         board.jobs.clear()
         board.workers.clear()
         board.lease_extended_at_ms.clear()
+        board.history = History()
         self._dispatcher.begin_term()
         # an entry without the store may have missed an evacuation: leaders confirm versions only
         if not await self._operator.refresh() or not await self._loader.load():
--- a/packages/lycheeslip/lycheeslip/dispatch/objective.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/objective.py
@@ -14,6 +14,7 @@
 
 from lycheeslip.dispatch.board import Board, StoredJob
 from lycheeslip.dispatch.placement_model import StepKey
+from lycheeslip.dispatch.run_samples import estimated_run_ms
 
 __all__ = ["Objectives", "StepTimes", "expected_run_ms", "waiting_since_ms"]
 
@@ -56,17 +57,18 @@
     return max(wall_ms() - age_ms, job.progress.spec.due_at_ms(occurrence))
 
 
-def expected_run_ms(job: StoredJob, step: int) -> float:
-    """Return the run time of a step's tasks: as measured, else as declared."""
+def expected_run_ms(board: Board, job: StoredJob, step: int) -> float:
+    """Return the run time of a step's tasks: as measured, else as estimated or declared."""
     measured_ms = job.run_times.median(step)
-    return float(job.progress.spec.steps[step].estimate_ms if measured_ms is None else measured_ms)
+    return float(estimated_run_ms(board, job, step) if measured_ms is None else measured_ms)
 
 
 class Objectives:
     """The latency objectives of all jobs in one planning round."""
 
     def __init__(self, board: Board) -> None:
-        """Use the configuration and the workers that `board` holds now."""
+        """Use the configuration, the workers and the run times that `board` holds now."""
+        self._board = board
         self._queues = {queue.name: queue for queue in board.config.queues} if board.config else {}
         # with only some of the workers known, every step would seem wide
         self._capacity_by_service = _capacity_by_service(board) if board.is_view_complete else {}
@@ -104,7 +106,7 @@
         known = self._times_by_job.get(spec.job_id)
         if known is not None:
             return known
-        run_ms = [expected_run_ms(job, number) for number in range(len(spec.steps))]
+        run_ms = [expected_run_ms(self._board, job, number) for number in range(len(spec.steps))]
         capacity = self._capacity_by_service.get(queue.service) if queue else None
         lengths_ms = [
             run_ms[i] * _waves(step, step.task_count, capacity) for i, step in enumerate(spec.steps)
--- a/packages/lycheeslip/lycheeslip/dispatch/run_time_history.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/run_time_history.py
@@ -26,6 +26,7 @@
     "QueueRecord",
     "RunEstimate",
     "RunSample",
+    "StepSample",
 ]
 
 MEDIAN = 50.0
@@ -87,6 +88,14 @@
         return KindOfStep(*self[:5])
 
 
+class StepSample(NamedTuple):
+    """The sample that was taken of a step, and what was estimated before."""
+
+    sample: RunSample
+    estimate_ms: float
+    is_finished: bool = False
+
+
 class RunEstimate(NamedTuple):
     """An estimated run time; four of five runs should take between `low_ms` and `high_ms`.
 
@@ -220,7 +229,7 @@
             self.record_worker(sample.worker_id, sample.run_ms, expected_ms)
         queue = self._queue(sample.queue)
         found = self._predictions(kind, sample.declared_ms)
-        log_ms = math.log(_clamp_ms(sample.run_ms))
+        log_ms = _log_ms(sample.run_ms)
         if found.by_ratio is not None:
             queue.ratio_error.add((found.by_ratio - log_ms) ** 2)
         if found.by_run is not None:
@@ -228,7 +237,7 @@
         for record in self._records(kind):
             record.run_ms.add(sample.run_ms)
             if sample.declared_ms > 0:
-                record.ratio.add(sample.run_ms / sample.declared_ms * RATIO_UNIT)
+                record.ratio.add(_ratio(sample.run_ms, sample.declared_ms))
         self._changed()
 
     def replace(self, old: RunSample, run_ms: float) -> None:
@@ -239,8 +248,8 @@
         for record in self._records(old.kind):
             record.run_ms.replace(old.run_ms, run_ms)
             if old.declared_ms > 0:
-                before, after = (ms / old.declared_ms * RATIO_UNIT for ms in (old.run_ms, run_ms))
-                record.ratio.replace(before, after)
+                before = _ratio(old.run_ms, old.declared_ms)
+                record.ratio.replace(before, _ratio(run_ms, old.declared_ms))
 
     def compare(
         self, kind: KindOfStep, declared_ms: float, estimate_ms: float, run_ms: float
@@ -249,8 +258,8 @@
         if min(declared_ms, estimate_ms, run_ms) <= 0:
             return
         queue = self._queue(kind.queue)
-        queue.declared_error.add(math.log(declared_ms / run_ms) ** 2)
-        queue.estimate_error.add(math.log(estimate_ms / run_ms) ** 2)
+        queue.declared_error.add((_log_ms(declared_ms) - _log_ms(run_ms)) ** 2)
+        queue.estimate_error.add((_log_ms(estimate_ms) - _log_ms(run_ms)) ** 2)
         queue.compared += 1
         self._changed()
 
@@ -272,7 +281,7 @@
         """Record the time of a run on a worker, and the time expected on any worker."""
         if not worker_id or min(run_ms, expected_ms) <= 0:
             return
-        slowness = math.log(run_ms / expected_ms)
+        slowness = _log_ms(run_ms) - _log_ms(expected_ms)
         mean = self._workers.setdefault(worker_id, DecayedMean())
         mean.add(max(-MAX_LOG_SPEED, min(slowness, MAX_LOG_SPEED)))
         self._workers.move_to_end(worker_id)
@@ -331,14 +340,14 @@
     def _predictions(self, kind: KindOfStep, declared_ms: float) -> _Predictions:
         record, source = self._narrowest(kind)
         if record is None:
-            by_ratio = math.log(_clamp_ms(declared_ms)) if declared_ms > 0 else None
+            by_ratio = _log_ms(declared_ms) if declared_ms > 0 else None
             return _Predictions(by_ratio, None, 0.0, source)
         by_ratio = None
         if declared_ms > 0:
             # the logarithm of the ratio is drawn towards 0, as if some had been as declared
             count, ratio = record.ratio.samples, record.ratio.quantile(MEDIAN) / RATIO_UNIT
             usual = math.log(ratio) * count / (count + PRIOR_SAMPLES) if ratio > 0 else 0.0
-            by_ratio = math.log(_clamp_ms(declared_ms)) + usual
+            by_ratio = _log_ms(declared_ms) + usual
         median_ms = record.run_ms.quantile(MEDIAN)
         by_run = math.log(median_ms) if median_ms > 0 else None
         return _Predictions(by_ratio, by_run, record.run_ms.samples, source)
@@ -395,6 +404,14 @@
     return max(1.0, min(value, float(MAX_RUN_MS)))
 
 
+def _ratio(run_ms: float, declared_ms: float) -> float:
+    return _clamp_ms(run_ms) / _clamp_ms(declared_ms) * RATIO_UNIT
+
+
+def _log_ms(value: float) -> float:
+    return math.log(_clamp_ms(value))
+
+
 def _weight(error: DecayedMean) -> float:
     return 1 / max(MIN_SQUARED_ERROR, error.with_prior(PRIOR_SQUARED_ERROR, PRIOR_SAMPLES))
 
--- a/packages/lycheeslip/lycheeslip/dispatch/run_times.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/run_times.py
@@ -26,6 +26,14 @@
         insort(of_step, run_ms)
         self._by_task[key] = run_ms
 
+    def of_task(self, key: TaskKey) -> int | None:
+        """Return the last run time of a task, None if it has none."""
+        return self._by_task.get(key)
+
+    def count(self, step: int) -> int:
+        """Return how many tasks of a step have a run time."""
+        return len(self._sorted_by_step.get(step, ()))
+
     def median(self, step: int) -> int | None:
         """Return the lower median of a step's run times, None if there are none.
 
--- a/packages/lycheeslip/lycheeslip/dispatch/running.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/running.py
@@ -12,6 +12,7 @@
 from lycheeslip.dispatch.objective import Objectives, expected_run_ms, waiting_since_ms
 from lycheeslip.dispatch.placement_model import URGENT_PRIORITY
 from lycheeslip.dispatch.relocation import RunningUnit
+from lycheeslip.dispatch.run_samples import observe_median
 from lycheeslip.dispatch.waiting import build_unit
 from lycheeslip.dispatch.work import guaranteed_accounts
 
@@ -31,7 +32,8 @@
         return
     if run.whole_run_ms > 0:
         found.job.run_times.record(found.key, run.whole_run_ms)
-    limit_ms = _slow_limit_ms(found.job, found.key, run, view)
+        observe_median(board, found.job, found.key[1])
+    limit_ms = _slow_limit_ms(board, found.job, found.key, run, view)
     if limit_ms is None or run.remaining_ms <= limit_ms:
         return
     if steady_ms() >= view.slow_until_ms:
@@ -61,7 +63,9 @@
     view.slow_until_ms = steady_ms() + SLOW_MEMORY_MS
 
 
-def _slow_limit_ms(job: StoredJob, key: TaskKey, run: RunningRun, view: WorkerView) -> float | None:
+def _slow_limit_ms(
+    board: Board, job: StoredJob, key: TaskKey, run: RunningRun, view: WorkerView
+) -> float | None:
     """Return the remaining time from which a run is slow, None if there is nothing to compare.
 
     A gang may be waiting for its other members or be split over racks, and a run off its data's
@@ -72,7 +76,7 @@
     is_remote = bool(step.data_rack) and step.data_rack not in view.report.labels
     if not is_measured or is_remote or step.gang:
         return None
-    usual_ms = expected_run_ms(job, key[1])
+    usual_ms = expected_run_ms(board, job, key[1])
     own_ms = run.whole_run_ms if run.whole_run_ms > 0 else usual_ms
     left_ms = min(usual_ms, own_ms) * (FULL_PERCENT - run.progress) / FULL_PERCENT
     return SLOW_RATIO * left_ms + SLOW_MARGIN_MS
--- a/packages/lycheeslip/tests/dispatch/objective_tests.py
+++ b/packages/lycheeslip/tests/dispatch/objective_tests.py
@@ -44,11 +44,12 @@
 
 
 def test_declared_run_time_is_not_used_once_runs_are_measured():
-    job = add_job(board_for_urgent_work(), task_count=3, estimate_ms=200)
-    assert expected_run_ms(job, 0) == 200
+    board = board_for_urgent_work()
+    job = add_job(board, task_count=3, estimate_ms=200)
+    assert expected_run_ms(board, job, 0) == 200
     for index, run_ms in enumerate((6_000, 1_100, 1_000)):
         job.run_times.record((0, 0, index), run_ms)
-    assert expected_run_ms(job, 0) == 1_100
+    assert expected_run_ms(board, job, 0) == 1_100
 
 
 @given(st.lists(st.tuples(st.integers(0, 1), st.integers(0, 3), st.integers(1, 9))))
--- a/packages/lycheeslip_common/lycheeslip_common/utils/counters.py
+++ b/packages/lycheeslip_common/lycheeslip_common/utils/counters.py
@@ -26,6 +26,11 @@
             self._counters[name] = counter
         counter.labels(reason).inc(amount)
 
+    def value(self, name: str, reason: str = "") -> float:
+        """Return the value of the counter `name` with the label `reason`, 0 if never counted."""
+        labels = {"reason": reason}
+        return self._registry.get_sample_value(f"{METRIC_PREFIX}_{name}_total", labels) or 0.0
+
     def gauge(self, name: str, value: float) -> None:
         """Set the gauge `name`."""
         gauge = self._gauges.get(name)
--- a/packages/lycheeslip_common/lycheeslip_common/utils/events.py
+++ b/packages/lycheeslip_common/lycheeslip_common/utils/events.py
@@ -273,6 +273,15 @@
         " or is slow. It would still take `remaining_ms`, elsewhere `run_ms`.",
     ),
     Event("run_started", "agent", "run task took_ms", "The worker confirmed a start."),
+    Event(
+        "run_time_estimated",
+        "leader",
+        "declared_ms estimate_ms high_ms job low_ms samples source step",
+        "A step's run time was estimated from earlier runs, `samples` of its kind, and is used"
+        " in place of the declared one until its own runs are measured; four of five runs should"
+        " take `low_ms` to `high_ms`. `source` is the group of those runs: `account` and `shape`"
+        " (demand, gang, saved progress), all accounts' of that `shape`, or the whole `queue`.",
+    ),
     Event(
         "settings_changed",
         "both",
--- a/tests/harness/load_replay.py
+++ b/tests/harness/load_replay.py
@@ -102,6 +102,7 @@
         self.failing_until_ms = 0
         self.slow_until_ms = 0
         self.slowdown = 1
+        self.speed = 1.0
         self.running: dict[str, int] = {}
         self.ended: list[EndedRun] = []
         self._last_number = 0
@@ -167,7 +168,7 @@
 
     def _listed(self, task: str, run: int) -> RunningRun:
         remaining_ms = self._replay.remaining_ms(task, run)
-        whole_run_ms = self._replay.whole_run_ms(task) if remaining_ms >= 0 else -1
+        whole_run_ms = self._replay.whole_run_ms(task, run) if remaining_ms >= 0 else -1
         progress = self._replay.progress(task, run)
         return RunningRun(
             task, run, "", progress, remaining_ms=remaining_ms, whole_run_ms=whole_run_ms
@@ -224,6 +225,7 @@
         self._gangs: dict[tuple[str, int], dict[str, ReplayWorker]] = {}
         self._done_at_ms: dict[tuple[str, int], int] = {}
         self._took_ms: dict[tuple[str, int], int] = {}
+        self._whole_ms: dict[tuple[str, int], int] = {}
         self.board = Board("entry", "zone", "10.0.0.1:1", DispatchTimes())
         queues = tuple(
             Queue(
@@ -255,6 +257,11 @@
             worker = self.workers[number]
             self.at(from_ms, lambda w=worker: setattr(w, "failing_until_ms", START_MS + until_ms))
 
+    def set_speeds(self, speeds: Sequence[float]) -> None:
+        """Let each worker take the time of a run divided by its speed."""
+        for worker, speed in zip(self.workers, speeds, strict=True):
+            worker.speed = speed
+
     def slow_down(self, nodes: Sequence[int], factor: int, from_ms: int, until_ms: int) -> None:
         """Let what these workers start meanwhile take `factor` times as long."""
 
@@ -356,8 +363,11 @@
         if not step.gang:
             gang = {order.task: worker}
         if not step.gang or len(gang) == step.task_count:
-            took_ms = int(order.payload) * max(self._slowdown(member) for member in gang.values())
             key = (self._unit(order.task), order.run)
+            self._whole_ms[key] = round(
+                int(order.payload) / min(member.speed for member in gang.values())
+            )
+            took_ms = self._whole_ms[key] * max(self._slowdown(member) for member in gang.values())
             self._done_at_ms[key], self._took_ms[key] = self.now_ms + took_ms, took_ms
             self.after(took_ms, lambda: self._finish(gang, order.run))
             for member in set(gang.values()):
@@ -368,11 +378,9 @@
         done_at_ms = self._done_at_ms.get((self._unit(task), run))
         return -1 if done_at_ms is None else max(0, done_at_ms - self.now_ms)
 
-    def whole_run_ms(self, task: str) -> int:
-        """Return how long a run of a task takes at full speed."""
-        name = parse_task_name(task)
-        assert name is not None
-        return int(self.board.jobs[name.job_id].progress.spec.payload)
+    def whole_run_ms(self, task: str, run: int) -> int:
+        """Return how long a run of a task takes at the full speed of its worker, or its gang's."""
+        return self._whole_ms[(self._unit(task), run)]
 
     def progress(self, task: str, run: int) -> int:
         """Return the progress of a run in percent."""
