--- a/packages/lycheeslip/lycheeslip/dispatch/ends.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/ends.py
@@ -210,7 +210,7 @@
         self._run_stopper.forget(name, run)
         view = self._board.workers.get(node)
         had_notice = view is not None and view.has_given_notice
-        lost = lost_core_s(job.progress, key, cause, wall_ms())
+        lost = lost_core_s(job.progress, key, cause, wall_ms(), self._board.times.checkpoint_ms)
         why = loss_cause(cause, stop_cause, had_notice) if lost else None
         log_event(
             "run_ended",
--- a/packages/lycheeslip/lycheeslip/dispatch/losses.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/losses.py
@@ -10,8 +10,6 @@
 
 __all__ = ["LossCause", "loss_cause", "lost_core_s", "unsaved_s"]
 
-SAVE_INTERVAL_S = 1.0  # tasks with checkpoints save them about once a second
-
 
 class LossCause(StrEnum):
     """Why the work of a run was lost: the leader's reason for a stop, else the cause of its end."""
@@ -59,15 +57,21 @@
     return CAUSES_BY_END[end_cause]
 
 
-def unsaved_s(step: StepSpec, elapsed_s: float) -> float:
-    """Return how many seconds of work a run loses if it ends `elapsed_s` after its start."""
-    return min(elapsed_s, SAVE_INTERVAL_S) if step.checkpointing else elapsed_s
+def unsaved_s(step: StepSpec, elapsed_s: float, checkpoint_ms: int) -> float:
+    """Return how many seconds of work a run loses if it ends `elapsed_s` after its start.
+
+    Tasks with checkpoints save them every `checkpoint_ms`.
+    """
+    return min(elapsed_s, checkpoint_ms / 1_000) if step.checkpointing else elapsed_s
 
 
-def lost_core_s(job: JobProgress, key: TaskKey, end_cause: EndCause, ended_at_ms: int) -> float:
+def lost_core_s(
+    job: JobProgress, key: TaskKey, end_cause: EndCause, ended_at_ms: int, checkpoint_ms: int
+) -> float:
     """Return the work in core-seconds that is lost with a task's last run.
 
-    A stopped run with checkpoints saves all of its work; a task that is done has lost none, and
+    A stopped run with checkpoints saves all of its work, another what it saved last, at most
+    `checkpoint_ms` before; a task that is done has lost none, and
     neither has one that lasts. Accelerators count as in `cores_of`.
     """
     step, task = job.spec.steps[key[1]], job.tasks[key]
@@ -75,5 +79,5 @@
     if end_cause == EndCause.DONE or task.is_done or step.long_running or is_saved:
         return 0.0
     return cores_of(demand_of(step)) * unsaved_s(
-        step, max(0, ended_at_ms - task.started_at_ms) / 1_000
+        step, max(0, ended_at_ms - task.started_at_ms) / 1_000, checkpoint_ms
     )
--- a/packages/lycheeslip/lycheeslip/dispatch/occupancy.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/occupancy.py
@@ -127,7 +127,9 @@
             if traits is None:
                 traits = _step_traits(step_key, job, objectives, guaranteed)
                 traits_by_step[step_key] = traits
-            placed_run = _placed_run(traits, job, key, remaining_by_run, now_ms)
+            placed_run = _placed_run(
+                traits, job, key, remaining_by_run, now_ms, board.times.checkpoint_ms
+            )
             result.setdefault(task.lifetime, []).append(placed_run)
     return result
 
@@ -160,6 +162,7 @@
     key: TaskKey,
     remaining_by_run: Mapping[tuple[str, int], float],
     now_ms: int,
+    checkpoint_ms: int,
 ) -> PlacedRun:
     spec, step = job.progress.spec, traits.step
     task = job.progress.tasks[key]
@@ -175,7 +178,7 @@
         spec.account,
         spec.priority,
         traits.demand,
-        traits.cores * unsaved_s(step, elapsed_s),
+        traits.cores * unsaved_s(step, elapsed_s, checkpoint_ms),
         job.progress.has_ended or (name, task.run) in job.stopping,
         traits.key,
         step.gang,
--- a/packages/lycheeslip/tests/dispatch/losses_tests.py
+++ b/packages/lycheeslip/tests/dispatch/losses_tests.py
@@ -2,6 +2,7 @@
 
 import pytest
 from lycheeslip.dispatch.losses import LossCause, loss_cause, lost_core_s, unsaved_s
+from lycheeslip.dispatch.occupancy import build_worker_capacities
 from lycheeslip_common.utils.clock import wall_ms
 from lycheeslip_common.workload.fleet import EndCause
 from lycheeslip_common.workload.progress import begin_runs
@@ -10,6 +11,7 @@
 
 KEY = (0, 0, 0)
 STARTED_S = 5
+SAVE_MS = 1_000
 CORES = 1 + 8 * 8  # one core and eight accelerators
 
 
@@ -17,7 +19,7 @@
     """Return what a run of `STARTED_S` loses that ends by `cause`."""
     job = add_job(board_with(), **step).progress
     begin_runs(job, {KEY: ("n0", lifetime("n0"))}, False, wall_ms())
-    return lost_core_s(job, KEY, cause, job.tasks[KEY].started_at_ms + STARTED_S * 1_000)
+    return lost_core_s(job, KEY, cause, job.tasks[KEY].started_at_ms + STARTED_S * 1_000, SAVE_MS)
 
 
 @pytest.mark.parametrize(
@@ -39,7 +41,7 @@
     job = add_job(board_with(), task_count=2, gang=True).progress
     begin_runs(job, {(0, 0, i): (f"n{i}", lifetime(f"n{i}")) for i in (0, 1)}, True, wall_ms())
     job.tasks[(0, 0, 1)].is_done = True
-    assert lost_core_s(job, (0, 0, 1), EndCause.STOPPED, wall_ms() + 9_000) == 0
+    assert lost_core_s(job, (0, 0, 1), EndCause.STOPPED, wall_ms() + 9_000, SAVE_MS) == 0
 
 
 def test_a_stop_is_known_by_its_reason_and_a_lost_worker_by_its_notice():
@@ -61,6 +63,19 @@
     assert loss_cause(EndCause.DONE, LossCause.PREEMPTED, False) is None
 
 
-def test_saved_work_is_bounded_by_the_interval_of_checkpoints():
+@pytest.mark.parametrize(("checkpoint_ms", "unsaved"), [(500, 0.5), (1_000, 1.0), (2_000, 2.0)])
+def test_unsaved_work_is_bounded_by_the_interval_of_checkpoints(checkpoint_ms, unsaved):
     step = add_job(board_with(), checkpointing=True).progress.spec.steps[0]
-    assert [unsaved_s(step, elapsed_s) for elapsed_s in (0.5, 20.0)] == [0.5, 1.0]
+    found = [unsaved_s(step, elapsed_s, checkpoint_ms) for elapsed_s in (0.25, 20.0)]
+    assert found == [0.25, unsaved]
+
+
+@pytest.mark.parametrize(("checkpoint_ms", "unsaved"), [(500, 0.5), (2_000, 2.0)])
+def test_preemption_of_a_run_costs_what_the_deployment_leaves_unsaved(checkpoint_ms, unsaved):
+    """Work would seem cheaper to stop than it is where tasks save less than once a second."""
+    board = board_with()
+    board.times = board.times._replace(checkpoint_ms=checkpoint_ms)
+    job = add_job(board, checkpointing=True).progress
+    begin_runs(job, {KEY: ("n0", lifetime("n0"))}, False, wall_ms() - STARTED_S * 1_000)
+    (placed_run,) = build_worker_capacities(board)[0].placed_runs
+    assert placed_run.loss == pytest.approx(unsaved * CORES)
--- a/packages/lycheeslip_common/lycheeslip_common/workload/times.py
+++ b/packages/lycheeslip_common/lycheeslip_common/workload/times.py
@@ -55,6 +55,10 @@
     retention_ms: int = 150_000
     """How long the state of an ended job is kept; deployments promise 120 s."""
 
+    checkpoint_ms: int = 1_000
+    """Interval at which tasks with checkpoints save them: what a run loses at most that ends
+    without a stop."""
+
     @property
     def renewal_retry_ms(self) -> int:
         """Pause before a failed renewal of the leader's lease is repeated."""
--- a/tests/platform_adapter/boot_tests.py
+++ b/tests/platform_adapter/boot_tests.py
@@ -35,3 +35,11 @@
 def test_unusable_limit_is_named(tmp_path):
     with pytest.raises(BootError, match="cpu_share"):
         load(tmp_path, '[limits]\ncpu_share = "all"\n')
+
+
+@pytest.mark.parametrize(
+    ("bounds", "checkpoint_ms"),
+    [("", 1_000), ("[bounds]\ncheckpoint_s = 0.5\n", 500), ("[bounds]\ncheckpoint_s = 2\n", 2_000)],
+)
+def test_interval_of_checkpoints_is_that_of_the_deployment(tmp_path, bounds, checkpoint_ms):
+    assert load(tmp_path, bounds).times.checkpoint_ms == checkpoint_ms
