--- a/packages/lycheeslip/lycheeslip/dispatch/occupancy.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/occupancy.py
@@ -1,5 +1,6 @@
 """Computes the free capacity and the placed runs of each worker for a planning round."""
 
+import math
 from collections.abc import Mapping
 from typing import NamedTuple
 
@@ -33,6 +34,7 @@
 QUARANTINE_FAILURES = 2  # in a row; 1 in 50 runs fails on a healthy worker, most on a failing one
 QUARANTINE_MS = 6_000  # a failing worker is retried after this; such faults last 5 to 7 s
 FAILURE_MEMORY_MS = 10_000  # past this a failed run says nothing about its worker any more
+SPEED_STEP = 0.1  # in logarithms; workers that differ by less are packed as if they were alike
 RECENT_CRASH_MS = 10_000  # a crash this recent counts as a failure; some workers keep crashing
 
 
@@ -88,6 +90,7 @@
         is_slow=steady_ms() < view.slow_until_ms,
         is_suspect=_is_suspect(view),
         is_exposed=is_exposed(departures, lifetime.born_ms),
+        slowness=round(-math.log(board.history.worker_speed(lifetime.worker_id)) / SPEED_STEP),
     )
 
 
--- a/packages/lycheeslip/lycheeslip/dispatch/packing.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/packing.py
@@ -78,7 +78,7 @@
 
 def _rank(
     unit: Unit, worker: WorkerCapacity
-) -> tuple[int, int, bool, bool, bool, bool, int, int, str]:
+) -> tuple[int, int, bool, int, bool, bool, bool, int, int, str]:
     """Return a sort key: data rack, healthy and fast workers, reserve, then the best fit.
 
     While workers are replaced in turn, units that save their progress fill those that may leave
@@ -97,6 +97,7 @@
         is_off_rack,
         worker.failures,
         worker.is_slow,
+        worker.slowness if unit.prefers_fast else 0,
         worker.is_exposed != unit.saves_progress,
         is_in_wrong_pool,
         mixes_stop_costs,
--- a/packages/lycheeslip/lycheeslip/dispatch/placement_model.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/placement_model.py
@@ -105,6 +105,7 @@
     `reserved` is what blocked units that wait for the runs here to end keep from other units; it
     isn't part of the free capacity. `held_by_lasting` runs is what doesn't become free by itself.
     `starting` counts the tasks that were placed here and that the worker doesn't list yet.
+    `slowness` is in steps of a tenth, positive for workers that take longer than usual.
     """
 
     node: str
@@ -127,6 +128,7 @@
     reserved: Demand = NO_DEMAND
     held_by_lasting: Demand = NO_DEMAND
     starting: int = 0
+    slowness: int = 0
 
     @property
     def has_costly_run(self) -> bool:
@@ -249,8 +251,9 @@
     `claimed_nodes` are the nodes on which an earlier round began to free capacity for it.
     A unit that `is_late` can't meet its latency objective any more.
     A unit that `is_isolated` starts only on workers without other work. With `is_last_attempt` its
-    next failure fails the job. One that `may_use_reserved` capacity has waited for long while most
-    capacity was idle.
+    next failure fails the job. One that `prefers_fast` workers could meet its objective on a fast
+    worker and might miss it on a slow one. One that `may_use_reserved` capacity has waited for long
+    while most capacity was idle.
     """
 
     job_id: str
@@ -284,6 +287,7 @@
     is_isolated: bool = False
     is_last_attempt: bool = False
     may_use_reserved: bool = False
+    prefers_fast: bool = False
 
     @property
     def key(self) -> UnitKey:
--- a/packages/lycheeslip/lycheeslip/dispatch/waiting.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/waiting.py
@@ -36,6 +36,7 @@
 EARLY_MAX_LOSS_RATIO = 0.3
 # A late urgent job loses four fifths of its value; what is stopped for it may yet end in time.
 LATE_MAX_LOSS_RATIO = 2.0
+SPEED_MARGIN = 0.25  # of its run time that a run takes longer on the slowest usual workers
 SCARCE_UTILIZATION = 0.6  # from this share of a service's accelerators in use, capacity is scarce
 IDLE_UTILIZATION = 0.5  # below this share most capacity is idle
 
@@ -187,6 +188,7 @@
         advice=_advice(board, queue, (job_id, occurrence, step_number)),
         is_isolated=must_start_isolated(job.progress, members[0], wall_ms()),
         is_last_attempt=0 < first_task.failures >= spec.attempts - 1,
+        prefers_fast=0 <= since_ms + times.slack_ms - wall_ms() < times.run_ms * SPEED_MARGIN,
     )
     # a unit that was late before this leader knew of it waits, too: for the workers to connect
     waited_ms = _known_for_ms(job, unit)
--- a/packages/lycheeslip/tests/dispatch/run_samples_tests.py
+++ b/packages/lycheeslip/tests/dispatch/run_samples_tests.py
@@ -110,6 +110,27 @@
     assert speeds[3] < 0.9 < speeds[0]
 
 
+def first_worker(board: Board, waited_ms: int) -> str:
+    board.jobs.clear()
+    add_job(board, waited_ms=waited_ms, accelerators=1)
+    workers = build_worker_capacities(board)
+    ((_, chosen),) = plan_round(build_units(board, workers, {}), workers).starts
+    return chosen[0].node
+
+
+def test_unit_short_of_slack_is_placed_on_a_fast_worker():
+    """A unit with time to spare leaves it to others."""
+    board = learning_board()
+    for _ in range(20):
+        board.history.record_worker("i-n3", 800, 1_000)
+        board.history.record_worker("i-n0", 1_250, 1_000)
+    slack_ms = 2 * DECLARED_MS
+    assert first_worker(board, 0) == "n0"
+    assert first_worker(board, slack_ms - 5_000) == "n3"
+    board.history.forget_worker("i-n3")
+    assert first_worker(board, slack_ms - 5_000) == "n1"
+
+
 JOBS = st.lists(
     st.tuples(st.integers(0, 2), st.integers(1, 4), st.integers(1, 8), st.booleans()), max_size=6
 )
