--- a/packages/lycheeslip/lycheeslip/dispatch/dispatcher.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/dispatcher.py
@@ -47,7 +47,7 @@
 MIN_VIEW_AGE_MS = 600  # the fleet view counts as incomplete this long after an election
 LINK_QUIET_MS = 250  # and for this long after the last new worker: workers connect in a burst
 MAX_VIEW_WAIT_MS = 1_500  # the view counts as complete after this; latency objectives are short
-CHECKPOINT_WRITE_INTERVAL_MS = 2_000  # limits writes; tasks save checkpoints once a second
+CHECKPOINT_WRITE_INTERVAL_MS = 2_000  # limits writes; tasks save them every 0.5 to 2 s
 SLOW_ROUND_MS = 50  # the shortest urgent jobs have about 0.5 s in all to start and to be shown
 REJECTION_BACKOFF_MS = 500  # a worker that rejected an order gets no other for this long
 SILENCE_BACKOFF_MS = 2_000  # a worker that was silent may be so for seconds
@@ -222,6 +222,7 @@
         if view.lifetime is not None and view.lifetime != report.lifetime:
             view.lost_lifetime_at_ms = steady_ms()
             view.backoff_until_ms = 0  # the new lifetime has rejected nothing
+            self._board.history.forget_worker(view.lifetime.worker_id)
         is_only_forecast = _without_forecasts(report) == _without_forecasts(view.report)
         has_shrunk = any(
             now < before
--- a/packages/lycheeslip/lycheeslip/dispatch/ends.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/ends.py
@@ -18,6 +18,7 @@
 from lycheeslip.dispatch.losses import loss_cause, lost_core_s
 from lycheeslip.dispatch.occupancy import FAILURE_MEMORY_MS
 from lycheeslip.dispatch.recorder import Recorder
+from lycheeslip.dispatch.run_samples import observe_end
 from lycheeslip.dispatch.stops import RunStopper
 
 __all__ = ["RunEndProcessor"]
@@ -209,7 +210,7 @@
         self._run_stopper.forget(name, run)
         view = self._board.workers.get(node)
         had_notice = view is not None and view.has_given_notice
-        lost = lost_core_s(job.progress, key, cause, wall_ms())
+        lost = lost_core_s(job.progress, key, cause, wall_ms(), self._board.times.checkpoint_ms)
         why = loss_cause(cause, stop_cause, had_notice) if lost else None
         log_event(
             "run_ended",
@@ -221,6 +222,7 @@
             loss=why or "none",
             lost_core_s=round(lost, 1),
         )
+        observe_end(self._board, job, key, node, cause)
         self._board.counters.count("runs_ended", cause)
         if why is not None:
             self._board.counters.count("lost_core_seconds", why, lost)
--- a/packages/lycheeslip/lycheeslip/dispatch/occupancy.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/occupancy.py
@@ -1,5 +1,6 @@
 """Computes the free capacity and the placed runs of each worker for a planning round."""
 
+import math
 from collections.abc import Mapping
 from typing import NamedTuple
 
@@ -33,6 +34,7 @@
 QUARANTINE_FAILURES = 2  # in a row; 1 in 50 runs fails on a healthy worker, most on a failing one
 QUARANTINE_MS = 6_000  # a failing worker is retried after this; such faults last 5 to 7 s
 FAILURE_MEMORY_MS = 10_000  # past this a failed run says nothing about its worker any more
+SPEED_STEP = 0.1  # in logarithms; workers that differ by less are packed as if they were alike
 RECENT_CRASH_MS = 10_000  # a crash this recent counts as a failure; some workers keep crashing
 
 
@@ -88,6 +90,7 @@
         is_slow=steady_ms() < view.slow_until_ms,
         is_suspect=_is_suspect(view),
         is_exposed=is_exposed(departures, lifetime.born_ms),
+        slowness=round(-math.log(board.history.worker_speed(lifetime.worker_id)) / SPEED_STEP),
     )
 
 
@@ -127,7 +130,9 @@
             if traits is None:
                 traits = _step_traits(step_key, job, objectives, guaranteed)
                 traits_by_step[step_key] = traits
-            placed_run = _placed_run(traits, job, key, remaining_by_run, now_ms)
+            placed_run = _placed_run(
+                traits, job, key, remaining_by_run, now_ms, board.times.checkpoint_ms
+            )
             result.setdefault(task.lifetime, []).append(placed_run)
     return result
 
@@ -160,6 +165,7 @@
     key: TaskKey,
     remaining_by_run: Mapping[tuple[str, int], float],
     now_ms: int,
+    checkpoint_ms: int,
 ) -> PlacedRun:
     spec, step = job.progress.spec, traits.step
     task = job.progress.tasks[key]
@@ -175,7 +181,7 @@
         spec.account,
         spec.priority,
         traits.demand,
-        traits.cores * unsaved_s(step, elapsed_s),
+        traits.cores * unsaved_s(step, elapsed_s, checkpoint_ms),
         job.progress.has_ended or (name, task.run) in job.stopping,
         traits.key,
         step.gang,
