--- a/tests/build_tests.py
+++ b/tests/build_tests.py
@@ -1,9 +1,12 @@
 """Checks that processes can start from a checkout while it is being built again."""
 
+import json
+import re
 import shutil
 import subprocess
 import sys
 import threading
+from importlib.metadata import PackageNotFoundError, requires
 from pathlib import Path
 
 import pytest
@@ -69,3 +72,52 @@
     with pytest.raises(subprocess.CalledProcessError):
         build(checkout)
     assert start(checkout) == 0
+
+
+LOADED_DISTRIBUTIONS = """
+import json, sys
+from importlib.metadata import packages_distributions
+import lycheeslip.dispatch.entry, lycheeslip_agent.dispatch.agent
+import lycheeslip_platform.advice, lycheeslip_platform.caller_api, lycheeslip_platform.operator_keys
+import lycheeslip_platform.heartbeat_api, lycheeslip_platform.processes, uvloop
+distributions = packages_distributions()
+top_level = {name.partition(".")[0] for name in sys.modules}
+print(json.dumps(sorted({name for module in top_level for name in distributions.get(module, ())})))
+"""
+
+
+def _normalized(requirement: str) -> str:
+    name = re.match(r"[\w.-]+", requirement)
+    return re.sub(r"[-_.]+", "-", name[0]).lower() if name else ""
+
+
+def _with_dependencies(names: set[str]) -> set[str]:
+    """Return the distributions that are installed with `names`."""
+    found: set[str] = set()
+    pending = {_normalized(name) for name in names}
+    while pending:
+        name = pending.pop()
+        found.add(name)
+        try:
+            needed = {
+                _normalized(needed) for needed in requires(name) or () if "extra" not in needed
+            }
+        except PackageNotFoundError:  # for another Python version or platform
+            continue
+        pending |= needed - found
+    return found
+
+
+def test_every_library_that_platform_processes_load_is_installed_by_the_build():
+    """Guards against a library that only a developer's environment has: no process would start."""
+    result = subprocess.run(
+        [sys.executable, "-c", LOADED_DISTRIBUTIONS],
+        check=True,
+        capture_output=True,
+        text=True,
+        timeout=120,
+    )
+    loaded = {_normalized(name) for name in json.loads(result.stdout)}
+    listed = set((ROOT / "deploy/requirements.txt").read_text().split())
+    own = {name for name in loaded if name.startswith("lycheeslip")}
+    assert loaded - own - _with_dependencies(listed) <= {"setuptools"}  # loaded by the interpreter
