--- a/tests/harness/platform_processes.py
+++ b/tests/harness/platform_processes.py
@@ -13,7 +13,7 @@
 from lycheeslip_standins.platform.store import PlatformStoreServer
 from lycheeslip_standins.platform.worker import PlatformWorkerServer
 
-__all__ = ["CONFIG", "Processes", "call", "submit", "until_completed"]
+__all__ = ["CONFIG", "HOST", "Processes", "call", "submit", "until_completed"]
 
 HOST = "jobs.example"
 WAIT_S = 20
@@ -28,19 +28,30 @@
 
 
 class Processes:
-    """Two entries and some agents as processes; the store and the workers are stand-ins."""
-
-    def __init__(self, folder: Path, agents: int = 1) -> None:
-        """Reserve addresses; settings and logs of the processes are written to `folder`."""
+    """Some entries and agents as processes; the store and the workers are stand-ins."""
+
+    def __init__(
+        self,
+        folder: Path,
+        agents: int = 1,
+        entries: int = ENTRIES,
+        limits: dict[str, dict[str, int]] | None = None,
+    ) -> None:
+        """Reserve addresses; settings and logs of the processes are written to `folder`.
+
+        `limits` has the `[limits]` of the settings by role, "entry" or "agent".
+        """
         self._folder = folder
+        self._limits = limits or {}
         self._addresses = ReservedAddresses()
         self.store = PlatformStoreServer()
         self.workers = [
             PlatformWorkerServer(f"i-{number}", "service", "zone-a", "rack-1")
             for number in range(agents)
         ]
-        self.frontends = [self._addresses.take() for _ in range(ENTRIES)]
-        self.links = [self._addresses.take() for _ in range(ENTRIES)]
+        self.frontends = [self._addresses.take() for _ in range(entries)]
+        self.links = [self._addresses.take() for _ in range(entries)]
+        self.readiness = [self._addresses.take() for _ in range(entries)]
         self.agent_addresses = [self._addresses.take() for _ in range(agents)]
         self.entries: list[asyncio.subprocess.Process] = []
         self.agents: list[asyncio.subprocess.Process] = []
@@ -52,7 +63,7 @@
         for number, (frontend, link) in enumerate(zip(self.frontends, self.links, strict=True)):
             listen = {
                 "frontend": frontend,
-                "readiness": self._addresses.take(),
+                "readiness": self.readiness[number],
                 "control_plane": link,
             }
             self.entries.append(await self._start("entry", f"edge-{number}", listen))
@@ -91,6 +102,8 @@
             f'platform = {{ address = "{self.store.address}" }}',
             "[listen]",
             *(f'{name} = "{address}"' for name, address in listen.items()),
+            "[limits]",
+            *(f"{name} = {limit}" for name, limit in self._limits.get(role, {}).items()),
         ]
         (self._folder / f"{node}.toml").write_text("\n".join(lines))
         return await self._run(role, node)
@@ -146,20 +159,25 @@
 
 
 async def submit(
-    processes: Processes, number: int, work_ms: int = 50, entry: int = 0, accelerators: int = 0
+    processes: Processes,
+    number: int,
+    work_ms: int = 50,
+    entry: int = 0,
+    accelerators: int = 0,
+    wait_s: float = WAIT_S,
 ) -> str:
     """Submit a job of one task until it is accepted; return its URL."""
     url = f"http://{processes.frontends[entry]}/q/{number:016x}"
     step = {"count": 1, "cpu": 100, "mem_mb": 1, "gpu": accelerators}
     job = msgspec.json.encode({"spec": str(work_ms), "steps": [step]})
-    async with asyncio.timeout(WAIT_S):
+    async with asyncio.timeout(wait_s):
         while (await call("POST", url, job))[0] != 200:  # noqa: ASYNC110
             await asyncio.sleep(0.1)
     return url
 
 
-async def until_completed(url: str) -> None:
+async def until_completed(url: str, wait_s: float = WAIT_S) -> None:
     """Wait until the job at `url` is shown as completed."""
-    async with asyncio.timeout(WAIT_S):
+    async with asyncio.timeout(wait_s):
         while b"completed" not in (await call("GET", url))[1]:  # noqa: ASYNC110
             await asyncio.sleep(0.05)
