--- a/packages/lycheeslip/lycheeslip/dispatch/intake.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/intake.py
@@ -11,6 +11,7 @@
 
 from lycheeslip_common.utils.clock import steady_ms
 from lycheeslip_common.utils.logs import log_warning
+from lycheeslip_common.workload.operator import ClientLimits
 
 from lycheeslip.dispatch.board import Board
 from lycheeslip.dispatch.calls import (
@@ -64,6 +65,11 @@
         """The configured limit of a request body; 0 without a configuration."""
         return self._board.config.max_body_bytes if self._board.config else 0
 
+    @property
+    def client_limits(self) -> ClientLimits:
+        """The configured limits on connections of callers."""
+        return self._board.config.client_limits if self._board.config else ClientLimits()
+
     async def answer(self, call: Call, request: Request) -> Outcome:
         """Return the outcome of a call.
 
--- /dev/null
+++ b/packages/lycheeslip_common/lycheeslip_common/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission control: which connections and requests a process serves within its memory."""
--- a/packages/lycheeslip_common/lycheeslip_common/workload/operator.py
+++ b/packages/lycheeslip_common/lycheeslip_common/workload/operator.py
@@ -5,6 +5,7 @@
 __all__ = [
     "Account",
     "AdviceTiming",
+    "ClientLimits",
     "ConfigChange",
     "OperatorChange",
     "OperatorConfig",
@@ -51,6 +52,14 @@
     guaranteed: int
 
 
+class ClientLimits(NamedTuple):
+    """Limits on connections of callers; the defaults apply where the configuration has none."""
+
+    max_header_bytes: int = 16_384
+    header_timeout_ms: int = 3_000
+    idle_timeout_ms: int = 15_000
+
+
 class OperatorConfig(NamedTuple):
     """One version of the configuration; `revision` is that of the store."""
 
@@ -59,6 +68,7 @@
     queues: tuple[Queue, ...]
     accounts: tuple[Account, ...]
     max_body_bytes: int
+    client_limits: ClientLimits = ClientLimits()
 
     def queue_for(self, host: str, path: str) -> Queue | None:
         """Return the queue of `host` with the longest prefix that matches `path`."""
--- a/tests/harness/platform_cell.py
+++ b/tests/harness/platform_cell.py
@@ -16,8 +16,8 @@
 from lycheeslip_common.store.outcomes import Unreachable
 from lycheeslip_common.workload.times import DispatchTimes
 from lycheeslip_platform.advice import PlatformAdvice
-from lycheeslip_platform.caller_api import CallerApi
-from lycheeslip_platform.heartbeat_api import HeartbeatApi
+from lycheeslip_platform.caller_api import CallerApi, caller_policy
+from lycheeslip_platform.heartbeat_api import HEARTBEAT_POLICY, HeartbeatApi
 from lycheeslip_platform.operator_keys import OPERATOR_KEYS
 from lycheeslip_platform.store import PlatformStore
 from lycheeslip_platform.web import Listeners
@@ -66,7 +66,7 @@
             self.board, self.store, OPERATOR_KEYS, PlatformAdvice(self._advice_address)
         )
         api = CallerApi(self.entry.intake, self.board.counters)
-        await self.listeners.add(self.address, api.handle)
+        await self.listeners.add(self.address, api.handle, caller_policy(self.entry.intake))
         await self.entry.start()
 
     async def stop(self) -> None:
@@ -112,7 +112,7 @@
         port = PlatformWorker(self.worker.address)
         self.agent = DispatchAgent(board, port, (), self._find_leader)
         self.listeners = Listeners(0.1)
-        await self.listeners.add(self.address, HeartbeatApi(self.agent).handle)
+        await self.listeners.add(self.address, HeartbeatApi(self.agent).handle, HEARTBEAT_POLICY)
         await self.agent.start()
 
     async def stop_agent(self) -> None:
