Bound unidentified peers, admit the older entry's connections, and document it

Links and sessions count the peers that have not identified themselves and what these send. The settings of the older processes have an admission section.

--- a/packages/lycheeslip/lycheeslip/app.py
+++ b/packages/lycheeslip/lycheeslip/app.py
@@ -7,6 +7,16 @@
 
 import uvloop
 from aiohttp import web
+from lycheeslip_common.admission.accept import AdmissionSite
+from lycheeslip_common.admission.decision import Reason
+from lycheeslip_common.admission.limits import AdmissionLimits
+from lycheeslip_common.admission.server import (
+    Admission,
+    AdmissionRunner,
+    ListenerPolicy,
+    MetricsObserver,
+    RefusalText,
+)
 from lycheeslip_common.config.settings import EntrySettings
 from lycheeslip_common.store import Store
 from lycheeslip_common.structure.fleet import EntryInfo
@@ -35,12 +45,14 @@
 from lycheeslip.http.job_calls import JobCalls
 from lycheeslip.http.job_handlers import JobHandlers
 from lycheeslip.http.operator_handlers import OperatorHandlers
+from lycheeslip.http.problems import problem
 from lycheeslip.http.submission import MAX_BODY_BYTES
 from lycheeslip.http.unrecorded import UnrecordedJobs
 
 __all__ = ["EntryApp", "run_entry"]
 
 LOAD_BALANCER_NOTICE_S = 0.5
+OVERLOAD_RETRY_MS = 1_000
 Controller = Callable[[], Awaitable[None]]
 
 
@@ -103,8 +115,13 @@
         JobHandlers(self.board, jobs, calls, forwarding).add_routes(self._web)
         operators = OperatorHandlers(self.board, self._router, config_apply, history.health)
         operators.add_routes(self._web)
-        self._runner = web.AppRunner(
+        self._admission = Admission(
+            AdmissionLimits(**settings.admission._asdict()), MetricsObserver(metrics)
+        )
+        self._runner = AdmissionRunner(
             self._web,
+            self._admission,
+            ListenerPolicy(lambda: MAX_BODY_BYTES, refusal_text=self._refusal_text),
             access_log=None,
             handle_signals=False,
             shutdown_timeout=times.shutdown_wait_ms / 1000,
@@ -122,10 +139,10 @@
             self._serve_session,
             self.board.home_entries,
             self.board.metrics,
+            self._admission.limits,
         )
         await self._runner.setup()
-        host, _, port = settings.http_address.rpartition(":")
-        await web.TCPSite(self._runner, host.strip("[]"), int(port)).start()
+        await AdmissionSite(self._runner, settings.http_address, self._admission).start()
         controllers: tuple[Controller, ...] = (
             self._sync.run,
             self._sync.confirm,
@@ -160,6 +177,13 @@
         await self._store.close()
         log_event("entry_stopped", entry=self._settings.node_id)
 
+    def _refusal_text(self, status: int, reason: str) -> RefusalText:
+        """Return the body of a refusal before any handler has run."""
+        self.board.metrics.count(f"refuse.{reason}")
+        retry_in_ms = OVERLOAD_RETRY_MS if reason == Reason.OVERLOADED else 0
+        response = problem(status, reason, "The request did not run.", retry_in_ms=retry_in_ms)
+        return RefusalText(response.content_type, (response.text or "").encode())
+
     async def _serve_session(self, session: Session) -> None:
         match session.role:
             case "agent":
--- a/packages/lycheeslip/lycheeslip/dispatch/entry.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/entry.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+from lycheeslip_common.admission.limits import AdmissionLimits
+from lycheeslip_common.admission.peers import UnidentifiedPeers
 from lycheeslip_common.store.outcomes import KeyValue
 from lycheeslip_common.store.port import KeyValueStore
 from lycheeslip_common.utils.logs import log_event
@@ -34,9 +36,14 @@
         store: KeyValueStore,
         operator_keys: OperatorKeys,
         advice: AdvicePort,
+        limits: AdmissionLimits | None = None,
     ) -> None:
-        """Create the controllers; nothing runs before `start`."""
+        """Create the controllers; nothing runs before `start`.
+
+        `limits` bound the peers that have opened a link without identifying themselves.
+        """
         self.board = board
+        self._peers = UnidentifiedPeers(limits, board.counters)
         self._store = store
         self._recorder = Recorder(board, store, self._on_records_written, self._on_term_lost)
         self._advice = advice
@@ -72,7 +79,7 @@
 
     async def start(self) -> None:
         """Listen for connections and run the controllers."""
-        self._server = await listen(self.board.address, self._links.serve)
+        self._server = await listen(self.board.address, self._links.serve, self._peers)
         controllers: tuple[Callable[[], Awaitable[None]], ...] = (
             self._operator.run,
             self._election.run,
--- a/packages/lycheeslip_agent/lycheeslip_agent/app.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/app.py
@@ -4,6 +4,7 @@
 import signal
 from contextlib import suppress
 
+from lycheeslip_common.admission.limits import AdmissionLimits
 from lycheeslip_common.config import AgentSettings
 from lycheeslip_common.utils.clock import monotonic_ms
 from lycheeslip_common.utils.logs import log_event, log_warning
@@ -56,6 +57,7 @@
             self._serve_members,
             lambda: (),
             self.metrics,
+            AdmissionLimits(**settings.admission._asdict()),
         )
         host, port = next(iter(self._listener.sockets)).getsockname()[:2]
         self.board.address = f"{host}:{port}"
--- a/packages/lycheeslip_common/lycheeslip_common/admission/limits.py
+++ b/packages/lycheeslip_common/lycheeslip_common/admission/limits.py
@@ -21,6 +21,7 @@
 # A connection takes about 13 KB in the process and up to 64 KB of socket buffers.
 CONNECTIONS_PER_MB = 4.5
 MIN_CONNECTIONS = 16
+MIN_UNIDENTIFIED_LINKS = 16
 MAX_BACKLOG = 1_024
 MIN_BACKLOG = 16
 
@@ -43,7 +44,7 @@
     max_head_bytes: int = 16_384
     max_head_fields: int = 128
     receive_buffer_bytes: int = 16_384
-    max_unidentified_links: int = 64
+    max_unidentified_links: int = 487
 
 
 def derive_limits(
@@ -51,7 +52,8 @@
 ) -> AdmissionLimits:
     """Return the limits for a machine; the defaults are those of the smallest one.
 
-    An eighth of the descriptors that aren't for files is left to the process's own connections.
+    An eighth of the descriptors that aren't for files is left to connections between processes, so
+    that clients can't take those.
     """
     descriptors = max_fds - FILE_DESCRIPTORS
     backlog = min(MAX_BACKLOG, max(MIN_BACKLOG, descriptors))
@@ -63,6 +65,7 @@
         max_connections=connections,
         max_connections_per_address=connections // 2,
         backlog=backlog,
+        max_unidentified_links=max(MIN_UNIDENTIFIED_LINKS, descriptors // 8),
     )
 
 
--- a/packages/lycheeslip_common/lycheeslip_common/admission/server.py
+++ b/packages/lycheeslip_common/lycheeslip_common/admission/server.py
@@ -39,8 +39,17 @@
 from lycheeslip_common.admission.limits import AdmissionLimits, budget_for, derive_limits
 from lycheeslip_common.utils.clock import steady_ms
 from lycheeslip_common.utils.logs import log_warning
-
-__all__ = ["Admission", "AdmissionRunner", "AdmissionServer", "ListenerPolicy"]
+from lycheeslip_common.utils.metrics import Metrics
+
+__all__ = [
+    "Admission",
+    "AdmissionRunner",
+    "AdmissionServer",
+    "ListenerPolicy",
+    "MetricsObserver",
+    "Observer",
+    "RefusalText",
+]
 
 TICK_S = 0.25
 LOG_INTERVAL_MS = 1_000
@@ -71,6 +80,22 @@
         """Set a gauge."""
 
 
+class MetricsObserver:
+    """Counts in the `Metrics` of a process that sends them to StatsD."""
+
+    def __init__(self, metrics: Metrics) -> None:
+        """Count in `metrics`, with the reason as the last part of a name."""
+        self._metrics = metrics
+
+    def count(self, name: str, reason: str = "", amount: float = 1) -> None:
+        """Add to a counter."""
+        self._metrics.count(f"{name}.{reason}" if reason else name, int(amount))
+
+    def gauge(self, name: str, value: float) -> None:
+        """Set a gauge."""
+        self._metrics.gauge(name, value)
+
+
 class RefusalText(NamedTuple):
     """Body of a refusal."""
 
--- a/packages/lycheeslip_common/lycheeslip_common/config/settings.py
+++ b/packages/lycheeslip_common/lycheeslip_common/config/settings.py
@@ -6,6 +6,7 @@
 
 from pydantic import AfterValidator, Field
 
+from lycheeslip_common.admission.limits import derive_limits
 from lycheeslip_common.config.reference import Display
 from lycheeslip_common.config.validation import (
     ProblemsError,
@@ -17,7 +18,14 @@
 )
 from lycheeslip_common.config.yaml_lines import Problem, read_yaml
 
-__all__ = ["AgentSettings", "EntrySettings", "EntryTimes", "SettingsError", "load_settings"]
+__all__ = [
+    "AdmissionSettings",
+    "AgentSettings",
+    "EntrySettings",
+    "EntryTimes",
+    "SettingsError",
+    "load_settings",
+]
 
 MAX_PORT = 65_535
 DAY_MS = 86_400_000
@@ -113,6 +121,69 @@
     return times
 
 
+SMALLEST = derive_limits()
+
+
+def _between(minimum: int, maximum: int, description: str) -> Any:
+    return Field(ge=minimum, le=maximum, description=description)
+
+
+class AdmissionSettings(NamedTuple):
+    """Limits on what clients may make the process hold; by default for 200 MB, 4,096 descriptors.
+
+    The timeouts are longer than those of `AdmissionLimits`, since this interface publishes none.
+    """
+
+    max_held_bytes: Annotated[
+        StrictInt,
+        _between(
+            2_097_152,
+            2**40,
+            "Bytes of heads, unfinished bodies and queued requests that are held at once.",
+        ),
+    ] = SMALLEST.max_held_bytes
+    max_connections: Annotated[
+        StrictInt, _between(16, 1_000_000, "Connections of clients at once.")
+    ] = SMALLEST.max_connections
+    max_connections_per_address: Annotated[
+        StrictInt,
+        _between(1, 1_000_000, "Connections of one address while seven eighths of all are in use."),
+    ] = SMALLEST.max_connections_per_address
+    backlog: Annotated[StrictInt, _between(16, 65_535, "Connections that wait to be accepted.")] = (
+        SMALLEST.backlog
+    )
+    head_timeout_ms: Annotated[
+        StrictInt, _milliseconds_between(100, DAY_MS, "Maximum time for receiving a head.")
+    ] = 10_000
+    body_timeout_ms: Annotated[
+        StrictInt, _milliseconds_between(100, DAY_MS, "Maximum time for receiving a body.")
+    ] = 60_000
+    response_timeout_ms: Annotated[
+        StrictInt,
+        _milliseconds_between(100, DAY_MS, "Maximum time that a client reads nothing more."),
+    ] = 30_000
+    idle_timeout_ms: Annotated[
+        StrictInt,
+        _milliseconds_between(100, DAY_MS, "Time after which an unused connection is closed."),
+    ] = 3_600_000
+    max_pipelined_requests: Annotated[
+        StrictInt, _between(1, 1_000, "Requests that wait behind one of the same connection.")
+    ] = SMALLEST.max_pipelined_requests
+    max_head_bytes: Annotated[StrictInt, _between(1_024, 1_048_576, "Bytes of a head.")] = (
+        SMALLEST.max_head_bytes
+    )
+    max_head_fields: Annotated[StrictInt, _between(8, 128, "Fields of a head.")] = (
+        SMALLEST.max_head_fields
+    )
+    receive_buffer_bytes: Annotated[
+        StrictInt, _between(4_096, 16_777_216, "Size of a connection's receive buffer.")
+    ] = SMALLEST.receive_buffer_bytes
+    max_unidentified_links: Annotated[
+        StrictInt,
+        _between(16, 65_535, "Peers at once that have opened a session without authenticating."),
+    ] = SMALLEST.max_unidentified_links
+
+
 class EntrySettings(NamedTuple):
     """Settings of an entry process (`lycheeslip entry`)."""
 
@@ -144,6 +215,9 @@
         AfterValidator(_check_times),
         _described_as("Intervals and timeouts of the entry."),
     ] = EntryTimes()
+    admission: Annotated[
+        Section[AdmissionSettings], _described_as("Limits on what clients may make it hold.")
+    ] = AdmissionSettings()
     routes: Annotated[
         Routes,
         _described_as(
@@ -180,6 +254,9 @@
             0, 7 * DAY_MS, "Maximum time that a stopping agent waits for its tasks."
         ),
     ] = 600_000
+    admission: Annotated[
+        Section[AdmissionSettings], _described_as("Limits on what clients may make it hold.")
+    ] = AdmissionSettings()
     routes: Annotated[
         Routes,
         _described_as(
--- a/packages/lycheeslip_common/lycheeslip_common/utils/events.py
+++ b/packages/lycheeslip_common/lycheeslip_common/utils/events.py
@@ -18,6 +18,18 @@
 
 
 EVENTS = (
+    Event(
+        "accept_failed",
+        "both",
+        "error",
+        "A connection couldn't be accepted; after a lack of descriptors the listener pauses.",
+    ),
+    Event(
+        "admission_failed",
+        "both",
+        "error",
+        "The decision on a connection failed unexpectedly; that connection was closed.",
+    ),
     Event("advice_missing", "leader", "job reason", "The advice service returned no decision."),
     Event(
         "advice_received",
@@ -59,6 +71,12 @@
         "reason revision",
         "A configuration is invalid and was ignored; the previous one stays in force.",
     ),
+    Event(
+        "connection_closed",
+        "both",
+        "count reason",
+        "`count` connections were closed for `reason`; one line per reason and second at most.",
+    ),
     Event(
         "controller_failed",
         "both",
--- a/packages/lycheeslip_common/lycheeslip_common/wire/session.py
+++ b/packages/lycheeslip_common/lycheeslip_common/wire/session.py
@@ -4,6 +4,7 @@
 and sends its own nonce, and the listener signs that. The key itself is never sent.
 """
 
+import asyncio
 import hmac
 import secrets
 from collections.abc import Awaitable, Callable
@@ -13,6 +14,9 @@
 from websockets.asyncio.server import Server, ServerConnection, serve
 from websockets.exceptions import ConnectionClosed, WebSocketException
 
+from lycheeslip_common.admission.limits import AdmissionLimits
+from lycheeslip_common.admission.peers import PeerConnection, UnidentifiedPeers
+from lycheeslip_common.admission.server import MetricsObserver
 from lycheeslip_common.structure.fleet import EntryInfo
 from lycheeslip_common.utils.logs import log_warning
 from lycheeslip_common.utils.metrics import Metrics
@@ -129,16 +133,25 @@
     handle: Callable[[Session], Awaitable[None]],
     live_entries: Callable[[], tuple[EntryInfo, ...]],
     metrics: Metrics,
+    limits: AdmissionLimits | None = None,
 ) -> Server:
-    """Listen on `address` (host:port) and call `handle` with each authenticated session."""
+    """Listen on `address` (host:port) and call `handle` with each authenticated session.
+
+    `limits` bound the peers that are not authenticated yet.
+    """
     host, _, port = address.rpartition(":")
+    peers = UnidentifiedPeers(limits, MetricsObserver(metrics))
 
     async def accept(connection: ServerConnection) -> None:
         session = Session(connection, "unknown", "unknown")
         try:
             nonce = secrets.token_hex(NONCE_BYTES)
             await session.send(Challenge(nonce))
-            hello = await session.receive()
+            try:
+                async with asyncio.timeout(OPEN_TIMEOUT_S):
+                    hello = await session.receive()
+            except TimeoutError:
+                raise SessionError("the client did not answer Challenge in time") from None
             if not isinstance(hello, Hello):
                 raise SessionError("the client did not answer Challenge with Hello")
             expected = _sign(key, "dialler", nonce, hello.role, hello.node_id)
@@ -147,6 +160,8 @@
                 raise SessionError(
                     f"{hello.node_id} failed authentication: it does not have the fleet key"
                 )
+            if isinstance(connection, PeerConnection):
+                connection.identify()
             session.role, session.node_id = hello.role, hello.node_id
             proof = _sign(key, "listener", hello.nonce, node_id)
             await session.send(Welcome(node_id, proof, live_entries()))
@@ -166,4 +181,5 @@
         open_timeout=OPEN_TIMEOUT_S,
         max_size=MAX_FRAME_BYTES,
         compression=None,
+        create_connection=peers.create_connection,
     )
--- a/packages/lycheeslip_common/lycheeslip_common/workload/link.py
+++ b/packages/lycheeslip_common/lycheeslip_common/workload/link.py
@@ -15,6 +15,7 @@
 from websockets.asyncio.server import Server, ServerConnection, serve
 from websockets.exceptions import ConnectionClosed, WebSocketException
 
+from lycheeslip_common.admission.peers import PeerConnection, UnidentifiedPeers
 from lycheeslip_common.utils.logs import log_warning
 from lycheeslip_common.utils.usable import is_usable_address, parse_cbor, shorten
 from lycheeslip_common.workload.fleet import InvalidMessageError, Message, decode, encode
@@ -143,9 +144,17 @@
     return link
 
 
-async def listen(address: str, handle: Callable[[Link], Awaitable[None]]) -> Server:
-    """Listen on `address` (IP:PORT); call `handle` for each peer that sent its role and name."""
+async def listen(
+    address: str,
+    handle: Callable[[Link], Awaitable[None]],
+    peers: UnidentifiedPeers | None = None,
+) -> Server:
+    """Listen on `address` (IP:PORT); call `handle` for each peer that sent its role and name.
+
+    `peers` bounds those that have not done so yet.
+    """
     host, _, port = address.rpartition(":")
+    peers = peers or UnidentifiedPeers()
 
     async def accept(connection: ServerConnection) -> None:
         link = Link(connection)
@@ -155,6 +164,8 @@
             link.role, link.node = parse_cbor(
                 hello if isinstance(hello, bytes) else b"", tuple[str, str]
             )
+            if isinstance(connection, PeerConnection):
+                connection.identify()
             await handle(link)
         except (LinkClosedError, InvalidMessageError, ValueError, TypeError, EOFError):
             return
@@ -171,4 +182,5 @@
         open_timeout=OPEN_TIMEOUT_S,
         max_size=MAX_FRAME_BYTES,
         compression=None,
+        create_connection=peers.create_connection,
     )
--- a/packages/lycheeslip_common/tests/events_tests.py
+++ b/packages/lycheeslip_common/tests/events_tests.py
@@ -11,6 +11,7 @@
 LOGGING_FOLDERS = (
     "packages/lycheeslip/lycheeslip/dispatch",
     "packages/lycheeslip_agent/lycheeslip_agent/dispatch",
+    "packages/lycheeslip_common/lycheeslip_common/admission",
     "packages/lycheeslip_common/lycheeslip_common/utils",
     "packages/lycheeslip_common/lycheeslip_common/workload",
     "platform",
