--- a/packages/lycheeslip_common/lycheeslip_common/admission/server.py
+++ b/packages/lycheeslip_common/lycheeslip_common/admission/server.py
@@ -216,12 +216,15 @@
         """Close connections past their deadline, write the gauges and log what was closed."""
         self._timer = None
         now_ms = steady_ms()
-        for handler in list(self._handler_by_number.values()):
-            handler.check_closing(now_ms)
-        for connection in expired(self.ledger, now_ms):
-            handler_or_none = self._handler_by_number.get(connection.number)
-            if handler_or_none is not None:
-                handler_or_none.expire(connection.phase)
+        try:
+            for handler in list(self._handler_by_number.values()):
+                handler.check_closing(now_ms)
+            for connection in expired(self.ledger, now_ms):
+                handler_or_none = self._handler_by_number.get(connection.number)
+                if handler_or_none is not None:
+                    handler_or_none.expire(connection.phase)
+        except Exception as error:  # the next tick tries again
+            log_warning("admission_failed", error=repr(error))
         if self._observer is not None:
             self._observer.gauge("admission_held_bytes", self.ledger.held_bytes)
             self._observer.gauge("admission_connections", len(self.ledger.by_number))
@@ -343,7 +346,10 @@
         """Close the connection, whose deadline for `phase` has passed."""
         match phase:
             case Phase.HEAD | Phase.BODY:
-                self._refuse(Reason.TIMEOUT)
+                try:
+                    self._refuse(Reason.TIMEOUT)
+                except Exception as error:
+                    self._fail(error)
             case Phase.IDLE:
                 self._admission.count_closed(Reason.IDLE)
                 self._release()
@@ -466,6 +472,13 @@
     # State and closing
 
     def _enter_phase(self, now_ms: int) -> None:
+        """Note what the connection waits for and holds; a failure closes it."""
+        try:
+            self._update_connection(now_ms)
+        except Exception as error:
+            self._fail(error)
+
+    def _update_connection(self, now_ms: int) -> None:
         connection = self._connection
         if connection is None:
             return
@@ -504,6 +517,8 @@
         self._pending_refusal = None
         self._is_last_queued = True
         transport = self._socket_transport
+        if transport is not None and transport.is_closing():
+            return
         if self._is_serving or self._queue or transport is None:
             self._queue.clear()
             self._queued_bytes = 0
--- a/packages/lycheeslip_common/tests/settings_tests.py
+++ b/packages/lycheeslip_common/tests/settings_tests.py
@@ -3,6 +3,7 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from lycheeslip_common.admission.limits import AdmissionLimits
 from lycheeslip_common.config import (
     AgentSettings,
     EntrySettings,
@@ -150,3 +151,15 @@
 def test_arbitrary_text_yields_values_or_problems(text):
     document = read_yaml(text, "x")
     assert document.value is not None or document.problems or text.strip() != ""
+
+
+@pytest.mark.parametrize(
+    ("text", "declaration"), [(ENTRY_SETTINGS, EntrySettings), (AGENT_SETTINGS, AgentSettings)]
+)
+def test_admission_limits_are_read(tmp_path, text, declaration):
+    """Guards against a key of the section that is no limit, or a limit without a key."""
+    admission = load(tmp_path, text + "admission: {max_connections: 50}\n", declaration).admission
+    assert AdmissionLimits(**admission._asdict()).max_connections == 50
+    assert admission._fields == AdmissionLimits._fields
+    problems = load_problems(tmp_path, text + "admission: {max_head_fields: 1}\n", declaration)
+    assert [key for _, key, _ in problems] == ["admission.max_head_fields"]
--- a/tests/platform_adapter/boot_tests.py
+++ b/tests/platform_adapter/boot_tests.py
@@ -2,6 +2,7 @@
 
 import pytest
 from lycheeslip.dispatch.leadership import WEAK_DELAY_MS, campaign_delay_ms
+from lycheeslip_common.admission.limits import derive_limits
 from lycheeslip_platform.boot import BootError, load_boot_settings
 
 SETTINGS = """\
@@ -35,3 +36,22 @@
 def test_unusable_limit_is_named(tmp_path):
     with pytest.raises(BootError, match="cpu_share"):
         load(tmp_path, '[limits]\ncpu_share = "all"\n')
+
+
+def test_limits_on_clients_follow_from_the_machine(tmp_path):
+    small, large = (
+        load(tmp_path, f"[limits]\nmemory_mb = {memory_mb}\nmax_fds = 2000\n").admission
+        for memory_mb in (80, 400)
+    )
+    assert small.max_held_bytes < large.max_held_bytes
+    assert small.max_connections < large.max_connections < 2_000 - 200
+
+
+def test_absent_limits_are_those_of_the_smallest_machine(tmp_path):
+    assert load(tmp_path).admission == derive_limits(200, 4_096)
+
+
+@pytest.mark.parametrize("limit", ["memory_mb = 0", "max_fds = -1", 'max_fds = "all"'])
+def test_unusable_limit_of_the_machine_is_named(tmp_path, limit):
+    with pytest.raises(BootError, match=limit.split()[0]):
+        load(tmp_path, f"[limits]\n{limit}\n")
--- a/tests/platform_adapter/operator_keys_tests.py
+++ b/tests/platform_adapter/operator_keys_tests.py
@@ -3,7 +3,7 @@
 import msgspec
 import pytest
 from lycheeslip_common.store.outcomes import KeyValue
-from lycheeslip_common.workload.operator import ConfigChange, ZoneChange
+from lycheeslip_common.workload.operator import ClientLimits, ConfigChange, ZoneChange
 from lycheeslip_platform.operator_keys import decode_operator_key
 
 ROUTE = {
@@ -30,12 +30,21 @@
     return decode_operator_key(KeyValue("op/config", value, 12), False)
 
 
+def test_limits_on_connections_are_decoded_and_unusable_ones_passed_over():
+    """Guards against a configuration that is ignored for a limit that nobody read before."""
+    limits = {"max_header_bytes": 8_192, "header_timeout_ms": "3s", "idle_timeout_ms": -1}
+    change = decode_config(CONFIG | {"limits": limits})
+    assert isinstance(change, ConfigChange)
+    assert change.config.client_limits == ClientLimits(max_header_bytes=8_192)
+
+
 def test_valid_configuration_is_decoded():
     change = decode_config(CONFIG)
     assert isinstance(change, ConfigChange)
     config = change.config
     assert (config.version, config.revision) == (7, 12)
     assert config.max_body_bytes == 262_144
+    assert config.client_limits == ClientLimits()
     account = config.account_of("k2")
     assert account is not None
     assert account.guaranteed == 16
--- a/tests/platform_adapter/soak_processes_tests.py
+++ b/tests/platform_adapter/soak_processes_tests.py
@@ -9,6 +9,7 @@
 import signal
 from collections import Counter
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 
 import pytest
 from lycheeslip_standins.platform.worker import PlatformWorkerServer
@@ -26,6 +27,9 @@
 PAUSE_S = (0.5, 3.0)  # well below the lease of runs
 REFUSAL_S = (0.2, 3.0)
 LATE_START_S = (0.5, 3.0)
+CROWD = 80  # with 200 KB each more than the budget of 16 MB has for large bodies
+CROWD_STAY_S = (0.5, 3.0)
+UNFINISHED_REQUEST = b"POST /q/1 HTTP/1.1\r\nContent-Length: 250000\r\n\r\n" + b"x" * 200_000
 MAX_CRASHES = 2  # of workers: a job under which three crash is given up
 ENDS = (signal.SIGTERM, signal.SIGKILL)
 SEEDS = range(1, 1 + int(os.environ.get("SOAK_SEEDS", "2")))
@@ -74,6 +78,7 @@
             self.refuse_starts,
             self.carry_starts_out_late,
             self.send_stray_heartbeat,
+            self.crowd,
         )
         while not until.is_set():
             kind = self.random.choice(kinds)
@@ -146,6 +151,20 @@
         """Send a worker's heartbeat to the agent of any worker."""
         await self._worker().stray_heartbeat(self.random.choice(self.processes.agent_addresses))
 
+    async def crowd(self) -> None:
+        """Let clients send most of a body to an entry or an agent, and hold their connections."""
+        addresses = [*self.processes.frontends, *self.processes.agent_addresses]
+        host, _, port = self.random.choice(addresses).rpartition(":")
+        stay_s = self.random.uniform(*CROWD_STAY_S)
+        await asyncio.gather(*(self._stall(host, int(port), stay_s) for _ in range(CROWD)))
+
+    async def _stall(self, host: str, port: int, stay_s: float) -> None:
+        with suppress(OSError):  # the process may be down
+            _, writer = await asyncio.open_connection(host, port)
+            writer.write(UNFINISHED_REQUEST)
+            await asyncio.sleep(stay_s)
+            writer.transport.abort()
+
     async def _exclusively(
         self, name: str, fault: Callable[..., Awaitable[None]], *arguments: object
     ) -> None:
