Start the agents of a test cell once there is a leader

An agent's attempts to open a link alternate between entries. A test that bounds the time of a later attempt depended on whether the first one, within some 10 ms of the election, had found a leader. Its assertions are unchanged.

--- a/tests/harness/platform_cell.py
+++ b/tests/harness/platform_cell.py
@@ -170,6 +170,9 @@
         self.configure()
         for number in range(self._process_counts[0]):
             await self.add_entry(number)
+        # The agents' attempts to open a link alternate between entries, so that tests of
+        # a later attempt need the first one to find the leader.
+        await self.until(lambda: self.leader() is not None)
         for number in range(self._process_counts[1]):
             agent = AgentProcess(
                 number, f"zone-{number}", "rack-1", self.store.address, self._times
