Replay contended loads of two deployments in virtual time

Declared estimates, waves of leaving workers that come back, failing workers and saved progress are part of the loads. The benchmark prints what callers got of them and what work was lost.

--- a/tests/harness/load_replay.py
+++ b/tests/harness/load_replay.py
@@ -42,13 +42,17 @@
 FORECAST_MS = 500  # from the start of a run until its agent reports how long it takes
 REPLACEMENT_LEAD_MS = 1_500  # from the start of a replacement until the old worker drains
 FAIL_MS = 40  # from the start of a run on a failing worker to its failure
+SAVE_INTERVAL_MS = 1_000  # tasks that save their progress do so once a second
 ATTEMPTS = {0: 3, 1: 2, 2: 3}
 STRETCHES = {0: 1.5, 1: 3.0, 2: 3.0}
 OBJECTIVES_MS = {0: 250, 1: 1_000, 2: 3_000}
 
 
 class Load(NamedTuple):
-    """A job that arrives `at_ms` after the start, with one step whose tasks take `run_ms`."""
+    """A job that arrives `at_ms` after the start, with one step whose tasks take `run_ms`.
+
+    Its declared estimate is `run_ms` unless `step` has another `estimate_ms`.
+    """
 
     at_ms: int
     priority: int
@@ -75,6 +79,7 @@
     states: dict[str, JobState] = field(default_factory=dict)
     ends: Counter[EndCause] = field(default_factory=Counter)
     orders: Counter[str] = field(default_factory=Counter)
+    first_start_ms: dict[str, int] = field(default_factory=dict)
     failures: list[Failure] = field(default_factory=list)
 
     @property
@@ -82,6 +87,11 @@
         """Number of jobs that were completed within their latency objective."""
         return sum(took <= self.limit_ms[job_id] for job_id, took in self.took_ms.items())
 
+    def slow_starts(self, limit_ms: int) -> float:
+        """Return the share of jobs without a run within `limit_ms` of their arrival."""
+        started = sum(took <= limit_ms for took in self.first_start_ms.values())
+        return 1 - started / max(1, len(self.limit_ms))
+
     @property
     def failed(self) -> int:
         """Number of jobs that were given up."""
@@ -108,6 +118,7 @@
 
     def join(self) -> None:
         """Start now, and become known to the leader."""
+        self.is_ready, self.leaves_at_ms, self._last_number = True, 0, 0
         self.lifetime = Lifetime(f"i-{self.node}", self._replay.now_ms)
         self.report()
 
@@ -224,6 +235,7 @@
         self._gangs: dict[tuple[str, int], dict[str, ReplayWorker]] = {}
         self._done_at_ms: dict[tuple[str, int], int] = {}
         self._took_ms: dict[tuple[str, int], int] = {}
+        self._saved_ms: dict[str, int] = {}
         self.board = Board("entry", "zone", "10.0.0.1:1", DispatchTimes())
         queues = tuple(
             Queue(
@@ -231,7 +243,7 @@
             )
             for p, stretch in STRETCHES.items()
         )
-        accounts = tuple(Account(name, frozenset(name), n) for name, n in guaranteed.items())
+        accounts = tuple(Account(name, frozenset((name,)), n) for name, n in guaranteed.items())
         self.board.config = OperatorConfig(1, 1, queues, accounts, 1)
         self.board.leadership = Leadership(1, 1, NEVER_MS, 0)
         self.dispatcher = Dispatcher(self.board, FakeRecorder(self), FakeAdvisor())  # type: ignore[arg-type]
@@ -264,13 +276,20 @@
         for number in nodes:
             self.at(from_ms, lambda w=self.workers[number]: begin(w))
 
-    def take_away(self, nodes: Sequence[int], at_ms: int, notice_ms: int) -> None:
-        """Let these workers leave `notice_ms` after they say so at `at_ms`."""
+    def take_away(
+        self, nodes: Sequence[int], at_ms: int, notice_ms: int, away_ms: int | None = None
+    ) -> None:
+        """Let these workers leave `notice_ms` after they say so at `at_ms`.
+
+        With `away_ms` each is back, as a new lifetime, that long after it left.
+        """
 
         def announce(worker: ReplayWorker) -> None:
             worker.is_ready, worker.leaves_at_ms = False, self.now_ms + notice_ms
             worker.report()
             self.after(notice_ms, worker.leave)
+            if away_ms is not None:
+                self.after(notice_ms + away_ms, worker.join)
 
         for number in nodes:
             self.at(at_ms, lambda w=self.workers[number]: announce(w))
@@ -347,6 +366,8 @@
         assert name is not None
         job = self.board.jobs[name.job_id]
         step = job.progress.spec.steps[name.step]
+        since_arrival_ms = self.now_ms - job.progress.spec.accepted_at_ms
+        self.outcome.first_start_ms.setdefault(name.job_id, since_arrival_ms)
         if worker.failing_until_ms > self.now_ms:
             failure = Failure(worker.node, step.gang, self.now_ms, self.now_ms + FAIL_MS)
             self.outcome.failures.append(failure)
@@ -356,8 +377,9 @@
         if not step.gang:
             gang = {order.task: worker}
         if not step.gang or len(gang) == step.task_count:
-            took_ms = int(order.payload) * max(self._slowdown(member) for member in gang.values())
             key = (self._unit(order.task), order.run)
+            left_ms = max(1, int(order.payload) - self._saved_ms.get(key[0], 0))
+            took_ms = left_ms * max(self._slowdown(member) for member in gang.values())
             self._done_at_ms[key], self._took_ms[key] = self.now_ms + took_ms, took_ms
             self.after(took_ms, lambda: self._finish(gang, order.run))
             for member in set(gang.values()):
@@ -398,6 +420,7 @@
     def on_ended(self, task: str, run: int, cause: EndCause) -> None:
         """Count an end; the other members of a gang break unless it is done."""
         self.outcome.ends[cause] += 1
+        self._save(task, run, cause)
         gang = self._gangs.pop((self._unit(task), run), {})
         if cause == EndCause.DONE:
             return
@@ -405,6 +428,18 @@
             if other != task:
                 self.after(0, lambda o=other, w=worker: w.end(o, run, EndCause.BROKEN))
 
+    def _save(self, task: str, run: int, cause: EndCause) -> None:
+        """Keep what a run that saves its progress has done; one that isn't stopped loses some."""
+        name = parse_task_name(task)
+        assert name is not None
+        key = (self._unit(task), run)
+        step = self.board.jobs[name.job_id].progress.spec.steps[name.step]
+        if not step.checkpointing or key not in self._done_at_ms:
+            return
+        done_ms = self._took_ms[key] - max(0, self._done_at_ms.pop(key) - self.now_ms)
+        unsaved_ms = 0 if cause == EndCause.STOPPED else SAVE_INTERVAL_MS
+        self._saved_ms[key[0]] = self._saved_ms.get(key[0], 0) + max(0, done_ms - unsaved_ms)
+
     def _sum_up(self) -> None:
         for job_id, job in self.board.jobs.items():
             self.outcome.states[job_id] = job.progress.state
