--- a/packages/lycheeslip/lycheeslip/dispatch/placement.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/placement.py
@@ -6,7 +6,7 @@
 """
 
 from collections import Counter
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 from typing import NamedTuple
 
 from lycheeslip_common.workload.jobs import Demand
@@ -63,7 +63,8 @@
     run is stopped for it, and it waits for a worker on its data rack or for a single rack.
     """
     plan = Plan()
-    run_at_once(plan_units(plan, units, workers, reserve, is_view_complete))
+    reserves = {worker.service: reserve for worker in workers}
+    run_at_once(plan_units(plan, units, workers, reserves, is_view_complete))
     return plan
 
 
@@ -71,11 +72,14 @@
     plan: Plan,
     units: Sequence[Unit],
     workers: Sequence[WorkerCapacity],
-    reserve: int,
+    reserves: Mapping[str, int],
     is_view_complete: bool,
 ) -> Iterator[None]:
-    """Add the decisions of `plan_round` to `plan`; yields where it may pause."""
-    _mark_reserve(workers, reserve)
+    """Add the decisions of `plan_round` to `plan`; yields where it may pause.
+
+    `reserves` are the accelerators to reserve, by service.
+    """
+    _mark_reserve(workers, reserves)
     blocked_kinds: set[UnitKind] = set()
     for unit in sorted(units, key=_priority_key):
         if not is_view_complete and unit.priority != URGENT_PRIORITY:
@@ -218,8 +222,8 @@
     return worker.service == unit.service and (not unit.label or unit.label in worker.labels)
 
 
-def _mark_reserve(workers: Sequence[WorkerCapacity], reserve: int) -> None:
-    """Add whole racks to the reserve until it has `reserve` accelerators of each service.
+def _mark_reserve(workers: Sequence[WorkerCapacity], reserves: Mapping[str, int]) -> None:
+    """Add whole racks to the reserve of each service until it has the accelerators of `reserves`.
 
     The racks with the smallest share of runs that are costly to stop come first.
     """
@@ -228,7 +232,7 @@
         racks.setdefault((worker.service, worker.rack), []).append(worker)
     reserved: Counter[str] = Counter()
     for (service, _), group in sorted(racks.items(), key=lambda item: _costly_share(item[1])):
-        if reserved[service] >= reserve:
+        if reserved[service] >= reserves.get(service, 0):
             continue
         for worker in group:
             worker.is_reserved = True
--- a/packages/lycheeslip/lycheeslip/dispatch/placement_model.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/placement_model.py
@@ -319,6 +319,7 @@
     `claims` maps each unit that waits for capacity to the nodes on which it is being freed.
     Workers are reserved for one isolated unit at a time, which `has_isolation_reserve` notes.
     `preempted` are all victims of the round, with those that are stopping or end by themselves.
+    With `limits_repeats` a task is preempted only so often, except for guaranteed units.
     """
 
     starts: list[tuple[Unit, list[WorkerCapacity]]] = field(default_factory=list)
@@ -329,3 +330,4 @@
     advice_requests: list[AdviceRequest] = field(default_factory=list)
     has_isolation_reserve: bool = False
     preempted: set[VictimKey] = field(default_factory=set)
+    limits_repeats: bool = False
--- a/packages/lycheeslip/lycheeslip/dispatch/reclaim.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/reclaim.py
@@ -16,6 +16,7 @@
     VictimKey,
     WorkerCapacity,
 )
+from lycheeslip.dispatch.preemption_cost import may_be_preempted
 
 __all__ = ["reclaim"]
 
@@ -56,9 +57,9 @@
     Returns whether capacity is being freed.
     """
     claimed_group = [worker for worker in usable_workers if worker.node in unit.claimed_nodes]
-    claimed_eviction = _cheapest_eviction(unit, [claimed_group], plan.preempted)
+    claimed_eviction = _cheapest_eviction(unit, [claimed_group], plan)
     groups = list(candidate_groups(unit, usable_workers))
-    options = [claimed_eviction, _cheapest_eviction(unit, groups, plan.preempted)]
+    options = [claimed_eviction, _cheapest_eviction(unit, groups, plan)]
     best = min(filter(None, options), key=_total_cost, default=None)
     if best is None:
         return False
@@ -81,11 +82,11 @@
 
 
 def _cheapest_eviction(
-    unit: Unit, groups: Sequence[Sequence[WorkerCapacity]], preempted: set[VictimKey]
+    unit: Unit, groups: Sequence[Sequence[WorkerCapacity]], plan: Plan
 ) -> Eviction | None:
     """Return the eviction that costs least, with and without a wait for runs to end."""
     options = [
-        _eviction(unit, group, preempted, patience_ms)
+        _eviction(unit, group, plan, patience_ms)
         for group in groups
         for patience_ms in {0.0, unit.wait_budget_ms}
     ]
@@ -99,7 +100,7 @@
 def _victims(
     unit: Unit,
     group: Sequence[WorkerCapacity],
-    preempted: set[VictimKey],
+    plan: Plan,
     patience_ms: float,
 ) -> list[Victim]:
     """Return the preemptible victims for `unit`, least cost first.
@@ -110,7 +111,9 @@
     for worker in group:
         for placed_run in worker.placed_runs:
             key = placed_run.victim_key
-            if key not in preempted and _is_preemptible_for(unit, placed_run):
+            if key in plan.preempted or not _is_preemptible_for(unit, placed_run):
+                continue
+            if not plan.limits_repeats or _may_be_preempted_again(unit, placed_run):
                 runs.setdefault(key, []).append((worker, placed_run))
     victims = [_victim(unit, key, members, patience_ms) for key, members in runs.items()]
     return sorted(victims, key=lambda victim: victim.weighted_cost)
@@ -127,6 +130,12 @@
     return Victim(key, cost, cost * (1 + times), tuple(members))
 
 
+def _may_be_preempted_again(unit: Unit, placed_run: PlacedRun) -> bool:
+    if placed_run.is_stopping:  # its capacity becomes free in any case
+        return True
+    return may_be_preempted(placed_run.times_preempted, unit.is_guaranteed)
+
+
 def _cost(unit: Unit, placed_run: PlacedRun, patience_ms: float) -> float:
     if _ends_in_time(placed_run, patience_ms):
         return 0.0
@@ -183,13 +192,13 @@
 def _eviction(
     unit: Unit,
     group: Sequence[WorkerCapacity],
-    preempted: set[VictimKey],
+    plan: Plan,
     patience_ms: float,
 ) -> Eviction | None:
     """Return low-cost victims without which `unit` fits into `group`, None if there are none."""
     trial = EvictionTrial(unit, group)
     chosen: list[Victim] = []
-    for victim in _victims(unit, group, preempted, patience_ms):
+    for victim in _victims(unit, group, plan, patience_ms):
         if trial.fits:
             break
         trial.evict(victim)
--- a/packages/lycheeslip/lycheeslip/dispatch/stops.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/stops.py
@@ -57,11 +57,14 @@
             work_core_s=round(unit.work),
             is_guaranteed=unit.is_guaranteed,
             patience_ms=round(unit.wait_budget_ms),
+            times_preempted=placed_run.times_preempted,
         )
         self._board.counters.count("preemptions")
         found = self._board.find_task(placed_run.task)
         if found is not None and (placed_run.task, placed_run.run) not in job.stopping:
             job.preemptions[found.counter_key] += 1
+            if placed_run.times_preempted:
+                self._board.counters.count("repeated_preemptions")
         if job.progress.spec.steps[step].gang:
             for member in unit_members(job.progress, occurrence, step):
                 self._stop(placed_run.job_id, job, member, LossCause.PREEMPTED)
--- a/packages/lycheeslip_common/lycheeslip_common/utils/events.py
+++ b/packages/lycheeslip_common/lycheeslip_common/utils/events.py
@@ -261,9 +261,11 @@
     Event(
         "run_preempted",
         "leader",
-        "for_job is_guaranteed loss_core_s node patience_ms priority run task work_core_s",
+        "for_job is_guaranteed loss_core_s node patience_ms priority run task times_preempted"
+        " work_core_s",
         "A run is preempted for a unit (gang or task) of another job. `priority` is the run's,"
-        " `loss_core_s` the work lost, `work_core_s` the unit's own work.",
+        " `loss_core_s` the work lost, `work_core_s` the unit's own work. `times_preempted` is how"
+        " often this leader has preempted the task before.",
     ),
     Event(
         "run_relocated",
--- a/tests/harness/contended_loads.py
+++ b/tests/harness/contended_loads.py
@@ -13,7 +13,7 @@
 
 from tests.harness.load_replay import Load, Outcome, Replay
 
-__all__ = ["BUSY", "SITES", "UNEVEN", "Result", "Site", "play_site"]
+__all__ = ["BUSY", "SITES", "UNEVEN", "Result", "Site", "lost_core_s", "play_site"]
 
 URGENT, NORMAL, BULK = 0, 1, 2
 ARRIVALS_MS = 45_000
@@ -187,7 +187,7 @@
         Counter(load.priority for load in loads),
         in_time,
         {account: got[account] / best[account] for account in best},
-        _lost_core_s(replay),
+        lost_core_s(replay),
         Counter(n for job in replay.board.jobs.values() for n in job.preemptions.values() if n),
         outcome.slow_starts(2_000),
     )
@@ -199,7 +199,8 @@
     return float(cores * step["task_count"] * load.run_ms)
 
 
-def _lost_core_s(replay: Replay) -> dict[str, float]:
+def lost_core_s(replay: Replay) -> dict[str, float]:
+    """Return the work in core-seconds that was lost in a replay, by cause."""
     text = replay.board.counters.text().decode()
     return {
         sample.labels["reason"]: sample.value
