--- a/packages/lycheeslip/tests/dispatch/contention_tests.py
+++ b/packages/lycheeslip/tests/dispatch/contention_tests.py
@@ -3,6 +3,7 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from lycheeslip.dispatch.contention import MIN_ACCOUNTS
 from lycheeslip.dispatch.placement import plan_units
 from lycheeslip.dispatch.placement_model import Plan
 from lycheeslip.dispatch.preemption_cost import MAX_PREEMPTIONS
@@ -15,8 +16,10 @@
     reserves,
     urgent_demand,
 )
+from lycheeslip.dispatch.waiting import build_units
+from lycheeslip_common.workload.operator import Account
 
-from .builders import placed_run, unit, worker
+from .builders import add_job, board_with, placed_run, unit, worker
 
 
 def preempted_tasks(victims, is_guaranteed=False, limits_repeats=True, tasks=1) -> set[str]:
@@ -54,6 +57,28 @@
     assert preempted_tasks([often], limits_repeats=False) == {"often"}
 
 
+@pytest.mark.parametrize(
+    ("accounts", "times_preempted", "priority", "expected"),
+    [
+        (MIN_ACCOUNTS, 1, 2, True),
+        (MIN_ACCOUNTS, 0, 2, False),
+        (MIN_ACCOUNTS, 1, 0, False),  # urgent units are what the reserve is for
+        (MIN_ACCOUNTS - 1, 1, 2, False),
+    ],
+)
+def test_unit_that_was_preempted_is_kept_out_of_the_reserve(
+    accounts, times_preempted, priority, expected
+):
+    """Work that saves its progress prefers the reserve, where the next burst would stop it."""
+    board = board_with()
+    names = (Account(f"a{n}", frozenset({f"k{n}"}), 0) for n in range(accounts))
+    board.config = board.config._replace(accounts=tuple(names))
+    job = add_job(board, priority=priority, checkpointing=True)
+    job.preemptions[(0, 0, 0)] = times_preempted
+    (waiting,) = build_units(board, [], {})
+    assert waiting.is_costly_to_stop == expected
+
+
 def test_urgent_demand_is_what_urgent_units_hold_and_wait_for():
     """Bulk that waits or runs must not enlarge the reserve that keeps bulk out."""
     workers = [
