--- a/benchmarks/dispatch_time.py
+++ b/benchmarks/dispatch_time.py
@@ -63,7 +63,7 @@
 def main(accounts: Annotated[int, typer.Option()] = 1) -> None:
     """Print the median and the longest round at each size.
 
-    With eight accounts or more the rules for contention apply.
+    With eight accounts or more run times are learned.
     """
     logging.set_verbosity(logging.ERROR)
     for size in SIZES:
--- a/packages/lycheeslip/lycheeslip/dispatch/dispatcher.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/dispatcher.py
@@ -1,7 +1,7 @@
 """Runs the leader's planning rounds and handles worker reports and order results."""
 
 import asyncio
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterator
 
 from lycheeslip_common.utils.clock import steady_ms, wall_ms
 from lycheeslip_common.utils.logs import log_event
@@ -14,7 +14,6 @@
 from lycheeslip.dispatch.advice import Advisor
 from lycheeslip.dispatch.board import Board, Leadership, WorkerView
 from lycheeslip.dispatch.claims import Claims
-from lycheeslip.dispatch.contention import has_contention_rules
 from lycheeslip.dispatch.departures import record_departure
 from lycheeslip.dispatch.ends import RunEndProcessor
 from lycheeslip.dispatch.occupancy import build_worker_capacities
@@ -36,12 +35,6 @@
 from lycheeslip.dispatch.slices import run_at_once, run_in_slices
 from lycheeslip.dispatch.starts import RunStarter
 from lycheeslip.dispatch.stops import RunStopper
-from lycheeslip.dispatch.urgent_reserve import (
-    Peak,
-    decayed_peaks,
-    reserves,
-    urgent_demand,
-)
 from lycheeslip.dispatch.validity import may_preempt, may_start
 from lycheeslip.dispatch.waiting import accelerator_reserve, collect_units
 
@@ -76,7 +69,6 @@
         self._checkpoints_written_ms = 0
         self._term_started_ms = 0
         self._last_worker_added_ms = 0
-        self._urgent_peaks: dict[str, Peak] = {}
         self._logged_declined: set[tuple[UnitKey, int]] = set()
 
     def begin_term(self) -> None:
@@ -85,7 +77,6 @@
         self._run_starter.begin_term()
         self._advisor.begin_term()
         self._claims.clear()
-        self._urgent_peaks.clear()
         self._run_stopper.begin_term()
         self._run_ends.begin_term()
 
@@ -149,8 +140,9 @@
         units: list[Unit] = []
         yield from collect_units(board, workers, self._claims.current(), units)
         plan = Plan()
-        reserve = self._update_reserves(units, workers)
-        yield from plan_units(plan, units, workers, reserve, board.is_view_complete)
+        yield from plan_units(
+            plan, units, workers, accelerator_reserve(board), board.is_view_complete
+        )
         if not self._may_decide(config):
             board.planning_needed.set()
             return
@@ -168,21 +160,6 @@
         self._log_declined(plan.declined)
         self._log_if_slow(steady_ms() - began, len(workers), len(units), len(plan.blocked))
 
-    def _update_reserves(
-        self, units: list[Unit], workers: list[WorkerCapacity]
-    ) -> Mapping[str, int]:
-        """Return the accelerators to reserve, by service, after this round's urgent demand."""
-        largest_guarantee = accelerator_reserve(self._board)
-        if not has_contention_rules(self._board.config):
-            self._urgent_peaks.clear()
-            return {worker.service: largest_guarantee for worker in workers}
-        self._urgent_peaks = decayed_peaks(
-            self._urgent_peaks, urgent_demand(units, workers), steady_ms()
-        )
-        result = reserves(largest_guarantee, self._urgent_peaks, workers)
-        self._board.counters.gauge("reserved_accelerators", sum(result.values()))
-        return result
-
     def _may_decide(self, config: OperatorConfig | None) -> bool:
         """Return whether this entry certainly leads, and `config` is known to be in force."""
         board = self._board
--- a/packages/lycheeslip/lycheeslip/dispatch/placement.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/placement.py
@@ -6,7 +6,7 @@
 """
 
 from collections import Counter
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Iterator, Sequence
 from typing import NamedTuple
 
 from lycheeslip_common.workload.jobs import Demand
@@ -63,8 +63,7 @@
     run is stopped for it, and it waits for a worker on its data rack or for a single rack.
     """
     plan = Plan()
-    reserves = {worker.service: reserve for worker in workers}
-    run_at_once(plan_units(plan, units, workers, reserves, is_view_complete))
+    run_at_once(plan_units(plan, units, workers, reserve, is_view_complete))
     return plan
 
 
@@ -72,14 +71,11 @@
     plan: Plan,
     units: Sequence[Unit],
     workers: Sequence[WorkerCapacity],
-    reserves: Mapping[str, int],
+    reserve: int,
     is_view_complete: bool,
 ) -> Iterator[None]:
-    """Add the decisions of `plan_round` to `plan`; yields where it may pause.
-
-    `reserves` are the accelerators to reserve, by service.
-    """
-    _mark_reserve(workers, reserves)
+    """Add the decisions of `plan_round` to `plan`; yields where it may pause."""
+    _mark_reserve(workers, reserve)
     blocked_kinds: set[UnitKind] = set()
     for unit in sorted(units, key=_priority_key):
         if not is_view_complete and unit.priority != URGENT_PRIORITY:
@@ -222,8 +218,8 @@
     return worker.service == unit.service and (not unit.label or unit.label in worker.labels)
 
 
-def _mark_reserve(workers: Sequence[WorkerCapacity], reserves: Mapping[str, int]) -> None:
-    """Add whole racks to the reserve of each service until it has the accelerators of `reserves`.
+def _mark_reserve(workers: Sequence[WorkerCapacity], reserve: int) -> None:
+    """Add whole racks to the reserve until it has `reserve` accelerators of each service.
 
     The racks with the smallest share of runs that are costly to stop come first.
     """
@@ -232,7 +228,7 @@
         racks.setdefault((worker.service, worker.rack), []).append(worker)
     reserved: Counter[str] = Counter()
     for (service, _), group in sorted(racks.items(), key=lambda item: _costly_share(item[1])):
-        if reserved[service] >= reserves.get(service, 0):
+        if reserved[service] >= reserve:
             continue
         for worker in group:
             worker.is_reserved = True
--- a/packages/lycheeslip/lycheeslip/dispatch/waiting.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/waiting.py
@@ -9,11 +9,9 @@
 from lycheeslip_common.workload.progress import TaskKey, waiting_units
 
 from lycheeslip.dispatch.board import Board, StepAdvice, StoredJob
-from lycheeslip.dispatch.contention import has_contention_rules, is_spared_in_placement
 from lycheeslip.dispatch.isolation import must_start_isolated
 from lycheeslip.dispatch.objective import Objectives, StepTimes, waiting_since_ms
 from lycheeslip.dispatch.placement_model import (
-    URGENT_PRIORITY,
     Advice,
     StepKey,
     Unit,
@@ -147,14 +145,6 @@
     return Advice(frozenset(valid), frozenset(decisions.tickets), frozenset(decisions.denied))
 
 
-def _is_spared(board: Board, job: StoredJob, first: TaskKey) -> bool:
-    """Return whether the unit of this first task was preempted and is to be spared from that."""
-    if job.progress.spec.priority == URGENT_PRIORITY or not has_contention_rules(board.config):
-        return False
-    step = job.progress.spec.steps[first[1]]
-    return is_spared_in_placement(job.preemptions[(*first[:2], 0) if step.gang else first])
-
-
 def build_unit(
     board: Board,
     job_id: str,
@@ -193,7 +183,7 @@
         frees_at_ms=wall_ms() + times.run_ms * MAX_OVERRUN_RATIO,
         latest_start_ms=_latest_start_ms(times, since_ms),
         is_late=wall_ms() > since_ms + times.slack_ms,
-        is_costly_to_stop=is_costly_to_stop(spec, step) or _is_spared(board, job, members[0]),
+        is_costly_to_stop=is_costly_to_stop(spec, step),
         saves_progress=step.checkpointing,
         advice=_advice(board, queue, (job_id, occurrence, step_number)),
         is_isolated=must_start_isolated(job.progress, members[0], wall_ms()),
