--- a/packages/lycheeslip/lycheeslip/dispatch/run_time_history.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/run_time_history.py
@@ -45,6 +45,7 @@
 MAX_QUEUES = 32
 MAX_WORKERS = 4_000
 WORKER_PRIOR_SAMPLES = 4.0
+MAX_LOG_MS = math.log(MAX_RUN_MS)
 MAX_LOG_SPEED = 0.7  # a worker that seems to be off by more than two is faulty, not slow
 SPREAD = 1.28  # standard deviations on either side that hold 80 of 100 values
 
@@ -349,7 +350,8 @@
             # the logarithm of the ratio is drawn towards 0, as if some had been as declared
             count, ratio = record.ratio.samples, record.ratio.quantile(MEDIAN) / RATIO_UNIT
             usual = math.log(ratio) * count / (count + PRIOR_SAMPLES) if ratio > 0 else 0.0
-            by_ratio = _log_ms(declared_ms) + usual
+            # a prediction out of range would be an error that its record can't hold
+            by_ratio = max(0.0, min(_log_ms(declared_ms) + usual, MAX_LOG_MS))
         median_ms = record.run_ms.quantile(MEDIAN)
         by_run = math.log(median_ms) if median_ms > 0 else None
         return _Predictions(by_ratio, by_run, record.run_ms.samples, source)
--- a/packages/lycheeslip/tests/dispatch/run_time_records_tests.py
+++ b/packages/lycheeslip/tests/dispatch/run_time_records_tests.py
@@ -4,7 +4,7 @@
 from types import SimpleNamespace
 
 import pytest
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 from lycheeslip.dispatch import run_time_keeper
 from lycheeslip.dispatch.board import Board, Leadership
@@ -34,6 +34,7 @@
 
 
 @settings(max_examples=100, deadline=None)
+@example([(1.0, 594_257_683.0), (2_592_000_000.0, 1.0)], 1.0)  # a ratio beyond all run times
 @given(st.lists(st.tuples(MS, MS), min_size=1, max_size=40), MS)
 def test_record_gives_the_same_estimates_as_what_it_was_written_from(samples, declared_ms):
     history = history_of(samples)
