--- a/review/common-3/deployment.py
+++ b/review/common-3/deployment.py
@@ -153,11 +153,11 @@
         workers = [machine.process for machine in self.machines if machine.process]
         return [*self.processes.values(), *workers]
 
-    def configure(self, version: int = 1) -> None:
-        """Write the configuration as the operator."""
+    def configure(self, version: int = 1, suffix: str = "") -> None:
+        """Write the configuration as the operator; the routes' names end with `suffix`."""
         routes = [
             {
-                "name": f"q-{priority}",
+                "name": f"q-{priority}{suffix}",
                 "host": HOST,
                 "prefix": prefix,
                 "service": SERVICE,
@@ -176,7 +176,8 @@
             "limits": {"max_body_bytes": 262_144},
         }
         self.store.put("op/config", msgspec.json.encode(document))
-        self.record.write(f"operator: configuration {version}")
+        names = [route["name"] for route in routes]
+        self.record.write(f"operator: configuration {version}, routes {names}")
 
     def _settings(self, name: str, machine_class: str, ip: str, zone: str, listen: str) -> str:
         lines = [
@@ -299,6 +300,17 @@
         self.record.write(f"TROUBLE worker {machine.worker_id} falls silent for good")
         machine.process.send_signal(signal.SIGSTOP)
 
+    def turn_unhealthy(self, machine: WorkerMachine) -> None:
+        """Let a worker answer all calls with 503 for some seconds; it sends its check-ins."""
+        assert machine.process is not None
+        self.record.write(f"TROUBLE worker {machine.worker_id} fails all calls")
+        machine.process.send_signal(signal.SIGUSR1)
+
+    async def pending(self, priority: int, entry: int = 0) -> int | None:
+        """Return how many jobs of a queue have not begun, as an entry says; None without that."""
+        status, answer = await self.ask("GET", priority, "", None, entry)
+        return answer["pending"] if status == 200 else None
+
     async def ask(
         self, method: str, priority: int, job_id: str, body: Any = None, entry: int = 0
     ) -> tuple[int, Any]:
