--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,67 +1,83 @@
-"""Two workers crash, one after the other, under a task, while each worker serves a lasting task.
+"""The leader is killed as it writes to the store, and so is the next one; a job is cancelled meanwhile.
 
-Rule (RULES.md, LOST): the job must not have nothing running for 3 s while its task's turn has come,
-there is capacity for it twice over, and under half of the service's capacity is in use.
+Rule (RULES.md, UNASKED): a machine in touch must not start a task later than `cancel_ms` after the
+job's cancelling was acknowledged.
 """
 
 import asyncio
+import base64
 import time
 
-from deployment import HAS_TROUBLE, Deployment, main
+from deployment import HAS_TROUBLE, LEADER_KEY, CouldNotRunError, Deployment, main
 
-SERVING = "0f0f0f0f00000001"
-JOB = "9d3c55e2a1b04c77"
+JOB = "1c5e8f20b7d94a63"
 TASK = f"{JOB}.0.0.0"
-WORK_MS = 12_000
-CRASHES = 2
-DOWN_S = 4.5
-AT_WORK_S = 5.0
-WATCH_S = 45.0
-CONTACT_S = 3.0
-NOTHING_RUNS_S = 3.0
+RUNS_KEY = f"lycheeslip/runs/{JOB}"
+WORK_MS = 20_000
+CANCEL_S = 3.0
+RESTART_S = 1.0
+WATCH_S = 15.0
+
+
+class Killer:
+    """Kills the process that has just written a key of the store under a condition."""
+
+    def __init__(self, deployment: Deployment) -> None:
+        self.deployment = deployment
+        self.killed: list[int] = []
+        self.restarts: list[asyncio.Task[None]] = []
+        self._write = deployment.store._write
+        deployment.store._write = self.write  # type: ignore[method-assign]
+
+    def write(self, key: str, value: str, lease: int) -> None:
+        """Write a key, and kill the leader whose write that was, twice in all."""
+        self._write(key, value, lease)
+        leader = self.deployment.leader()
+        # a record that places the task names the node of a worker
+        is_start = key == RUNS_KEY and b"side-" in base64.b64decode(value)
+        is_first = not self.killed and is_start
+        is_second = len(self.killed) == 1 and key == LEADER_KEY
+        if leader is not None and (is_first or is_second):
+            self.killed.append(leader)
+            self.deployment.kill_entry(leader, f"as it has written {key}")
+            restart = self.deployment.restart_entry(leader, RESTART_S)
+            self.restarts.append(asyncio.create_task(restart))
 
 
 async def play(deployment: Deployment) -> str:
     """Return how the rule was broken, "" if it held."""
-    count = len(deployment.machines)
-    serving = {f"{SERVING}.0.0.{index}" for index in range(count)}
-    await deployment.submit(
-        1, SERVING, "serve", count=count, gpu=1, long_running=True, anti_affinity=1
-    )
-    await deployment.until("all serve", lambda: serving <= deployment.running().keys(), 20)
-    await deployment.submit(2, JOB, str(WORK_MS), count=1, gpu=1, estimate_ms=WORK_MS)
-    background = []
-    for _ in range(CRASHES):
-        await deployment.until("the task runs", lambda: TASK in deployment.running(), 20)
-        await asyncio.sleep(AT_WORK_S)
-        if HAS_TROUBLE:
-            number = deployment.running()[TASK][0]
-            crash = deployment.crash_worker(deployment.machines[number], DOWN_S)
-            background.append(asyncio.create_task(crash))
-            await asyncio.sleep(0.5)
-    await asyncio.gather(*background)
-    await deployment.until("all serve again", lambda: serving <= deployment.running().keys(), 25)
-    calm_at = time.monotonic() + CONTACT_S
-    starts_before = _starts(deployment)
-    until = time.monotonic() + WATCH_S
-    state, entry = "", 0
-    while time.monotonic() < until:
-        entry += 1
-        state = await deployment.state(2, JOB, entry)
-        if state == "completed" or TASK in deployment.running():
-            return ""
-        await asyncio.sleep(2.0)
-    if _starts(deployment) > starts_before:
+    killer = Killer(deployment) if HAS_TROUBLE else None
+    leader = deployment.leader()
+    if leader is None:
+        raise CouldNotRunError("there is no leader")
+    entries = [number for number in range(len(deployment.entry_ips)) if number != leader]
+    body = {
+        "spec": str(WORK_MS),
+        "steps": [{"count": 1, "cpu": 1_000, "mem_mb": 256, "gpu": 1, "estimate_ms": WORK_MS}],
+    }
+    status, _ = await deployment.ask("POST", 1, JOB, body, entries[0])
+    if status != 200:
+        raise CouldNotRunError(f"the job was answered with {status}")
+    if killer is not None:
+        await deployment.until("the leader is killed", lambda: bool(killer.killed), 5)
+    status, _ = await deployment.ask("DELETE", 1, JOB, None, entries[1])
+    if status != 200:
+        raise CouldNotRunError(f"the cancelling was answered with {status}")
+    acknowledged_at = time.time()
+    await asyncio.sleep(WATCH_S)
+    if killer is not None:
+        if len(killer.killed) < 2:
+            raise CouldNotRunError("no second leader was killed")
+        await asyncio.gather(*killer.restarts)
+    late = [
+        event["at"] - acknowledged_at
+        for event in deployment.starts
+        if event["event"] == "started" and event["task"] == TASK
+    ]
+    broken = [after_s for after_s in late if after_s > CANCEL_S]
+    if not broken:
         return ""
-    idle_s = time.monotonic() - calm_at - NOTHING_RUNS_S
-    return (
-        f"the job is shown as {state!r} and has nothing running, {idle_s:.0f} s longer than the "
-        f"rule allows; {count} of {8 * count} accelerators are in use"
-    )
-
-
-def _starts(deployment: Deployment) -> int:
-    return sum(e["event"] == "started" and e.get("task") == TASK for e in deployment.starts)
+    return f"the task was started {broken[0]:.1f} s after the cancelling was acknowledged"
 
 
 if __name__ == "__main__":
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,47 +1,56 @@
-"""A version replaces a route by one of another name with the same host, prefix and service.
+"""A worker fails all calls for some seconds; the other workers are full, so that jobs wait.
 
-Rule (RULES.md, UNASKED): a task must not run on `stop_timeout_ms` after `cancel_ms` after the job's
-cancelling was acknowledged, or had waited `ack_ms` of steady state for its confirmation.
+Rule (RULES.md, MIXED): a machine in touch must not give as `pending` under half of the jobs without
+times that were accepted over `visible_ms` + 2 s before and haven't begun.
 """
 
 import asyncio
 import time
 
-from deployment import HAS_TROUBLE, Deployment, main
+from deployment import HAS_TROUBLE, CouldNotRunError, Deployment, main
 
-JOB = "e4d1c2b3a4958677"
-TASK = f"{JOB}.0.0.0"
-WORK_MS = 45_000
-CONFIG_APPLY_S = 2.0
-ACK_S, CANCEL_S, STOP_S = 4.0, 3.0, 0.2
+SERVING = "0f0f0f0f00000002"
+JOBS = [f"6b1d9e0a4c7f{number:04x}" for number in range(4)]
+VISIBLE_S = 3.0 + 2.0  # visible_ms and 2 s
+UNHEALTHY_S = 6.5
+WORK_MS = 3_000
 
 
 async def play(deployment: Deployment) -> str:
     """Return how the rule was broken, "" if it held."""
-    await deployment.submit(1, JOB, str(WORK_MS), count=1, gpu=1, estimate_ms=WORK_MS)
-    await deployment.until("the task runs", lambda: TASK in deployment.running(), 20)
-    await asyncio.sleep(2.0)
+    count = len(deployment.machines) - 1
+    serving = {f"{SERVING}.0.0.{index}" for index in range(count)}
+    await deployment.submit(1, SERVING, "serve", count=count, gpu=8, long_running=True)
+    await deployment.until("all but one serve", lambda: serving <= deployment.running().keys(), 20)
+    full = {machine for machine, _ in deployment.running().values()}
+    idle = next(m for m in deployment.machines if m.number not in full)
+    await asyncio.sleep(4.0)
     if HAS_TROUBLE:
-        deployment.configure(2, "-new")
-    await asyncio.sleep(CONFIG_APPLY_S + 1.0)
-    before = await deployment.state(1, JOB)
-    asked_at = time.monotonic()
-    statuses = []
-    for entry in range(len(deployment.entry_ips)):
-        status, _ = await deployment.ask("DELETE", 1, JOB, None, entry)
-        statuses.append(status)
-        if 200 <= status < 300:
-            break
-    await asyncio.sleep(max(0.0, asked_at + ACK_S + CANCEL_S + STOP_S + 1.0 - time.monotonic()))
-    if TASK not in deployment.running():
+        deployment.turn_unhealthy(idle)
+        await asyncio.sleep(0.1)
+    troubled_at = time.monotonic()
+    for job in JOBS:
+        await deployment.submit(2, job, str(WORK_MS), count=1, gpu=1, estimate_ms=WORK_MS)
+    accepted_at = time.monotonic()
+    await asyncio.sleep(VISIBLE_S + 0.2)
+    shown = [await deployment.pending(2, entry) for entry in range(len(deployment.entry_ips))]
+    waiting = len(JOBS) - _begun(deployment)
+    if HAS_TROUBLE and (waiting < len(JOBS) or time.monotonic() - troubled_at > UNHEALTHY_S):
+        raise CouldNotRunError(f"{waiting} jobs haven't begun, too late")
+    age_s = time.monotonic() - accepted_at
+    wrong = [number for number in shown if number is not None and 2 * number < waiting]
+    if not wrong:
         return ""
-    after = await deployment.state(1, JOB)
-    late_s = time.monotonic() - asked_at - ACK_S - CANCEL_S - STOP_S
     return (
-        f"the job was shown as {before!r}, its cancelling was answered with {statuses}, and "
-        f"{late_s:.1f} s after the rule's limit its task still runs; it is shown as {after!r}"
+        f"{waiting} jobs have not begun {age_s:.1f} s after they were accepted, and the entries "
+        f"give {shown} as pending"
     )
 
 
+def _begun(deployment: Deployment) -> int:
+    started = {e["task"][:16] for e in deployment.starts if e["event"] == "started"}
+    return sum(job in started for job in JOBS)
+
+
 if __name__ == "__main__":
-    main(__file__, play)
+    main(__file__, play, workers=12)
--- a/review/common-3/deployment.py
+++ b/review/common-3/deployment.py
@@ -22,11 +22,13 @@
 
 import aiohttp
 import msgspec
+from lycheeslip_common.workload.leader import decode_leader
 from lycheeslip_standins.platform.store import PlatformStoreServer
 
 ROOT = Path(__file__).resolve().parents[2]
 HERE = Path(__file__).resolve().parent
 ZONES = ("salt-lake", "howrah", "new-town", "durgapur")
+LEADER_KEY = "lycheeslip/leader"
 SERVICE, HOST, KEY = "close-runner", "jobs.example", "key-of-tenant-a"
 PREFIX_BY_PRIORITY = {0: "/urgent/", 1: "/normal/", 2: "/bulk/"}
 READY_S = 25.0
@@ -294,6 +296,24 @@
         await asyncio.sleep(down_s)
         await self.start_worker(machine)
 
+    def leader(self) -> int | None:
+        """Return the number of the entry that the store names as the leader."""
+        named = decode_leader(self.store.value(LEADER_KEY) or b"")
+        links = [f"{ip}:8526" for ip in self.entry_ips]
+        return links.index(named[1]) if named and named[1] in links else None
+
+    def kill_entry(self, number: int, why: str) -> None:
+        """Kill an entry at once; `restart_entry` starts it again."""
+        self.record.write(f"TROUBLE edge-{number} is killed, {why}")
+        self.processes[f"edge-{number}"].kill()
+
+    async def restart_entry(self, number: int, after_s: float) -> None:
+        """Start an entry that was killed again, as the platform does."""
+        await self.processes[f"edge-{number}"].wait()
+        await asyncio.sleep(after_s)
+        self.record.write(f"edge-{number} is started again")
+        await self.start_entry(number)
+
     def silence_worker(self, machine: WorkerMachine) -> None:
         """Stop a worker's process: it doesn't answer any more."""
         assert machine.process is not None
