--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,4 +1,4 @@
-"""The leader is killed as it writes to the store, and so is the next one; a job is cancelled meanwhile.
+"""Two leaders are killed, each as it writes to the store, and a job is cancelled meanwhile.
 
 Rule (RULES.md, UNASKED): a machine in touch must not start a task later than `cancel_ms` after the
 job's cancelling was acknowledged.
--- a/review/common-3/deployment.py
+++ b/review/common-3/deployment.py
@@ -10,6 +10,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import sys
@@ -150,6 +151,7 @@
             reader.cancel()
         await self.session.close()
         await self.store.stop()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
     def _all_processes(self) -> list[asyncio.subprocess.Process]:
         workers = [machine.process for machine in self.machines if machine.process]
@@ -235,9 +237,7 @@
     async def start_entry(self, number: int) -> None:
         """Start an entry with the command of the deploy file."""
         ip = self.entry_ips[number]
-        listen = (
-            f'frontend = "{ip}:8521"\nreadiness = "{ip}:8523"\ncontrol_plane = "{ip}:8526"'
-        )
+        listen = f'frontend = "{ip}:8521"\nreadiness = "{ip}:8523"\ncontrol_plane = "{ip}:8526"'
         zone = ZONES[number % len(ZONES)]
         name = f"edge-{number}"
         await self._start_process(name, "entry", self._settings(name, "edge", ip, zone, listen))
@@ -336,6 +336,8 @@
     ) -> tuple[int, Any]:
         """Send one request as a client; return the status (0: no answer) and the body."""
         path = PREFIX_BY_PRIORITY[priority] + job_id
+        number = entry % len(self.entry_ips)
+        call = f"client: {method} {path} at edge-{number}"
         headers = {
             "Host": HOST,
             "Authorization": f"Bearer {KEY}",
@@ -343,7 +345,7 @@
             "Content-Type": "application/json",
         }
         content = None if body is None else msgspec.json.encode(body)
-        url = f"http://{self.entry_ips[entry % len(self.entry_ips)]}:8521{path}"
+        url = f"http://{self.entry_ips[number]}:8521{path}"
         timeout = aiohttp.ClientTimeout(total=3.0)
         try:
             async with self.session.request(
@@ -352,10 +354,10 @@
                 text = await response.read()
                 status = response.status
         except (aiohttp.ClientError, TimeoutError) as error:
-            self.record.write(f"client: {method} {path} at edge-{entry % len(self.entry_ips)}: {error!r}")
+            self.record.write(f"{call}: {error!r}")
             return 0, None
         answer = msgspec.json.decode(text) if text else None
-        self.record.write(f"client: {method} {path} at edge-{entry % len(self.entry_ips)}: {status} {answer}")
+        self.record.write(f"{call}: {status} {answer}")
         return status, answer
 
     async def submit(self, priority: int, job_id: str, spec: str, **step: Any) -> None:
@@ -415,6 +417,9 @@
 async def _play(folder: Path, case: Callable[[Deployment], Awaitable[str]], **size: int) -> int:
     record = Record(folder)
     record.write(f"case {folder.name}, TROUBLE={int(HAS_TROUBLE)}")
+    this = asyncio.current_task()
+    assert this is not None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, this.cancel)
     try:
         async with asyncio.timeout(LIMIT_S), Deployment(record, **size) as deployment:
             await deployment.until_served()
