--- a/review/common-3/deployment.py
+++ b/review/common-3/deployment.py
@@ -113,8 +113,11 @@
 class Deployment:
     """Entries, agents, workers and the store; an asynchronous context manager."""
 
-    def __init__(self, record: Record, entries: int = 3, workers: int = 8) -> None:
+    def __init__(
+        self, record: Record, entries: int = 3, workers: int = 8, gpu: int = 8, guaranteed: int = 4
+    ) -> None:
         self.record = record
+        self.gpu, self.guaranteed = gpu, guaranteed
         self._net = f"127.{random.randrange(20, 250)}.{random.randrange(1, 250)}"
         self.folder = Path(tempfile.mkdtemp(prefix="review-3-"))
         self.store = PlatformStoreServer()
@@ -176,12 +179,14 @@
             "version": version,
             "routes": routes,
             "services": [{"name": SERVICE, "enforces_capacity": False}],
-            "tenants": [{"name": "a", "api_keys": [KEY], "guaranteed": {"gpu": 4}}],
+            "tenants": [{"name": "a", "api_keys": [KEY], "guaranteed": {"gpu": self.guaranteed}}],
             "limits": {"max_body_bytes": 262_144},
         }
         self.store.put("op/config", msgspec.json.encode(document))
         names = [route["name"] for route in routes]
-        self.record.write(f"operator: configuration {version}, routes {names}")
+        self.record.write(
+            f"operator: configuration {version}, routes {names}, guaranteed gpu {self.guaranteed}"
+        )
 
     def _settings(self, name: str, machine_class: str, ip: str, zone: str, listen: str) -> str:
         lines = [
@@ -260,6 +265,7 @@
             "service": SERVICE,
             "zone": machine.zone,
             "rack": machine.rack,
+            "gpu": str(self.gpu),
         }
         words = [word for key, value in options.items() for word in (f"--{key}", value)]
         machine.process = await asyncio.create_subprocess_exec(
@@ -406,9 +412,9 @@
     async def until_served(self) -> None:
         """Wait until a small job on each worker has been done, so that all are known."""
         count = len(self.machines)
-        await self.submit(1, "00000000000000aa", "100", count=count, gpu=8, anti_affinity=1)
+        await self.submit(0, "00000000000000aa", "100", count=count, gpu=self.gpu, anti_affinity=1)
         until = time.monotonic() + READY_S
-        while await self.state(1, "00000000000000aa") != "completed":
+        while await self.state(0, "00000000000000aa") != "completed":
             if time.monotonic() > until:
                 raise CouldNotRunError("the deployment doesn't serve a first job")
             await asyncio.sleep(0.5)
--- a/review/common-3/worker.py
+++ b/review/common-3/worker.py
@@ -192,7 +192,7 @@
                     "slots": 8,
                     "state": "ready",
                     "cold_remaining_ms": 0,
-                    "capacity": {"cpu": 64_000, "mem_mb": 262_144, "gpu": 8},
+                    "capacity": {"cpu": 64_000, "mem_mb": 262_144, "gpu": options.gpu},
                     "labels": ["a", options.rack],
                     "clock_ms": self.clock_ms(),
                     "sequence": self.sequence,
@@ -224,6 +224,7 @@
     parser = argparse.ArgumentParser()
     for name in ("listen", "agent", "id", "service", "zone", "rack"):
         parser.add_argument(f"--{name}", required=True)
+    parser.add_argument("--gpu", type=int, default=8)
     parser.add_argument("--unhealthy_s", type=float, default=6.5)
     asyncio.run(serve(parser.parse_args()))
 
