--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Puts the stand-ins that the scripts of review/11 to review/15 start under target/review-3: the
+# Puts the stand-ins that the scripts of review/11 to review/14 start under target/review-3: the
 # project's own ones and those of review/common-3. Run it after deploy/build.sh; it needs no network.
 set -eu
 cd "$(dirname "$0")/.."
--- a/review/common-3/worker.py
+++ b/review/common-3/worker.py
@@ -1,7 +1,6 @@
 """Stand-in for one worker of the platform, as PROTOCOL.md describes it ("Running tasks").
 
-A process of its own: it may be killed, stopped and continued by signals, and is unhealthy for some
-seconds on SIGUSR1. Each task needs the milliseconds of work that its job's `spec` names; one whose
+A process of its own: it may be killed, stopped and continued by signals. Each task needs the milliseconds of work that its job's `spec` names; one whose
 spec is "serve" works until it is stopped. What happens is written to standard output, one JSON
 document a line.
 """
@@ -9,7 +8,6 @@
 import argparse
 import asyncio
 import json
-import signal
 import time
 from dataclasses import dataclass
 from typing import Any
@@ -52,17 +50,11 @@
         self.lease_until_ms = 0.0
         self.sequence = 0
         self.end_event = asyncio.Event()
-        self.unhealthy_until = 0.0
 
     def clock_ms(self) -> int:
         """Return the worker's steady clock, which starts with the worker."""
         return int((time.monotonic() - self.started_at) * 1_000) + 1
 
-    def turn_unhealthy(self) -> None:
-        """Answer all calls with 503 for `unhealthy_s`, and do nothing."""
-        self.unhealthy_until = time.monotonic() + self.options.unhealthy_s
-        self.tell("unhealthy", for_s=self.options.unhealthy_s)
-
     def tell(self, event: str, **fields: Any) -> None:
         """Write one line of what happened."""
         line = {"at": time.time(), "worker": self.options.id, "event": event, **fields}
@@ -76,8 +68,6 @@
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve one call of the agent."""
         body = msgspec.json.decode(await request.read() or b"{}")
-        if time.monotonic() < self.unhealthy_until:
-            return web.Response(status=503)
         if request.headers.get("Expected-Instance", self.options.id) != self.options.id:
             return web.Response(status=421)
         token = int(body.get("fencing_token", 0))
@@ -214,7 +204,6 @@
     await runner.setup()
     host, _, port = options.listen.rpartition(":")
     await web.TCPSite(runner, host, int(port), reuse_address=True).start()
-    asyncio.get_running_loop().add_signal_handler(signal.SIGUSR1, worker.turn_unhealthy)
     worker.tell("worker_up", born=worker.born_ms)
     await asyncio.gather(worker.advance(), worker.send_heartbeats())
 
@@ -225,7 +214,6 @@
     for name in ("listen", "agent", "id", "service", "zone", "rack"):
         parser.add_argument(f"--{name}", required=True)
     parser.add_argument("--gpu", type=int, default=8)
-    parser.add_argument("--unhealthy_s", type=float, default=6.5)
     asyncio.run(serve(parser.parse_args()))
 
 
