--- a/review/common-3/worker.py
+++ b/review/common-3/worker.py
@@ -1,8 +1,8 @@
 """Stand-in for one worker of the platform, as PROTOCOL.md describes it ("Running tasks").
 
-A process of its own: it may be killed, stopped and continued by signals. Each task needs the milliseconds of work that its job's `spec` names; one whose
-spec is "serve" works until it is stopped. What happens is written to standard output, one JSON
-document a line.
+A process of its own: it may be killed, stopped and continued by signals. Each task needs the
+milliseconds of work that its job's `spec` names; one whose spec is "serve" works until it is
+stopped. What happens is written to standard output, one JSON document a line.
 """
 
 import argparse
