Order recorded starts again only while their runs may still begin

Cause: a new leader orders recorded runs again on each new link of an agent that doesn't list them. RunStarter.resend went by the record alone, without a look at whether the job had ended, which the leader had loaded with it. Orders after the leader's own write were checked for that.

Change: may_begin says whether a recorded run may still begin, and both ways of ordering ask it. That also covers jobs that failed or were given up, runs that are being stopped, and gangs that are done or have lost a member. Repeated and withheld starts get lines of their own in the log; neither had one, so a log didn't say why the agent started the run. RunStopper ends the runs that are withheld.

--- a/packages/lycheeslip/lycheeslip/dispatch/starts.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/starts.py
@@ -1,5 +1,7 @@
 """Records the runs of placed units and then sends their start orders."""
 
+from typing import NamedTuple
+
 from lycheeslip_common.utils.clock import wall_ms
 from lycheeslip_common.utils.logs import log_event
 from lycheeslip_common.workload.fleet import Lifetime, RunTraits, StartOrder, WorkerReport
@@ -9,18 +11,31 @@
 from lycheeslip.dispatch.board import Board, StoredJob, WorkerView
 from lycheeslip.dispatch.placement_model import Unit, WorkerCapacity
 from lycheeslip.dispatch.recorder import Recorder
+from lycheeslip.dispatch.validity import find_whole_gangs, may_begin
 
 __all__ = ["RunStarter"]
 
 
+class UnsentOrder(NamedTuple):
+    """A start order that waits for the record of its run."""
+
+    node: str
+    key: TaskKey
+    order: StartOrder
+
+
 class RunStarter:
-    """Sends a start order only after the record of its run is in the store."""
+    """Sends a start order only after the record of its run is in the store.
+
+    The job may end, or the run may have to stop, between the record and the order. Nothing is
+    ordered then; `RunStopper` ends such a run.
+    """
 
     def __init__(self, board: Board, recorder: Recorder) -> None:
         """Record runs with `recorder`; send orders over the links in `board`."""
         self._board = board
         self._recorder = recorder
-        self._unsent_orders: dict[str, list[tuple[str, StartOrder]]] = {}
+        self._unsent_orders: dict[str, list[UnsentOrder]] = {}
 
     def begin_term(self) -> None:
         """Discard the unsent orders of an earlier term."""
@@ -36,7 +51,7 @@
         begin_runs(job.progress, placement, unit.is_gang, wall_ms())
         orders = self._unsent_orders.setdefault(unit.job_id, [])
         for key, worker in zip(keys, chosen, strict=True):
-            orders.append((worker.node, self._build_order(job, key)))
+            orders.append(UnsentOrder(worker.node, key, self._build_order(job, key)))
         log_event(
             "unit_placed",
             job=unit.job_id,
@@ -70,9 +85,16 @@
     def send_recorded_orders(self, job_ids: list[str]) -> None:
         """Send the orders that depend on the records of these jobs."""
         for job_id in job_ids:
-            for node, order in self._unsent_orders.pop(job_id, []):
+            orders = self._unsent_orders.pop(job_id, [])
+            job = self._board.jobs.get(job_id)
+            if job is None or not orders:
+                continue
+            whole_gangs = find_whole_gangs(job)
+            for node, key, order in orders:
                 view = self._board.workers.get(node)
-                if view is not None and view.link is not None and self._is_current(order):
+                if view is None or view.link is None:
+                    continue
+                if may_begin(job, key, order.run, whole_gangs):
                     log_event("start_ordered", task=order.task, run=order.run, node=node)
                     view.link.post(order)
                     self._send_traits(view, order)
@@ -89,24 +111,36 @@
             )
             view.link.post(traits)
 
-    def _is_current(self, order: StartOrder) -> bool:
-        found = self._board.find_task(order.task)
-        if found is None or found.task is None or found.job.progress.has_ended:
-            return False
-        return found.task.is_placed and found.task.run == order.run
-
     def resend(self, view: WorkerView, report: WorkerReport) -> None:
         """Send a newly connected agent all traits, and the recorded orders that it doesn't list."""
         agent_runs = {(run.task, run.run) for run in report.running}
         agent_runs.update((ended.task, ended.run) for ended in report.ended)
         agent_runs.update(report.orders_pending)
         for job_id, job in self._board.jobs.items():
-            unsent = {order.task for _, order in self._unsent_orders.get(job_id, [])}
+            unsent = {key for _, key, _ in self._unsent_orders.get(job_id, [])}
+            whole_gangs = find_whole_gangs(job)
             for key, task in job.progress.placed():
-                name = format_task_name(job_id, key)
-                if task.lifetime != report.lifetime or name in unsent:
+                if task.lifetime != report.lifetime or key in unsent:
                     continue
                 order = self._build_order(job, key)._replace(is_repeated=True)
+                is_listed = (order.task, order.run) in agent_runs
+                if not may_begin(job, key, order.run, whole_gangs):
+                    self._log_withheld(view, order, job, is_listed)
+                    continue
                 self._send_traits(view, order)
-                if (name, task.run) not in agent_runs and view.link is not None:
+                if not is_listed and view.link is not None:
+                    log_event("start_repeated", task=order.task, run=order.run, node=view.node)
                     view.link.post(order)
+
+    def _log_withheld(
+        self, view: WorkerView, order: StartOrder, job: StoredJob, is_listed: bool
+    ) -> None:
+        log_event(
+            "start_withheld",
+            task=order.task,
+            run=order.run,
+            node=view.node,
+            job_state=job.progress.state,
+            is_listed=is_listed,
+        )
+        self._board.counters.count("starts_withheld")
--- a/packages/lycheeslip/lycheeslip/dispatch/stops.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/stops.py
@@ -1,6 +1,5 @@
 """Stops preempted runs, runs of ended jobs, incomplete gangs and runs that no record places."""
 
-from collections import Counter
 from collections.abc import Container, Iterator
 
 from lycheeslip_common.utils.clock import steady_ms
@@ -13,6 +12,7 @@
 from lycheeslip.dispatch.losses import LossCause
 from lycheeslip.dispatch.placement_model import Preemption
 from lycheeslip.dispatch.relocation import RunningUnit
+from lycheeslip.dispatch.validity import find_whole_gangs
 
 __all__ = ["RunStopper"]
 
@@ -120,18 +120,12 @@
         """
         for job_id, job in list(self._board.jobs.items()):
             yield
-            whole_gangs = self._whole_gangs(job)
+            whole_gangs = find_whole_gangs(job)
             for key, task in job.progress.placed():
                 cause = self._obsolete_cause(job, key, task, whole_gangs)
                 if cause is not None:
                     self._stop(job_id, job, key, cause)
 
-    def _whole_gangs(self, job: StoredJob) -> set[tuple[int, int]]:
-        """Return the gangs all of whose members are placed, by occurrence and step."""
-        placed = Counter(key[:2] for key in job.progress.placed_keys)
-        steps = job.progress.spec.steps
-        return {unit for unit, count in placed.items() if count == steps[unit[1]].task_count}
-
     def _obsolete_cause(
         self,
         job: StoredJob,
--- a/packages/lycheeslip/lycheeslip/dispatch/validity.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/validity.py
@@ -1,14 +1,19 @@
-"""Checks whether a round's decisions still hold, since the board changes while it is paused."""
+"""Checks whether decisions still hold, since the board changes while a round is paused.
 
-from collections.abc import Sequence
+Recorded starts are checked as well: they may have been decided by an earlier leader.
+"""
+
+from collections import Counter
+from collections.abc import Container, Sequence
 
 from lycheeslip_common.utils.clock import steady_ms
 from lycheeslip_common.workload.jobs import Demand
+from lycheeslip_common.workload.progress import TaskKey
 
-from lycheeslip.dispatch.board import Board
+from lycheeslip.dispatch.board import Board, StoredJob
 from lycheeslip.dispatch.placement_model import Preemption, Unit, WorkerCapacity
 
-__all__ = ["may_preempt", "may_start"]
+__all__ = ["find_whole_gangs", "may_begin", "may_preempt", "may_start"]
 
 
 def may_start(board: Board, unit: Unit, chosen: Sequence[WorkerCapacity]) -> bool:
@@ -45,3 +50,25 @@
     waiting = board.jobs.get(unit.job_id)
     is_waiting = waiting is not None and not waiting.progress.has_ended
     return is_waiting and found.task.run == placed_run.run
+
+
+def find_whole_gangs(job: StoredJob) -> set[tuple[int, int]]:
+    """Return the gangs all of whose members are placed, by occurrence and step."""
+    placed = Counter(key[:2] for key in job.progress.placed_keys)
+    steps = job.progress.spec.steps
+    return {unit for unit, count in placed.items() if count == steps[unit[1]].task_count}
+
+
+def may_begin(
+    job: StoredJob, key: TaskKey, run: int, whole_gangs: Container[tuple[int, int]]
+) -> bool:
+    """Return whether a recorded run may begin, rather than having ended or having to stop.
+
+    `whole_gangs` are those of the job.
+    """
+    task = job.progress.tasks.get(key)
+    if task is None or not task.is_placed or task.run != run:
+        return False
+    if job.progress.has_ended or task.is_done or (job.task_name(key), run) in job.stopping:
+        return False
+    return not job.progress.spec.steps[key[1]].gang or key[:2] in whole_gangs
