Count a stop as sent only for the link that took it

What callers saw: a run of a cancelled job goes on for up to a second longer after an election.

Cause: a leader repeats a stop after 1 s, counted from the moment at which it decided on the stop. In the first round after an election the agents haven't connected, so that nothing was sent, and the stop waited for its repetition. The same holds for a stop that is lost as its link ends.

Change: RunStopper notes the link that took a stop and when it is due again. On another link, or with none yet, the next round sends it.

--- a/packages/lycheeslip/lycheeslip/dispatch/stops.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/stops.py
@@ -1,11 +1,13 @@
 """Stops preempted runs, runs of ended jobs, incomplete gangs and runs that no record places."""
 
 from collections.abc import Container, Iterator
+from typing import NamedTuple
 
 from lycheeslip_common.utils.clock import steady_ms
 from lycheeslip_common.utils.logs import log_event
 from lycheeslip_common.workload.fleet import Lifetime, StopOrder, WorkerReport
 from lycheeslip_common.workload.jobs import demand_of, format_task_name
+from lycheeslip_common.workload.link import Link
 from lycheeslip_common.workload.progress import TaskKey, TaskProgress, unit_members
 
 from lycheeslip.dispatch.board import Board, FoundTask, StoredJob, WorkerView
@@ -22,23 +24,30 @@
 STOP_RETRY_MS = 1_000  # a stop order without effect is resent after this
 
 
+class SentStop(NamedTuple):
+    """A stop order that was sent over `link`; it is lost if the link ends."""
+
+    link: Link
+    repeat_at_ms: int
+
+
 class RunStopper:
     """Sends stop orders, without waiting for a record, and resends them until they take effect."""
 
     def __init__(self, board: Board) -> None:
         """Send orders over the links in `board`."""
         self._board = board
-        self._sent_at_ms_by_run: dict[tuple[str, int], int] = {}
+        self._sent_stop_by_run: dict[tuple[str, int], SentStop] = {}
         self._done_since_ms_by_run: dict[tuple[str, int], int] = {}
 
     def begin_term(self) -> None:
         """Discard the times of an earlier term."""
-        self._sent_at_ms_by_run.clear()
+        self._sent_stop_by_run.clear()
         self._done_since_ms_by_run.clear()
 
     def forget(self, task: str, run: int) -> None:
         """Discard the times of a run that has ended."""
-        self._sent_at_ms_by_run.pop((task, run), None)
+        self._sent_stop_by_run.pop((task, run), None)
         self._done_since_ms_by_run.pop((task, run), None)
 
     def preempt(self, preemption: Preemption) -> None:
@@ -99,19 +108,26 @@
             return
         name = format_task_name(job_id, key)
         cause = job.stopping.setdefault((name, task.run), cause)
-        sent_at = self._sent_at_ms_by_run.get((name, task.run), 0)
-        if steady_ms() - sent_at < STOP_RETRY_MS:
+        view = self._board.workers.get(task.node)
+        sent = self._sent_stop_by_run.get((name, task.run))
+        if view is None or view.link is None:
             return
-        self._sent_at_ms_by_run[(name, task.run)] = steady_ms()
-        self._send_stop(task.node, task.lifetime, name, task.run, cause)
-
-    def _send_stop(self, node: str, lifetime: Lifetime, task: str, run: int, cause: str) -> None:
-        view = self._board.workers.get(node)
+        if sent is not None and sent.link is view.link and steady_ms() < sent.repeat_at_ms:
+            return
+        if self._send_stop(view, task.lifetime, name, task.run, cause):
+            repeat_at_ms = steady_ms() + STOP_RETRY_MS
+            self._sent_stop_by_run[(name, task.run)] = SentStop(view.link, repeat_at_ms)
+
+    def _send_stop(
+        self, view: WorkerView, lifetime: Lifetime, task: str, run: int, cause: str
+    ) -> bool:
+        """Send a stop order if its agent is connected and this leader's lease holds."""
         term = self._board.leadership
-        if view is None or view.link is None or term is None or not self._board.holds_lease:
-            return  # repeated after `STOP_RETRY_MS` by whoever leads then
-        log_event("stop_ordered", task=task, run=run, node=node, epoch=term.epoch, cause=cause)
+        if view.link is None or term is None or not self._board.holds_lease:
+            return False
+        log_event("stop_ordered", task=task, run=run, node=view.node, epoch=term.epoch, cause=cause)
         view.link.post(StopOrder(term.epoch, lifetime, task, run))
+        return True
 
     def stop_obsolete(self) -> Iterator[None]:
         """Stop runs of ended jobs and of incomplete gangs, and repeat pending stops.
@@ -187,4 +203,4 @@
             task = found.task if found else None
             if task is not None and task.is_placed and task.run == run.run:
                 continue
-            self._send_stop(view.node, report.lifetime, run.task, run.run, SUPERSEDED)
+            self._send_stop(view, report.lifetime, run.task, run.run, SUPERSEDED)
