Find the queue of an accepted job by its URL once its name is gone

What callers saw: after a version that replaces a queue by one of another name at the same URL, the jobs of before are no longer counted as pending, are planned as if they had no latency objective, and their steps are started without the ticket that the queue needs, which workers refuse.

Cause: a job's record keeps the name that its queue had at acceptance, and each place that needs the queue looked for that name in the configuration in force. A queue that isn't found was taken for removed.

Change: records keep the URL of the queue, too, and Board.queue_of finds the queue by its name, or else by that URL. The service is still that of the acceptance unless the queue has kept its name, since no configuration has sent the job anywhere else.

--- a/packages/lycheeslip/lycheeslip/dispatch/advice.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/advice.py
@@ -114,7 +114,7 @@
         if job is None or job.progress.has_ended or self._board.config is None:
             self._board.advice.pop(step, None)
             return None
-        queue = self._board.config.queue_named(job.progress.spec.queue)
+        queue = self._board.queue_of(job.progress.spec)
         return queue.advice if queue else None
 
     def _store_decision(
--- a/packages/lycheeslip/lycheeslip/dispatch/board.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/board.py
@@ -10,15 +10,16 @@
 from lycheeslip_common.utils.clock import steady_ms
 from lycheeslip_common.utils.counters import Counters
 from lycheeslip_common.workload.fleet import Lifetime, WorkerReport
-from lycheeslip_common.workload.jobs import format_task_name, parse_task_name
+from lycheeslip_common.workload.jobs import JobSpec, format_task_name, parse_task_name
 from lycheeslip_common.workload.link import Link
-from lycheeslip_common.workload.operator import OperatorConfig
+from lycheeslip_common.workload.operator import OperatorConfig, Queue
 from lycheeslip_common.workload.progress import JobProgress, JobState, TaskKey, TaskProgress
 from lycheeslip_common.workload.times import DispatchTimes
 
 from lycheeslip.dispatch.calls import Shown
 from lycheeslip.dispatch.departures import Departures
 from lycheeslip.dispatch.entry_directory import EntryDirectory
+from lycheeslip.dispatch.job_queues import JobQueues
 from lycheeslip.dispatch.losses import LossCause
 from lycheeslip.dispatch.placement_model import StepKey
 from lycheeslip.dispatch.run_time_history import History, StepSample
@@ -187,6 +188,7 @@
         self.config: OperatorConfig | None = None
         self.evacuated_zones: set[str] = set()
         self.config_item: KeyValue | None = None
+        self._job_queues = JobQueues(None)
         self.confirmed_at_ms = 0
         self.store_answered_at_ms = 0
         self.is_store_lost = False
@@ -214,6 +216,17 @@
             return None
         return FoundTask(name.job_id, job, name.key)
 
+    def queue_of(self, spec: JobSpec) -> Queue | None:
+        """Return the queue that an accepted job belongs to now, None if that was removed."""
+        if self._job_queues.config is not self.config:
+            self._job_queues = JobQueues(self.config)
+        return self._job_queues.queue_of(spec)
+
+    def service_of(self, spec: JobSpec) -> str:
+        """Return the service that runs a job: its queue's last one if that was removed."""
+        queue = self.queue_of(spec)
+        return queue.service if queue is not None and queue.name == spec.queue else spec.service
+
     def remaining_run_times(self) -> dict[tuple[str, int], float]:
         """Return the time in ms until each run is done that is measured, by task and run."""
         now_ms = steady_ms()
--- a/packages/lycheeslip/lycheeslip/dispatch/links.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/links.py
@@ -29,6 +29,7 @@
     Redirect,
     WorkerReport,
 )
+from lycheeslip_common.workload.jobs import JobSpec
 from lycheeslip_common.workload.link import PEER_ROLE, Link, LinkClosedError, dial
 from lycheeslip_common.workload.progress import JobState
 
@@ -42,13 +43,22 @@
 
 
 def pending_jobs(board: Board, queue: str) -> int:
-    """Return the number of accepted jobs of `queue` that have not started a task."""
+    """Return the number of accepted jobs of `queue` that have not started a task.
+
+    A job counts for its present queue and for the one that this has replaced: the entry that asks
+    may have an older configuration.
+    """
     return sum(
-        job.progress.spec.queue == queue and job.progress.state == JobState.QUEUED
+        job.progress.state == JobState.QUEUED and queue in _queue_names(board, job.progress.spec)
         for job in board.jobs.values()
     )
 
 
+def _queue_names(board: Board, spec: JobSpec) -> tuple[str, ...]:
+    queue = board.queue_of(spec)
+    return (spec.queue,) if queue is None else (spec.queue, queue.name)
+
+
 async def ask_for_leader(address: str, node: str, timeout_s: float) -> Redirect | None:
     """Return the leader that the entry at `address` follows, None if it names none in time."""
     try:
--- a/packages/lycheeslip/lycheeslip/dispatch/local_intake.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/local_intake.py
@@ -151,6 +151,8 @@
             submission.first_due_ms,
             submission.interval_ms,
             submission.occurrences,
+            queue.host,
+            queue.prefix,
         )
 
     def _is_stored(self, job_id: str, items: tuple[KeyValue, ...]) -> bool:
--- a/packages/lycheeslip/lycheeslip/dispatch/objective.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/objective.py
@@ -69,7 +69,6 @@
     def __init__(self, board: Board) -> None:
         """Use the configuration, the workers and the run times that `board` holds now."""
         self._board = board
-        self._queues = {queue.name: queue for queue in board.config.queues} if board.config else {}
         # with only some of the workers known, every step would seem wide
         self._capacity_by_service = _capacity_by_service(board) if board.is_view_complete else {}
         self._times_by_step: dict[StepKey, StepTimes] = {}
@@ -84,12 +83,12 @@
 
     def _step_times(self, job: StoredJob, occurrence: int, step: int) -> StepTimes:
         spec = job.progress.spec
-        queue = self._queues.get(spec.queue)
+        queue = self._board.queue_of(spec)
         objective_ms, all_run_ms, tails_ms = self._job_times(job, queue)
         run_ms = all_run_ms[step]
         if queue is None or spec.steps[step].long_running:
             return StepTimes(run_ms, 0.0, 0.0, 0.0)
-        capacity = self._capacity_by_service.get(queue.service)
+        capacity = self._capacity_by_service.get(self._board.service_of(spec))
         members = unit_members(job.progress, occurrence, step)
         unfinished = sum(not job.progress.tasks[key].is_done for key in members)
         waves = math.ceil(_waves(spec.steps[step], unfinished, capacity))
@@ -107,7 +106,8 @@
         if known is not None:
             return known
         run_ms = [expected_run_ms(self._board, job, number) for number in range(len(spec.steps))]
-        capacity = self._capacity_by_service.get(queue.service) if queue else None
+        service = self._board.service_of(spec)
+        capacity = self._capacity_by_service.get(service) if queue else None
         lengths_ms = [
             run_ms[i] * _waves(step, step.task_count, capacity) for i, step in enumerate(spec.steps)
         ]
--- a/packages/lycheeslip/lycheeslip/dispatch/waiting.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/waiting.py
@@ -158,8 +158,6 @@
     occurrence, step_number, _ = members[0]
     step = spec.steps[step_number]
     first_task = job.progress.tasks[members[0]]
-    queue = board.config.queue_named(spec.queue) if board.config else None
-    service = queue.service if queue else spec.service  # a removed queue keeps its last service
     since_ms = waiting_since_ms(job, occurrence)
     unit = Unit(
         job_id=job_id,
@@ -167,7 +165,7 @@
         step=step_number,
         indexes=tuple(key[2] for key in members),
         account=spec.account,
-        service=service,
+        service=board.service_of(spec),
         priority=spec.priority,
         waiting_since_ms=since_ms,
         demand=demand_of(step),
@@ -185,7 +183,7 @@
         is_late=wall_ms() > since_ms + times.slack_ms,
         is_costly_to_stop=is_costly_to_stop(spec, step),
         saves_progress=step.checkpointing,
-        advice=_advice(board, queue, (job_id, occurrence, step_number)),
+        advice=_advice(board, board.queue_of(spec), (job_id, occurrence, step_number)),
         is_isolated=must_start_isolated(job.progress, members[0], wall_ms()),
         is_last_attempt=0 < first_task.failures >= spec.attempts - 1,
         prefers_fast=0 <= since_ms + times.slack_ms - wall_ms() < times.run_ms * SPEED_MARGIN,
--- a/packages/lycheeslip_common/lycheeslip_common/workload/jobs.py
+++ b/packages/lycheeslip_common/lycheeslip_common/workload/jobs.py
@@ -56,7 +56,11 @@
 
 
 class JobSpec(NamedTuple):
-    """A job as it was accepted; `accepted_at_ms` and `first_due_ms` are Unix milliseconds."""
+    """A job as it was accepted; `accepted_at_ms` and `first_due_ms` are Unix milliseconds.
+
+    `queue`, `host` and `prefix` are the name and the URL that its queue had then; records of
+    earlier versions have no URL.
+    """
 
     job_id: str
     queue: str
@@ -70,6 +74,8 @@
     first_due_ms: int = 0
     interval_ms: int = 0
     occurrences: int = 0
+    host: str = ""
+    prefix: str = ""
 
     def occurrence_count(self) -> int:
         """Return how many times the steps run: at least once."""
--- a/packages/lycheeslip_common/lycheeslip_common/workload/operator.py
+++ b/packages/lycheeslip_common/lycheeslip_common/workload/operator.py
@@ -77,10 +77,6 @@
         ]
         return max(matching, key=lambda queue: len(queue.prefix), default=None)
 
-    def queue_named(self, name: str) -> Queue | None:
-        """Return the queue with this name, or None."""
-        return next((queue for queue in self.queues if queue.name == name), None)
-
     def account_of(self, key: str) -> Account | None:
         """Return the client account to which the API key belongs, or None."""
         return next((account for account in self.accounts if key in account.keys), None)
--- a/tests/harness/platform_cell.py
+++ b/tests/harness/platform_cell.py
@@ -156,6 +156,9 @@
         self.store = PlatformStoreServer()
         self.advice = PlatformAdviceServer()
         self.advised_priorities: set[int] = set()
+        self.public_priorities: set[int] = set()
+        self.prefix_by_priority = dict(PREFIXES)
+        self.queue_name_suffix = ""
         self.entries: list[EntryProcess] = []
         self.agents: list[AgentProcess] = []
         self.version = 0
@@ -204,7 +207,7 @@
         self.version += 1
         routes = [
             {
-                "name": f"q-{priority}",
+                "name": f"q-{priority}{self.queue_name_suffix}",
                 "host": HOST,
                 "prefix": prefix,
                 "service": "service",
@@ -212,8 +215,9 @@
                 "attempts": 3,
                 "stretch": 3.0,
                 "target_latency_ms": 250,
+                "public": priority in self.public_priorities,
             }
-            for priority, prefix in PREFIXES.items()
+            for priority, prefix in self.prefix_by_priority.items()
         ]
         for priority in self.advised_priorities:
             routes[priority]["advice"] = {"decision_ms": 20, "per_worker_ms": 1}
