Find jobs by their id, whatever queue the call's path selects

Cause: LocalIntake took a job for missing unless the name of its queue at acceptance was that of the queue which the path selects now. The leader's answers to state queries had no such comparison.

Change: the comparison is gone. An id names one job in the whole store, and a second submission of it under another queue is that job already. What the comparison did guard is kept by a check of its own: a call without a key, through a public queue, cancels only jobs that were submitted without one or to a public queue. States could be read by id alone before, with a leader, and still can.

In replaced_queues_tests.py the tests of cancelling, of states without a leader and of a new prefix fail before and pass after, for a new name and for exchanged ones; the one of calls without a key passes before, too.

--- a/packages/lycheeslip/lycheeslip/dispatch/local_intake.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/local_intake.py
@@ -53,16 +53,19 @@
 Result = TypeVar("Result")
 
 
-def _find_spec(record: ReadResult, queue: Queue) -> JobSpec | Outcome:
-    """Return the job that `record` holds, if it is one of `queue`."""
+def _find_spec(record: ReadResult) -> JobSpec | Outcome:
+    """Return the job that `record` holds.
+
+    A job is found by its id, whatever queue the call names: the queue that accepted it may have
+    another name or URL since.
+    """
     if not record.items:
         return Missing(is_job=True)
     try:
-        spec = decode_spec(record.items[0].value)
+        return decode_spec(record.items[0].value)
     except ValueError as error:
         log_event("record_unreadable", reason=error)
         return NotRun("record_unreadable")
-    return spec if spec.queue == queue.name else Missing(is_job=True)
 
 
 def _undecided(outcome: Unreachable) -> Outcome:
@@ -171,9 +174,11 @@
         spec_record = await self._with_deadline(call, self._store.read(spec_key(job_id)))
         if isinstance(spec_record, Unreachable):
             return NotRun("store_unavailable")
-        spec = _find_spec(spec_record, queue_or_refusal)
+        spec = _find_spec(spec_record)
         if not isinstance(spec, JobSpec):
             return spec
+        if not self._may_cancel(call, spec):
+            return Missing(is_job=True)
         outcome = await self._with_deadline(
             call,
             self._store.transact(
@@ -189,6 +194,13 @@
             case Unreachable():
                 return _undecided(outcome)
 
+    def _may_cancel(self, call: Call, spec: JobSpec) -> bool:
+        """Return whether a call may cancel a job: without a key only what any caller may submit."""
+        config = self._board.config
+        has_key = config is not None and config.account_of(call.key) is not None
+        queue = self._board.queue_of(spec)
+        return has_key or not spec.account or (queue is not None and queue.is_public)
+
     async def _state(self, call: Call, job_id: str) -> Outcome:
         """Return a job's state from the leader, or from the store if the leader returns none."""
         queue_or_refusal = await self._authorize(call)
@@ -199,13 +211,13 @@
             shown = job.shown if job is not None else None
         else:
             shown = await self._leader.job_state(job_id, LEADER_TIMEOUT_S)
-        return shown or await self._stored_state(call, job_id, queue_or_refusal)
+        return shown or await self._stored_state(call, job_id)
 
-    async def _stored_state(self, call: Call, job_id: str, queue: Queue) -> Outcome:
+    async def _stored_state(self, call: Call, job_id: str) -> Outcome:
         spec_record = await self._with_deadline(call, self._store.read(spec_key(job_id)))
         if isinstance(spec_record, Unreachable):
             return NotRun("store_unavailable")
-        spec = _find_spec(spec_record, queue)
+        spec = _find_spec(spec_record)
         if not isinstance(spec, JobSpec):
             return spec
         runs = await self._with_deadline(call, self._store.read(runs_key(job_id)))
