--- a/packages/lycheeslip/lycheeslip/dispatch/board.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/board.py
@@ -223,7 +223,10 @@
         return self._job_queues.queue_of(spec)
 
     def service_of(self, spec: JobSpec) -> str:
-        """Return the service that runs a job: its queue's last one if that was removed."""
+        """Return the service that runs a job: that of its acceptance if its queue was removed.
+
+        A queue that has replaced it may be sent to another service, which the job is not for.
+        """
         queue = self.queue_of(spec)
         return queue.service if queue is not None and queue.name == spec.queue else spec.service
 
--- a/packages/lycheeslip/lycheeslip/dispatch/job_queues.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/job_queues.py
@@ -22,5 +22,5 @@
 
     def queue_of(self, spec: JobSpec) -> Queue | None:
         """Return the queue that a job belongs to now, None if that was removed."""
-        named = self._queue_by_name.get(spec.queue)
-        return named or self._queue_by_url.get((spec.host, spec.prefix))
+        by_url = self._queue_by_url.get((spec.host, spec.prefix))
+        return self._queue_by_name.get(spec.queue, by_url)
