--- a/packages/lycheeslip_common/lycheeslip_common/utils/events.py
+++ b/packages/lycheeslip_common/lycheeslip_common/utils/events.py
@@ -317,6 +317,12 @@
     Event(
         "start_ordered", "leader", "node run task", "A run is recorded and its start order is sent."
     ),
+    Event(
+        "start_repeated",
+        "leader",
+        "node run task",
+        "A newly connected agent doesn't list a recorded run, so its start is ordered again.",
+    ),
     Event(
         "start_unanswered",
         "agent",
@@ -329,6 +335,13 @@
         "run task",
         "A start that may be on its way no longer fits, as its worker's capacity has shrunk.",
     ),
+    Event(
+        "start_withheld",
+        "leader",
+        "is_listed job_state node run task",
+        "The start of a recorded run isn't ordered again, since the run has ended or has to stop;"
+        " `is_listed` says whether the agent lists it.",
+    ),
     Event("stop_done", "agent", "outcome run task", "The worker confirmed a stop."),
     Event("stop_ordered", "leader", "cause epoch node run task", "A stop order is sent."),
     Event("store_lost", "entry", "dependency reason", "The store stopped answering."),
