Let the replay's agent report a stopped run that isn't there as absent

A run was preempted while its record was being written. Its start is no longer ordered then, and the leader goes on ordering the stop until the agent reports the run as absent, which agents do. The replay's agent ignored a stop of a run that it doesn't have, and started the run afterwards, although agents start no run after its stop. It behaves like them in both points now; no check has changed. That real agents end such a run is covered by cancelled_jobs_tests.py.

--- a/tests/harness/load_replay.py
+++ b/tests/harness/load_replay.py
@@ -19,6 +19,7 @@
     EndCause,
     EndedRun,
     Lifetime,
+    OrderResult,
     RecordedEnds,
     RunningRun,
     StartOrder,
@@ -116,6 +117,7 @@
         self.running: dict[str, int] = {}
         self.ended: list[EndedRun] = []
         self._last_number = 0
+        self._stopped: set[tuple[str, int]] = set()
 
     def join(self) -> None:
         """Start now, and become known to the leader."""
@@ -129,14 +131,25 @@
             case StartOrder():
                 self._replay.outcome.orders["start"] += 1
                 self._replay.after(ORDER_MS, lambda: self._start(message))
-            case StopOrder(_, lifetime, task, run):
+            case StopOrder(_, lifetime):
                 self._replay.outcome.orders["stop"] += 1
                 if lifetime == self.lifetime:
-                    self._replay.after(STOP_MS, lambda: self.end(task, run, EndCause.STOPPED))
+                    self._replay.after(STOP_MS, lambda: self._stop(message))
             case RecordedEnds(lifetime, number) if lifetime == self.lifetime:
                 self.ended = [end for end in self.ended if end.number > number]
 
+    def _stop(self, order: StopOrder) -> None:
+        """End a run; one that isn't there is reported as absent and may not start any more."""
+        self._stopped.add((order.task, order.run))
+        if self.running.get(order.task) == order.run:
+            self.end(order.task, order.run, EndCause.STOPPED)
+        elif order.lifetime == self.lifetime:
+            result = OrderResult(order.lifetime, order.task, order.run, "absent")
+            self._replay.dispatcher.handle_order_result(self.node, result)
+
     def _start(self, order: StartOrder) -> None:
+        if (order.task, order.run) in self._stopped:
+            return
         if order.lifetime != self.lifetime or order.task in self.running:
             return
         self.running[order.task] = order.run
