--- a/packages/lycheeslip/tests/dispatch/recorded_orders_tests.py
+++ b/packages/lycheeslip/tests/dispatch/recorded_orders_tests.py
@@ -5,7 +5,9 @@
 import pytest
 from lycheeslip.dispatch.board import Board, StoredJob
 from lycheeslip.dispatch.losses import LossCause
+from lycheeslip.dispatch.occupancy import build_worker_capacities
 from lycheeslip.dispatch.starts import RunStarter
+from lycheeslip.dispatch.waiting import build_units
 from lycheeslip_common.utils.clock import wall_ms
 from lycheeslip_common.workload.fleet import EndCause, RunTraits, StartOrder
 from lycheeslip_common.workload.progress import (
@@ -95,3 +97,18 @@
     board = leaders_board()
     end(_place(board, GANG_STEP))
     assert Starts(board).connect() == []
+
+
+@pytest.mark.parametrize(
+    ("end", "is_ordered"), [(lambda job: None, True), (_cancel, False), (_stop, False)]
+)
+def test_run_that_has_to_stop_before_its_record_is_written_is_not_ordered(end, is_ordered: bool):
+    # Guards against starts that are sent after the stop of the same run.
+    board = leaders_board()
+    job, starts = add_job(board), Starts(board)
+    workers = build_worker_capacities(board)
+    (unit,) = build_units(board, workers, {})
+    starts.run_starter.start_unit(unit, [worker for worker in workers if worker.node == NODE])
+    end(job)
+    starts.run_starter.send_recorded_orders([JOB])
+    assert len(starts.sent) == is_ordered
