Log how long a run had been at work when its worker crashed

The agent notes when each run began or was last sent, dates a crash from the first call that failed instead of the third refused connection, and reports both with the crash. The leader keeps the crashes of all workers and logs with each counted crash since_ms, has_begun and coinciding. No decision changes.

--- a/packages/lycheeslip/lycheeslip/dispatch/board.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/board.py
@@ -17,6 +17,7 @@
 from lycheeslip_common.workload.times import DispatchTimes
 
 from lycheeslip.dispatch.calls import Shown
+from lycheeslip.dispatch.crash_log import CrashLog
 from lycheeslip.dispatch.departures import Departures
 from lycheeslip.dispatch.entry_directory import EntryDirectory
 from lycheeslip.dispatch.job_queues import JobQueues
@@ -199,6 +200,7 @@
         self.leader_epoch = 0
         self.jobs: dict[str, StoredJob] = {}
         self.workers: dict[str, WorkerView] = {}
+        self.crash_log = CrashLog()
         self.history = History()
         self.lease_extended_at_ms: dict[str, int] = {}
         self.departures_by_service: dict[str, Departures] = {}
--- a/packages/lycheeslip/lycheeslip/dispatch/ends.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/ends.py
@@ -15,6 +15,7 @@
 from lycheeslip_common.workload.times import CLOCK_DRIFT
 
 from lycheeslip.dispatch.board import Board, FoundTask, StoredJob, WorkerView
+from lycheeslip.dispatch.crash_log import LoggedCrash
 from lycheeslip.dispatch.losses import loss_cause, lost_core_s
 from lycheeslip.dispatch.occupancy import FAILURE_MEMORY_MS
 from lycheeslip.dispatch.recorder import Recorder
@@ -41,6 +42,7 @@
         """Discard the ends and acknowledgements of an earlier term."""
         self._job_by_end.clear()
         self._acknowledged.clear()
+        self._board.crash_log.clear()
 
     def reset_acknowledgement(self, lifetime: Lifetime | None) -> None:
         """Allow a repeated acknowledgement; a newly connected agent may have missed the last."""
@@ -80,21 +82,29 @@
                 if task.node == node and task.lifetime and task.lifetime != report.lifetime:
                     found = FoundTask(job_id, job, key)
                     placed_by_lifetime.setdefault(task.lifetime, []).append(found)
-        crashed_at_ms = {crash.lifetime: wall_ms() - crash.ago_ms for crash in report.crashes}
+        crash_by_lifetime = {
+            crash.lifetime: self._board.crash_log.add(node, crash) for crash in report.crashes
+        }
         for lifetime, placed in placed_by_lifetime.items():
             is_alone = len({found.unit_key for found in placed}) == 1
             for found in placed:
                 run = found.job.progress.tasks[found.key].run
-                if lifetime in crashed_at_ms:
-                    self._end_crashed_run(found, run, is_alone, crashed_at_ms[lifetime])
+                if lifetime in crash_by_lifetime:
+                    self._end_crashed_run(found, run, is_alone, crash_by_lifetime[lifetime])
                 else:
                     self.end_run(*found, run, EndCause.LOST, "")
 
-    def _end_crashed_run(self, found: FoundTask, run: int, is_alone: bool, at_ms: int) -> None:
-        """End a run whose worker crashed at Unix time `at_ms`, and which may have caused that.
+    def _end_crashed_run(
+        self, found: FoundTask, run: int, is_alone: bool, crash: LoggedCrash
+    ) -> None:
+        """End a run whose worker crashed, and which may have caused that.
 
         `is_alone` says that no other work was on the worker.
         """
+        age_ms = steady_ms() - crash.at_ms
+        at_ms = wall_ms() - age_ms
+        name = format_task_name(found.job_id, found.key)
+        seen = next((seen for seen in crash.runs if (seen.task, seen.run) == (name, run)), None)
         job = found.job.progress
         had_ended = job.has_ended
         node = job.tasks[found.key].node
@@ -103,21 +113,24 @@
         counter = failure_counter(job, found.key)
         log_event(
             "crash_counted",
-            task=format_task_name(found.job_id, found.key),
+            task=name,
             run=run,
             node=node,
+            since_ms=seen.since_ms if seen else -1,
+            has_begun=seen is not None and seen.has_begun,
+            coinciding=len(self._board.crash_log.coinciding(crash, found.job_id)),
             is_alone=is_alone,
             crashes=counter.crashes,
             crashes_alone=counter.crashes_alone,
             is_suspect=counter.is_suspect,
-            age_ms=wall_ms() - at_ms,
+            age_ms=age_ms,
         )
         self._board.counters.count("crashes_counted")
         if job.has_ended and not had_ended:
             log_warning(
                 "job_given_up",
                 job=found.job_id,
-                task=format_task_name(found.job_id, found.key),
+                task=name,
                 reason=job.reason,
             )
             self._board.counters.count("jobs_given_up", job.reason)
--- a/packages/lycheeslip_agent/lycheeslip_agent/dispatch/board.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/dispatch/board.py
@@ -7,6 +7,8 @@
 from lycheeslip_common.utils.clock import steady_ms
 from lycheeslip_common.utils.counters import Counters
 from lycheeslip_common.workload.fleet import (
+    MAX_CRASHED_RUNS,
+    CrashedRun,
     EndedRun,
     Lifetime,
     Message,
@@ -20,11 +22,19 @@
 
 from lycheeslip_agent.dispatch.worker_port import WorkerStatus
 
-__all__ = ["Board", "RunForecast"]
+__all__ = ["LONG_AGO_MS", "Board", "RunForecast", "SeenCrash"]
 
+LONG_AGO_MS = -3_600_000  # begin of a run that was there before this agent first looked
 MAX_REPORTED_CRASHES = 8  # a worker takes seconds to return, and a leader that long to be elected
 
 
+class SeenCrash(NamedTuple):
+    """When a lifetime of the worker crashed, on the agent's clock, and the runs that it had."""
+
+    at_ms: int
+    runs: tuple[CrashedRun, ...]
+
+
 class RunForecast(NamedTuple):
     """When a run will be done, on the agent's clock, and the duration of the whole run."""
 
@@ -38,7 +48,8 @@
     All times are on the agent's own clock except `worker_clock_ms`, a reading of the worker's.
     `is_worker_unused` is set if the worker had never been called when this agent started, so that
     all of its earlier lifetimes are over. `has_seen_whole_lifetime` is set if no earlier process of
-    this agent can have called the present lifetime.
+    this agent can have called the present lifetime. `begun_at_ms` is when each listed run was
+    confirmed or first listed, and `start_sent_at_ms` when each unanswered start was sent last.
     """
 
     def __init__(self, node: str, times: DispatchTimes) -> None:
@@ -50,9 +61,10 @@
         self.is_worker_gone = False
         self.is_worker_unused = False
         self.has_seen_whole_lifetime = False
-        self.crashed_at_ms: dict[Lifetime, int] = {}
+        self.crash_by_lifetime: dict[Lifetime, SeenCrash] = {}
         self.has_run_lists = False
         self.running: dict[str, RunningRun] = {}
+        self.begun_at_ms: dict[tuple[str, int], int] = {}
         self.forecasts: dict[tuple[str, int], RunForecast] = {}
         self.ended: tuple[EndedRun, ...] = ()
         self.last_recorded_end = 0
@@ -62,6 +74,7 @@
         self.worker_clock_read_at_ms = 0
         self.link: Link | None = None
         self.pending_starts: dict[tuple[str, int], int] = {}
+        self.start_sent_at_ms: dict[tuple[str, int], int] = {}
         self.report_due = asyncio.Event()
         self.poll_requested = asyncio.Event()
         self.lists_updated = asyncio.Event()
@@ -129,16 +142,31 @@
         remaining_ms = max(0, forecast.done_at_ms - steady_ms())
         return run._replace(remaining_ms=remaining_ms, whole_run_ms=forecast.whole_run_ms)
 
-    def record_crash(self, lifetime: Lifetime) -> None:
-        """Record that a lifetime has just crashed; the latest `MAX_REPORTED_CRASHES` are kept."""
-        self.crashed_at_ms[lifetime] = steady_ms()
-        for oldest in list(self.crashed_at_ms)[:-MAX_REPORTED_CRASHES]:
-            del self.crashed_at_ms[oldest]
+    def record_crash(self, lifetime: Lifetime, at_ms: int) -> SeenCrash:
+        """Record that a lifetime crashed at `at_ms`; the last `MAX_REPORTED_CRASHES` are kept."""
+        runs = [
+            CrashedRun(run.task, run.run, at_ms - self._begun_at_ms(run), True)
+            for run in self.running.values()
+        ]
+        runs += [
+            CrashedRun(task, run, at_ms - sent_at_ms, False)
+            for (task, run), sent_at_ms in self.start_sent_at_ms.items()
+        ]
+        runs.sort(key=lambda run: run.since_ms)
+        crash = SeenCrash(at_ms, tuple(runs[:MAX_CRASHED_RUNS]))
+        self.crash_by_lifetime[lifetime] = crash
+        for oldest in list(self.crash_by_lifetime)[:-MAX_REPORTED_CRASHES]:
+            del self.crash_by_lifetime[oldest]
+        return crash
+
+    def _begun_at_ms(self, run: RunningRun) -> int:
+        return self.begun_at_ms.get((run.task, run.run), LONG_AGO_MS)
 
     def _crashes(self) -> tuple[WorkerCrash, ...]:
         now = steady_ms()
         return tuple(
-            WorkerCrash(lifetime, now - at_ms) for lifetime, at_ms in self.crashed_at_ms.items()
+            WorkerCrash(lifetime, now - crash.at_ms, crash.runs)
+            for lifetime, crash in self.crash_by_lifetime.items()
         )
 
     def post(self, message: Message) -> None:
--- a/packages/lycheeslip_agent/lycheeslip_agent/dispatch/lists.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/dispatch/lists.py
@@ -7,7 +7,7 @@
 from lycheeslip_common.utils.logs import log_event, log_warning
 from lycheeslip_common.workload.fleet import EndedRun, Lifetime, RunningRun
 
-from lycheeslip_agent.dispatch.board import Board
+from lycheeslip_agent.dispatch.board import LONG_AGO_MS, Board
 from lycheeslip_agent.dispatch.worker_port import (
     NoAnswer,
     NoWorker,
@@ -51,6 +51,7 @@
         self._refused_connections = 0
         self._reported_at_ms = 0
         self._answered_at_ms = 0
+        self._unanswered_since_ms = 0
         self._started_at_ms: dict[tuple[str, int], int] = {}
 
     async def handle_heartbeat(self, worker_status: WorkerStatus) -> HeartbeatOutcome:
@@ -125,8 +126,10 @@
         board.has_run_lists = False
         board.traits.clear()
         board.worker_status = worker_status
+        board.begun_at_ms.clear()
         self._started_at_ms.clear()
         self._answered_at_ms = steady_ms()
+        self._unanswered_since_ms = 0
         self._refused_connections = 0
         board.poll_requested.set()
 
@@ -145,7 +148,9 @@
     def record_run_started(self, task: str, run: int, checkpoint: str) -> None:
         """Record a start that the worker has confirmed but not listed yet."""
         self._answered_at_ms = steady_ms()
+        self._unanswered_since_ms = 0
         self._started_at_ms[(task, run)] = steady_ms()
+        self._board.begun_at_ms.setdefault((task, run), steady_ms())
         self._board.running[task] = RunningRun(task, run, checkpoint, 0)
 
     async def run(self) -> None:
@@ -173,6 +178,8 @@
         )
         if board.lifetime != lifetime:
             return
+        if not isinstance(outcome, RunLists) and not self._unanswered_since_ms:
+            self._unanswered_since_ms = steady_ms()
         match outcome:
             case RunLists(clock_ms, born_ms, running, ended):
                 if born_ms and born_ms != lifetime.born_ms:
@@ -181,6 +188,7 @@
                     return
                 self._refused_connections = 0
                 self._answered_at_ms = steady_ms()
+                self._unanswered_since_ms = 0
                 board.record_worker_clock(clock_ms)
                 self._apply_lists(polled_at_ms, running, ended)
                 if has_unrecorded:
@@ -243,7 +251,8 @@
         silence_ms = steady_ms() - self._answered_at_ms
         if silence_ms > self._worker.max_crash_silence_ms:
             return
-        board.record_crash(status.lifetime)
+        # the first call that fails tells best when, since one is nearly always under way
+        crash = board.record_crash(status.lifetime, self._unanswered_since_ms or steady_ms())
         board.counters.count("worker_crashes")
         log_warning(
             "worker_crashed",
@@ -251,6 +260,8 @@
             running=len(board.running),
             starting=len(board.pending_starts),
             silence_ms=silence_ms,
+            ago_ms=steady_ms() - crash.at_ms,
+            youngest_run_ms=crash.runs[0].since_ms if crash.runs else -1,
         )
 
     def _apply_lists(
@@ -281,6 +292,7 @@
         is_due = steady_ms() - self._reported_at_ms >= CHECKPOINT_REPORT_MS and any(
             run.checkpoint for run in running
         )
+        self._record_begins(listed)
         board.running = listed
         board.ended = ended
         board.has_run_lists = True
@@ -288,3 +300,12 @@
         if is_changed or is_due:
             self._reported_at_ms = steady_ms()
             board.report_due.set()
+
+    def _record_begins(self, listed: dict[str, RunningRun]) -> None:
+        """Record when each listed run began."""
+        board = self._board
+        first_seen_ms = steady_ms() if board.has_run_lists else LONG_AGO_MS
+        board.begun_at_ms = {
+            (task, run.run): board.begun_at_ms.get((task, run.run), first_seen_ms)
+            for task, run in listed.items()
+        }
--- a/packages/lycheeslip_agent/lycheeslip_agent/dispatch/orders.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/dispatch/orders.py
@@ -155,6 +155,7 @@
                         await asyncio.sleep(RETRY_S)
         finally:
             board.pending_starts.pop(run_key, None)
+            board.start_sent_at_ms.pop(run_key, None)
             board.report_due.set()
 
     async def _check_and_start(self, order: StartOrder) -> OrderOutcome | NotSent | CheckExpired:
@@ -174,6 +175,7 @@
                 return CheckExpired()
             board = self._board
             epoch = max(order.epoch, board.epoch)
+            board.start_sent_at_ms[(order.task, order.run)] = steady_ms()
             return await self._worker.start(order, board.lease_end_on_worker_ms(), epoch)
 
     async def _check_lifetime(self) -> tuple[Lifetime | None, OrderOutcome]:
--- a/packages/lycheeslip_agent/tests/dispatch/lists_tests.py
+++ b/packages/lycheeslip_agent/tests/dispatch/lists_tests.py
@@ -16,6 +16,7 @@
     Taken,
     WorkerStatus,
 )
+from lycheeslip_common.utils.clock import steady_ms
 from lycheeslip_common.workload.fleet import EndCause, EndedRun, Lifetime, RunningRun
 from lycheeslip_common.workload.times import DispatchTimes
 
@@ -52,7 +53,7 @@
         while not board.is_worker_gone:  # noqa: ASYNC110
             await asyncio.sleep(0.01)
     polling.cancel()
-    return list(board.crashed_at_ms)
+    return list(board.crash_by_lifetime)
 
 
 @pytest.fixture(autouse=True)
@@ -111,7 +112,7 @@
     worker.confirmation = confirmation
     assert await worker_lists.handle_heartbeat(STATUS._replace(lifetime=lifetime)) is outcome
     assert (board.lifetime, list(board.running), len(board.ended)) == (LIFETIME, ["task"], 1)
-    assert not board.crashed_at_ms
+    assert not board.crash_by_lifetime
 
 
 @pytest.mark.parametrize("lifetime", [Lifetime("i-2", 9), Lifetime("i-1", 4), Lifetime("i-1", 6)])
@@ -121,7 +122,7 @@
     status = STATUS._replace(lifetime=lifetime)
     assert await worker_lists.handle_heartbeat(status) is HeartbeatOutcome.ACCEPTED
     assert (board.lifetime, board.running, board.ended) == (lifetime, {}, ())
-    assert list(board.crashed_at_ms) == [LIFETIME]
+    assert list(board.crash_by_lifetime) == [LIFETIME]
 
 
 async def test_heartbeat_of_the_known_lifetime_needs_no_confirmation():
@@ -173,3 +174,32 @@
     assert board.worker_status.is_ready
     assert worker_lists.handle_deregistration("i-1")
     assert not board.worker_status.is_ready
+
+
+async def test_crash_is_reported_with_the_runs_that_began_last_and_with_unanswered_starts():
+    board, _, worker_lists = await working_agent()
+    worker_lists.record_run_started("younger", 3, "")
+    board.start_sent_at_ms[("unanswered", 2)] = steady_ms()
+    await worker_lists.handle_heartbeat(STATUS._replace(lifetime=Lifetime("i-2", 9)))
+    (crash,) = board.report().crashes
+    begun = {(run.task, run.run): run.has_begun for run in crash.runs}
+    assert begun == {("younger", 3): True, ("unanswered", 2): False, ("task", 1): True}
+    younger, unanswered, older = sorted(crash.runs, key=lambda run: (run.task == "task", run.run))
+    assert max(younger.since_ms, unanswered.since_ms) < 1_000 < older.since_ms
+
+
+async def test_crash_dates_from_the_first_poll_that_failed():
+    worker = PolledWorker(
+        (RunLists(1, 5, (), ()), 0.0), (NoAnswer("reset"), 0.0), (NoWorker(), 0.1)
+    )
+    board = Board("agent-1", DispatchTimes())
+    board.epoch = 1
+    worker_lists = WorkerLists(board, worker)
+    await worker_lists.handle_heartbeat(STATUS)
+    polling = asyncio.create_task(worker_lists.run())
+    async with asyncio.timeout(5):
+        while not board.is_worker_gone:  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+    polling.cancel()
+    (crash,) = board.report().crashes
+    assert crash.ago_ms >= 300  # three refused connections
--- a/packages/lycheeslip_common/lycheeslip_common/utils/events.py
+++ b/packages/lycheeslip_common/lycheeslip_common/utils/events.py
@@ -86,9 +86,13 @@
     Event(
         "crash_counted",
         "leader",
-        "age_ms crashes crashes_alone is_alone is_suspect node run task",
-        "The worker of a task crashed `age_ms` ago; `crashes` counts such runs, `crashes_alone`"
-        " those without other work on the worker. A suspect starts next on a worker of its own.",
+        "age_ms coinciding crashes crashes_alone has_begun is_alone is_suspect node run since_ms"
+        " task",
+        "The worker of a task crashed `age_ms` ago, `since_ms` after the run had begun there"
+        " (`has_begun`) or its start had been sent (-1: neither is known), together with"
+        " `coinciding` others without a run of the job, as far as known by then. `crashes` counts"
+        " such runs, `crashes_alone` those without other work on the worker. A suspect starts next"
+        " on a worker of its own.",
     ),
     Event(
         "end_of_unknown_job",
@@ -361,8 +365,9 @@
     Event(
         "worker_crashed",
         "agent",
-        "lifetime running silence_ms starting",
-        "The worker's process ended without notice while the agent lived on.",
+        "ago_ms lifetime running silence_ms starting youngest_run_ms",
+        "The worker's process ended without notice while the agent lived on, `ago_ms` before;"
+        " the run that began there last did so `youngest_run_ms` before that (-1: none).",
     ),
     Event(
         "worker_draining",
--- a/packages/lycheeslip_common/lycheeslip_common/workload/fleet.py
+++ b/packages/lycheeslip_common/lycheeslip_common/workload/fleet.py
@@ -15,6 +15,7 @@
 
 __all__ = [
     "ConfigRelay",
+    "CrashedRun",
     "EndCause",
     "EndedRun",
     "EntryAddress",
@@ -29,6 +30,7 @@
     "JobQuery",
     "JobReply",
     "Lifetime",
+    "MAX_CRASHED_RUNS",
     "Message",
     "OrderResult",
     "QueueQuery",
@@ -47,6 +49,9 @@
 ]
 
 
+MAX_CRASHED_RUNS = 32  # bounds a report; more are of a worker that is full of tiny tasks
+
+
 class InvalidMessageError(ValueError):
     """The frame is malformed or holds no message of this module."""
 
@@ -75,11 +80,28 @@
     born_ms: int
 
 
+class CrashedRun(NamedTuple):
+    """A run that a worker had, or may have had, when it crashed.
+
+    The worker had listed or confirmed a run that `has_begun`, `since_ms` before the crash. Of any
+    other run the start was sent, for the last time then, and not answered.
+    """
+
+    task: str
+    run: int
+    since_ms: int
+    has_begun: bool
+
+
 class WorkerCrash(NamedTuple):
-    """A lifetime of a worker that its agent saw crash `ago_ms` before the report."""
+    """A lifetime of a worker that its agent saw crash `ago_ms` before the report.
+
+    `runs` are those that began or were sent there last, at most `MAX_CRASHED_RUNS`.
+    """
 
     lifetime: Lifetime
     ago_ms: int
+    runs: tuple[CrashedRun, ...] = ()
 
 
 class RunningRun(NamedTuple):
--- a/tests/platform_adapter/heartbeat_worker_tests.py
+++ b/tests/platform_adapter/heartbeat_worker_tests.py
@@ -215,4 +215,4 @@
         await asyncio.sleep(silence_s)
         worker.born += 1
         await lists.handle_heartbeat(status._replace(lifetime=Lifetime("i-1", worker.born)))
-        assert len(board.crashed_at_ms) == crashes
+        assert len(board.crash_by_lifetime) == crashes
