Count the crashes of workers under each member of a gang by itself

Cause: the first member counted one crash for each run in which any member lost its worker. So a gang of thirty was given up after three waves, which each took another member. All members run the same, so a gang that crashes its workers does so under each.

Change: a member counts its own crashes; the limits hold for each. The gang remains a suspect as a whole.

--- a/packages/lycheeslip/lycheeslip/dispatch/ends.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/ends.py
@@ -110,7 +110,7 @@
         node = job.tasks[found.key].node
         if not apply_crash(job, found.key, run, is_alone, at_ms):
             return
-        counter = failure_counter(job, found.key)
+        task, unit = job.tasks[found.key], failure_counter(job, found.key)
         log_event(
             "crash_counted",
             task=name,
@@ -120,9 +120,9 @@
             has_begun=seen is not None and seen.has_begun,
             coinciding=len(self._board.crash_log.coinciding(crash, found.job_id)),
             is_alone=is_alone,
-            crashes=counter.crashes,
-            crashes_alone=counter.crashes_alone,
-            is_suspect=counter.is_suspect,
+            crashes=task.crashes,
+            crashes_alone=task.crashes_alone,
+            is_suspect=unit.is_suspect,
             age_ms=age_ms,
         )
         self._board.counters.count("crashes_counted")
--- a/packages/lycheeslip_common/lycheeslip_common/workload/progress.py
+++ b/packages/lycheeslip_common/lycheeslip_common/workload/progress.py
@@ -69,10 +69,10 @@
 
     `node` and `lifetime` name where that run may be in progress; `started_at_ms` is the Unix time
     at which it was ordered. `failed_run` is the last run that counts in `failures`, `failed_on` the
-    workers of the latest failures. `crashes` counts the runs under which a worker crashed, since
-    the last long run, and `crashes_alone` those of them on a worker without other work;
-    `crashed_run` is the last such run. The task `is_suspect` if the last crash came just after its
-    start or was not the first.
+    workers of the latest failures. `crashes` counts the runs of this task under which its worker
+    crashed, since the last long run, and `crashes_alone` those of them on a worker without other
+    work. The task `is_suspect` if the last crash, of any member of a gang, came just after its
+    start or was not the first of that member.
     """
 
     run: int = 0
@@ -249,19 +249,18 @@
     which worker after worker crashes, since the next would crash too. A long run shows that the
     crashes before it had other causes.
     """
-    counter = failure_counter(job, key)
-    is_counted = counter.crashed_run >= run  # the members of a gang share a run
-    ran_ms = at_ms - counter.started_at_ms
     if not apply_end(job, key, run, EndCause.CRASHED, "", at_ms):
         return False
-    if not is_counted:
-        if ran_ms >= HEALTHY_RUN_MS:
-            counter.crashes = counter.crashes_alone = 0
-        counter.crashed_run = run
-        counter.crashes += 1
-        counter.crashes_alone += is_alone
-        counter.is_suspect = ran_ms < EARLY_CRASH_MS or counter.crashes > 1
-    is_hopeless = counter.crashes >= MAX_CRASHES and counter.crashes_alone >= MAX_CRASHES_ALONE
+    task, unit = job.tasks[key], failure_counter(job, key)
+    ran_ms = at_ms - task.started_at_ms
+    if ran_ms >= HEALTHY_RUN_MS:
+        task.crashes = task.crashes_alone = 0
+    task.crashes += 1
+    task.crashes_alone += is_alone
+    has_another = unit.crashed_run == run and unit.is_suspect  # member that crashed in this run
+    unit.crashed_run = run
+    unit.is_suspect = has_another or ran_ms < EARLY_CRASH_MS or task.crashes > 1
+    is_hopeless = task.crashes >= MAX_CRASHES and task.crashes_alone >= MAX_CRASHES_ALONE
     if is_hopeless and not job.has_ended:
         job.state, job.ended_at_ms, job.reason = JobState.FAILED, at_ms, CRASHES_WORKERS
     return True
@@ -277,7 +276,7 @@
 
 
 def failure_counter(job: JobProgress, key: TaskKey) -> TaskProgress:
-    """Return the task that counts failures and crashes: for a gang, its first member."""
+    """Return the task that counts failures and may be a suspect: for a gang, its first member."""
     return job.tasks[(key[0], key[1], 0)] if job.spec.steps[key[1]].gang else job.tasks[key]
 
 
@@ -341,7 +340,7 @@
             task.failed_run,
             task.failed_on,
             task.started_at_ms,
-            *(_crash_fields(task) if task.crashes else ()),
+            *(_crash_fields(task) if task.crashes or task.crashed_run else ()),
         ]
         for key, task in job.tasks.items()
     ]
