Count a crash only under runs that the worker may have begun

Cause: a recorded run counts as placed until its end is known. If its order wasn't answered and the worker crashed seconds later, the crash was counted, though the run had never been there.

Only those that had begun count, and starts that were sent less than EARLY_CRASH_MS before, since a crash may take the answer with it.

--- a/packages/lycheeslip/lycheeslip/dispatch/ends.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/ends.py
@@ -4,9 +4,16 @@
 
 from lycheeslip_common.utils.clock import steady_ms, wall_ms
 from lycheeslip_common.utils.logs import log_event, log_warning
-from lycheeslip_common.workload.fleet import EndCause, Lifetime, RecordedEnds, WorkerReport
+from lycheeslip_common.workload.fleet import (
+    CrashedRun,
+    EndCause,
+    Lifetime,
+    RecordedEnds,
+    WorkerReport,
+)
 from lycheeslip_common.workload.jobs import format_task_name
 from lycheeslip_common.workload.progress import (
+    EARLY_CRASH_MS,
     TaskKey,
     apply_crash,
     apply_end,
@@ -89,13 +96,16 @@
             is_alone = len({found.unit_key for found in placed}) == 1
             for found in placed:
                 run = found.job.progress.tasks[found.key].run
-                if lifetime in crash_by_lifetime:
-                    self._end_crashed_run(found, run, is_alone, crash_by_lifetime[lifetime])
-                else:
+                crash = crash_by_lifetime.get(lifetime)
+                if crash is None:
                     self.end_run(*found, run, EndCause.LOST, "")
+                elif (seen := _seen_run(crash, found, run)) is None:
+                    self.end_run(*found, run, EndCause.CRASHED, "")
+                else:
+                    self._end_crashed_run(found, run, is_alone, crash, seen)
 
     def _end_crashed_run(
-        self, found: FoundTask, run: int, is_alone: bool, crash: LoggedCrash
+        self, found: FoundTask, run: int, is_alone: bool, crash: LoggedCrash, seen: CrashedRun
     ) -> None:
         """End a run whose worker crashed, and which may have caused that.
 
@@ -104,7 +114,6 @@
         age_ms = steady_ms() - crash.at_ms
         at_ms = wall_ms() - age_ms
         name = format_task_name(found.job_id, found.key)
-        seen = next((seen for seen in crash.runs if (seen.task, seen.run) == (name, run)), None)
         job = found.job.progress
         had_ended = job.has_ended
         node = job.tasks[found.key].node
@@ -116,8 +125,8 @@
             task=name,
             run=run,
             node=node,
-            since_ms=seen.since_ms if seen else -1,
-            has_begun=seen is not None and seen.has_begun,
+            since_ms=seen.since_ms,
+            has_begun=seen.has_begun,
             coinciding=len(self._board.crash_log.coinciding(crash, found.job_id)),
             is_alone=is_alone,
             crashes=task.crashes,
@@ -259,3 +268,15 @@
         if last_number > self._acknowledged.get(lifetime, 0):
             self._acknowledged[lifetime] = last_number
             view.link.post(RecordedEnds(lifetime, last_number))
+
+
+def _seen_run(crash: LoggedCrash, found: FoundTask, run: int) -> CrashedRun | None:
+    """Return what the agent knew of a run when its worker crashed, None if that was not there.
+
+    A start without an answer may have been carried out only if it was sent just before.
+    """
+    name = format_task_name(found.job_id, found.key)
+    for seen in crash.runs:
+        if (seen.task, seen.run) == (name, run):
+            return seen if seen.has_begun or seen.since_ms < EARLY_CRASH_MS else None
+    return None
--- a/packages/lycheeslip_common/lycheeslip_common/utils/events.py
+++ b/packages/lycheeslip_common/lycheeslip_common/utils/events.py
@@ -89,7 +89,7 @@
         "age_ms coinciding crashes crashes_alone has_begun is_alone is_suspect node run since_ms"
         " task",
         "The worker of a task crashed `age_ms` ago, `since_ms` after the run had begun there"
-        " (`has_begun`) or its start had been sent (-1: neither is known), together with"
+        " (`has_begun`) or its start had been sent, together with"
         " `coinciding` others without a run of the job, as far as known by then. `crashes` counts"
         " such runs, `crashes_alone` those without other work on the worker. A suspect starts next"
         " on a worker of its own.",
