Don't give up jobs that last for crashes of their workers

Cause: apply_crash had no exception for steps that last, unlike _fail_if_exhausted. Such a task has to be started again however it ends.

--- a/packages/lycheeslip_common/lycheeslip_common/workload/progress.py
+++ b/packages/lycheeslip_common/lycheeslip_common/workload/progress.py
@@ -246,8 +246,9 @@
     """Apply the end of a run whose worker crashed at `at_ms`; return whether the job changed.
 
     `is_alone` says that no other work was on that worker. A job is given up with a task under
-    which worker after worker crashes, since the next would crash too. A long run shows that the
-    crashes before it had other causes.
+    which worker after worker crashes, since the next would crash too, unless the task lasts: it has
+    to be started again however it ends. A long run shows that the crashes before it had other
+    causes.
     """
     if not apply_end(job, key, run, EndCause.CRASHED, "", at_ms):
         return False
@@ -261,7 +262,7 @@
     unit.crashed_run = run
     unit.is_suspect = has_another or ran_ms < EARLY_CRASH_MS or task.crashes > 1
     is_hopeless = task.crashes >= MAX_CRASHES and task.crashes_alone >= MAX_CRASHES_ALONE
-    if is_hopeless and not job.has_ended:
+    if is_hopeless and not job.spec.steps[key[1]].long_running and not job.has_ended:
         job.state, job.ended_at_ms, job.reason = JobState.FAILED, at_ms, CRASHES_WORKERS
     return True
 
