Count a crash against a task only if nothing else explains it

Callers saw: jobs that could be done were failed with the reason crashes_workers, and LOST.

Cause: each crash was evidence against whatever ran there, however long it had run and whatever else crashed at that moment. A task that does crash its workers does so 5 to 15 ms after each start.

Change: a crash stays open until it is settled. It doesn't count if another worker crashed within 0.1 s on which nothing had just started and that had no run of the job; the last condition keeps tasks that crash their workers in step from excusing each other. It is settled after 1.5 s, by when the agents of all workers have reported; a unit for which it would be the last crash waits until then. A late crash beside work that had just started doesn't count either. Three crashes within 1 s of a start, two of them where nothing else had just started, end the job as before, and so do six at any time, which is what users allow: three starts after the third crash. Open crashes are in the job's record, and agents report crashes to each new leader, so a change of leaders loses neither.

The suspect after two late crashes is gone, since it needn't be told apart by a worker of its own any more.

--- a/packages/lycheeslip/lycheeslip/dispatch/board.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/board.py
@@ -152,6 +152,13 @@
         occurrence, step, index = self.key
         return (self.job_id, occurrence, step, 0 if is_gang else index)
 
+    @property
+    def unit_prefix(self) -> str:
+        """What the names of the unit's tasks begin with, each followed by a dot."""
+        name = format_task_name(self.job_id, self.key)
+        is_gang = self.job.progress.spec.steps[self.key[1]].gang
+        return f"{name.rpartition('.')[0]}." if is_gang else f"{name}."
+
     @property
     def counter_key(self) -> TaskKey:
         """Key of the task that counts the failures of this one's unit: a gang's first member."""
--- a/packages/lycheeslip/lycheeslip/dispatch/crash_log.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/crash_log.py
@@ -4,7 +4,7 @@
 
 from lycheeslip_common.utils.clock import steady_ms
 from lycheeslip_common.workload.fleet import CrashedRun, Lifetime, WorkerCrash
-from lycheeslip_common.workload.jobs import parse_task_name
+from lycheeslip_common.workload.progress import EARLY_CRASH_MS
 
 __all__ = ["COINCIDENCE_MS", "CrashLog", "LoggedCrash"]
 
@@ -19,10 +19,21 @@
     at_ms: int
     runs: tuple[CrashedRun, ...]
 
+    @property
+    def has_start(self) -> bool:
+        """Whether a run had just started there, or may have."""
+        return any(run.since_ms < EARLY_CRASH_MS for run in self.runs)
+
+    def has_start_beside(self, unit_prefix: str) -> bool:
+        """Return whether a run of another unit had just started there, or may have."""
+        return any(
+            run.since_ms < EARLY_CRASH_MS and not f"{run.task}.".startswith(unit_prefix)
+            for run in self.runs
+        )
+
     def has_run_of(self, job_id: str) -> bool:
         """Return whether a run of the job was there."""
-        names = (parse_task_name(run.task) for run in self.runs)
-        return any(name is not None and name.job_id == job_id for name in names)
+        return any(run.task.startswith(f"{job_id}.") for run in self.runs)
 
 
 class CrashLog:
@@ -53,12 +64,17 @@
         """Return the crash of `lifetime`, None if it isn't known."""
         return self._by_lifetime.get(lifetime)
 
-    def coinciding(self, crash: LoggedCrash, job_id: str) -> list[LoggedCrash]:
-        """Return the crashes of other workers at the same moment that had no run of the job."""
+    def unrelated(self, crash: LoggedCrash, job_id: str) -> list[LoggedCrash]:
+        """Return the crashes of other workers at the same moment that have a cause from outside.
+
+        Tasks that crash their workers may do so in step, so a worker counts only if nothing had
+        just started there, and if it had no run of the job.
+        """
         return [
             other
             for other in self._by_lifetime.values()
             if other.node != crash.node
             and abs(other.at_ms - crash.at_ms) <= COINCIDENCE_MS
+            and not other.has_start
             and not other.has_run_of(job_id)
         ]
--- a/packages/lycheeslip/lycheeslip/dispatch/dispatcher.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/dispatcher.py
@@ -122,6 +122,7 @@
         yield from self._run_stopper.stop_obsolete()
         self._record_checkpoints(began)
         self._board.is_view_complete = self._is_view_complete(began)
+        yield from self._run_ends.settle_crashes(began)
         if self._may_decide(self._board.config):
             yield from self._place_units(began)
         self._board.counters.observe_ms("planning_round", steady_ms() - began)
--- a/packages/lycheeslip/lycheeslip/dispatch/ends.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/ends.py
@@ -1,6 +1,7 @@
 """Applies the ends of runs: reported by workers, by expired leases or by new lifetimes."""
 
 from collections.abc import Iterator
+from typing import NamedTuple
 
 from lycheeslip_common.utils.clock import steady_ms, wall_ms
 from lycheeslip_common.utils.logs import log_event, log_warning
@@ -14,10 +15,13 @@
 from lycheeslip_common.workload.jobs import format_task_name
 from lycheeslip_common.workload.progress import (
     EARLY_CRASH_MS,
+    CrashEvidence,
+    OpenCrash,
     TaskKey,
     apply_crash,
     apply_end,
     failure_counter,
+    settle_crash,
 )
 from lycheeslip_common.workload.times import CLOCK_DRIFT
 
@@ -31,9 +35,23 @@
 
 __all__ = ["RunEndProcessor"]
 
+CRASH_SETTLE_MS = 1_500  # agents notice a crash within 0.6 s; a poll that is held open takes 1.5 s
+MAX_CRASH_REPORT_MS = 5_000  # after an election; an agent finds a new leader within this
 MAX_BLAMED_WORKERS = 3  # by one run of a gang: one that fails everywhere is itself faulty
 
 
+class CrashOutcome(NamedTuple):
+    """What explains a crash ("": nothing), and how many unrelated workers crashed with it."""
+
+    explanation: str
+    coinciding: int
+
+    @property
+    def is_explained(self) -> bool:
+        """Whether the task is not to blame, as far as can be told."""
+        return self.explanation != ""
+
+
 class RunEndProcessor:
     """Applies ends to jobs and acknowledges recorded ends, which workers then discard."""
 
@@ -44,12 +62,14 @@
         self._run_stopper = run_stopper
         self._job_by_end: dict[Lifetime, dict[int, str]] = {}
         self._acknowledged: dict[Lifetime, int] = {}
+        self._term_began_ms = 0
 
     def begin_term(self) -> None:
         """Discard the ends and acknowledgements of an earlier term."""
         self._job_by_end.clear()
         self._acknowledged.clear()
         self._board.crash_log.clear()
+        self._term_began_ms = steady_ms()
 
     def reset_acknowledgement(self, lifetime: Lifetime | None) -> None:
         """Allow a repeated acknowledgement; a newly connected agent may have missed the last."""
@@ -93,57 +113,104 @@
             crash.lifetime: self._board.crash_log.add(node, crash) for crash in report.crashes
         }
         for lifetime, placed in placed_by_lifetime.items():
-            is_alone = len({found.unit_key for found in placed}) == 1
+            crash = crash_by_lifetime.get(lifetime)
             for found in placed:
                 run = found.job.progress.tasks[found.key].run
-                crash = crash_by_lifetime.get(lifetime)
                 if crash is None:
                     self.end_run(*found, run, EndCause.LOST, "")
                 elif (seen := _seen_run(crash, found, run)) is None:
                     self.end_run(*found, run, EndCause.CRASHED, "")
                 else:
-                    self._end_crashed_run(found, run, is_alone, crash, seen)
+                    self._end_crashed_run(found, run, crash, seen)
 
     def _end_crashed_run(
-        self, found: FoundTask, run: int, is_alone: bool, crash: LoggedCrash, seen: CrashedRun
+        self, found: FoundTask, run: int, crash: LoggedCrash, seen: CrashedRun
     ) -> None:
-        """End a run whose worker crashed, and which may have caused that.
-
-        `is_alone` says that no other work was on the worker.
-        """
+        """End a run whose worker crashed, and which may have caused that."""
         age_ms = steady_ms() - crash.at_ms
-        at_ms = wall_ms() - age_ms
-        name = format_task_name(found.job_id, found.key)
         job = found.job.progress
-        had_ended = job.has_ended
         node = job.tasks[found.key].node
-        if not apply_crash(job, found.key, run, is_alone, at_ms):
+        evidence = CrashEvidence(seen.since_ms, crash.has_start_beside(found.unit_prefix))
+        if not apply_crash(job, found.key, run, evidence, wall_ms() - age_ms):
             return
-        task, unit = job.tasks[found.key], failure_counter(job, found.key)
         log_event(
-            "crash_counted",
-            task=name,
+            "crash_seen",
+            task=format_task_name(found.job_id, found.key),
             run=run,
             node=node,
             since_ms=seen.since_ms,
             has_begun=seen.has_begun,
-            coinciding=len(self._board.crash_log.coinciding(crash, found.job_id)),
-            is_alone=is_alone,
-            crashes=task.crashes,
-            crashes_alone=task.crashes_alone,
-            is_suspect=unit.is_suspect,
+            is_beside_start=evidence.is_beside_start,
+            is_suspect=failure_counter(job, found.key).is_suspect,
             age_ms=age_ms,
         )
-        self._board.counters.count("crashes_counted")
-        if job.has_ended and not had_ended:
-            log_warning(
-                "job_given_up",
-                job=found.job_id,
+        self._settle_end(*found, run, node, EndCause.CRASHED)
+
+    def settle_crashes(self, now_ms: int) -> Iterator[None]:
+        """Count the crashes for which no other explanation has come; yields between jobs.
+
+        Crashes that explain others are known once the agents of all workers that crashed at the
+        same moment have reported them.
+        """
+        for job_id, job in list(self._board.jobs.items()):
+            yield
+            if not job.progress.unsettled_keys or job.progress.has_ended:
+                continue
+            settled = [
+                (outcome, FoundTask(job_id, job, key), crash)
+                for key in sorted(job.progress.unsettled_keys)
+                for crash in job.progress.tasks[key].open_crashes
+                if (outcome := self._crash_outcome(job_id, crash, now_ms)) is not None
+            ]
+            # a gang remains a suspect if the crash under any member has no explanation
+            for outcome, found, crash in sorted(
+                settled, key=lambda row: row[0].is_explained, reverse=True
+            ):
+                self._settle_crash(found, crash, outcome)
+
+    def _crash_outcome(self, job_id: str, crash: OpenCrash, now_ms: int) -> CrashOutcome | None:
+        """Return what became of an open crash, None if that isn't known yet."""
+        logged = self._board.crash_log.find(crash.lifetime)
+        if logged is None:  # its agent hasn't reported it to this leader, and may have been lost
+            is_late = now_ms - self._term_began_ms >= MAX_CRASH_REPORT_MS
+            return CrashOutcome("unknown", 0) if is_late else None
+        coinciding = len(self._board.crash_log.unrelated(logged, job_id))
+        if coinciding:
+            return CrashOutcome("coincides", coinciding)
+        is_settled = self._board.is_view_complete and now_ms - logged.at_ms >= CRASH_SETTLE_MS
+        return CrashOutcome("", 0) if is_settled else None
+
+    def _settle_crash(self, found: FoundTask, crash: OpenCrash, outcome: CrashOutcome) -> None:
+        job = found.job.progress
+        had_ended = job.has_ended
+        settle_crash(job, found.key, crash, outcome.is_explained, wall_ms())
+        task, name = job.tasks[found.key], format_task_name(found.job_id, found.key)
+        self._board.planning_needed.set()
+        if outcome.is_explained:
+            log_event(
+                "crash_explained",
                 task=name,
-                reason=job.reason,
+                run=crash.run,
+                reason=outcome.explanation,
+                coinciding=outcome.coinciding,
             )
+            self._board.counters.count("crashes_explained", outcome.explanation)
+            return
+        log_event(
+            "crash_counted",
+            task=name,
+            run=crash.run,
+            is_at_start=crash.is_at_start,
+            is_only_start=crash.is_only_start,
+            crashes=task.crashes,
+            crashes_at_start=task.crashes_at_start,
+            crashes_as_only_start=task.crashes_as_only_start,
+        )
+        self._board.counters.count("crashes_counted")
+        if job.has_ended and not had_ended:
+            log_warning("job_given_up", job=found.job_id, task=name, reason=job.reason)
             self._board.counters.count("jobs_given_up", job.reason)
-        self._settle_end(*found, run, node, EndCause.CRASHED)
+            self._recorder.schedule_write(found.job)
 
     def apply_reported_ends(self, view: WorkerView, report: WorkerReport) -> None:
         """Apply the ends in a worker's report."""
--- a/packages/lycheeslip_common/lycheeslip_common/utils/events.py
+++ b/packages/lycheeslip_common/lycheeslip_common/utils/events.py
@@ -86,13 +86,26 @@
     Event(
         "crash_counted",
         "leader",
-        "age_ms coinciding crashes crashes_alone has_begun is_alone is_suspect node run since_ms"
-        " task",
+        "crashes crashes_as_only_start crashes_at_start is_at_start is_only_start run task",
+        "A crash of a task's worker counts against the task, as nothing else explains it."
+        " `crashes` are all of the task, `crashes_at_start` those just after a start, and"
+        " `crashes_as_only_start` those of these where nothing else had just started.",
+    ),
+    Event(
+        "crash_explained",
+        "leader",
+        "coinciding reason run task",
+        "A crash of a task's worker doesn't count: `coincides`, as `coinciding` other workers on"
+        " which nothing had just started crashed at the same moment, or `unknown`, as its agent"
+        " has not reported it to this leader.",
+    ),
+    Event(
+        "crash_seen",
+        "leader",
+        "age_ms has_begun is_beside_start is_suspect node run since_ms task",
         "The worker of a task crashed `age_ms` ago, `since_ms` after the run had begun there"
-        " (`has_begun`) or its start had been sent, together with"
-        " `coinciding` others without a run of the job, as far as known by then. `crashes` counts"
-        " such runs, `crashes_alone` those without other work on the worker. A suspect starts next"
-        " on a worker of its own.",
+        " (`has_begun`) or its start had been sent. With `is_beside_start` another unit had just"
+        " started there. A suspect starts next on a worker of its own.",
     ),
     Event(
         "end_of_unknown_job",
--- a/packages/lycheeslip_common/lycheeslip_common/workload/progress.py
+++ b/packages/lycheeslip_common/lycheeslip_common/workload/progress.py
@@ -19,9 +19,11 @@
 __all__ = [
     "JobProgress",
     "JobState",
+    "CrashEvidence",
     "EARLY_CRASH_MS",
     "HEALTHY_RUN_MS",
     "MAX_CRASHES",
+    "OpenCrash",
     "TaskKey",
     "TaskProgress",
     "apply_crash",
@@ -34,17 +36,20 @@
     "encode_spec",
     "failure_counter",
     "open_occurrences",
+    "settle_crash",
     "unit_members",
     "waiting_units",
 ]
 
 MAX_REMEMBERED_FAILURES = 4
-# A task is given up after this many crashes of its workers, this many of them without other work
-# there: two crashes by coincidence are not unlikely for a long task among many.
-MAX_CRASHES = 3
-MAX_CRASHES_ALONE = 2
+# A job is given up with a task after this many crashes just after its starts, this many of them
+# where nothing else had just started, or after this many crashes at any time. Users allow three
+# more starts once three workers have crashed under a task.
+MAX_CRASHES_AT_START = 3
+MAX_CRASHES_AS_ONLY_START = 2
+MAX_CRASHES = 6
 CRASHES_WORKERS = "crashes_workers"
-EARLY_CRASH_MS = 3_000  # a worker crashes when it starts such a task; seen up to 2 s later
+EARLY_CRASH_MS = 1_000  # a worker crashes as it starts such a task; seen up to 15 ms later
 HEALTHY_RUN_MS = 60_000  # a task that ran for this long doesn't crash the workers that start it
 TaskKey = tuple[int, int, int]
 """Occurrence, step and position of a task within its job."""
@@ -63,6 +68,30 @@
 TERMINAL_STATES = frozenset({JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED})
 
 
+class CrashEvidence(NamedTuple):
+    """What the crash of a worker says about a run, which had begun there `since_ms` before.
+
+    With `is_beside_start` another unit had just started there.
+    """
+
+    since_ms: int
+    is_beside_start: bool
+
+    @property
+    def is_at_start(self) -> bool:
+        """Whether the run had just started."""
+        return self.since_ms < EARLY_CRASH_MS
+
+
+class OpenCrash(NamedTuple):
+    """The crash of a lifetime of a worker, in a run that may have caused it."""
+
+    lifetime: Lifetime
+    run: int
+    is_at_start: bool
+    is_only_start: bool
+
+
 @dataclass(slots=True)
 class TaskProgress:
     """State of one task; `run` is the number of its last run (0: none yet).
@@ -70,9 +99,12 @@
     `node` and `lifetime` name where that run may be in progress; `started_at_ms` is the Unix time
     at which it was ordered. `failed_run` is the last run that counts in `failures`, `failed_on` the
     workers of the latest failures. `crashes` counts the runs of this task under which its worker
-    crashed, since the last long run, and `crashes_alone` those of them on a worker without other
-    work. The task `is_suspect` if the last crash, of any member of a gang, came just after its
-    start or was not the first of that member.
+    crashed without another explanation, since the last long run. `crashes_at_start` are those of
+    them just after the start, since the last run that outlived its start, and
+    `crashes_as_only_start` those of these where nothing else had just started on the worker.
+    `open_crashes` may yet turn out to have another explanation.
+    The task `is_suspect` if the last crash, of any member of a gang, came just after its start;
+    that was in the unit's `crashed_run`.
     """
 
     run: int = 0
@@ -85,9 +117,11 @@
     failed_on: list[str] = field(default_factory=list)
     started_at_ms: int = 0
     crashes: int = 0
-    crashes_alone: int = 0
+    crashes_at_start: int = 0
     crashed_run: int = 0
     is_suspect: bool = False
+    crashes_as_only_start: int = 0
+    open_crashes: tuple["OpenCrash", ...] = ()
 
     @property
     def is_placed(self) -> bool:
@@ -100,7 +134,8 @@
     """Progress of one job; `tasks` holds those of the first `opened_occurrences` occurrences.
 
     `ended_at_ms` is Unix time, 0 while the job has not ended. `reason` says why a job has failed if
-    that wasn't the number of its failed attempts. `placed_keys` are the keys of the placed tasks.
+    that wasn't the number of its failed attempts. `placed_keys` are the keys of the placed tasks,
+    `unsettled_keys` of those with open crashes.
     """
 
     spec: JobSpec
@@ -110,6 +145,7 @@
     tasks: dict[TaskKey, TaskProgress] = field(default_factory=dict)
     reason: str = ""
     placed_keys: set[TaskKey] = field(default_factory=set)
+    unsettled_keys: set[TaskKey] = field(default_factory=set)
 
     @property
     def has_ended(self) -> bool:
@@ -149,7 +185,8 @@
 def waiting_units(job: JobProgress) -> Iterator[tuple[StepSpec, list[TaskKey]]]:
     """Iterate over the units that may start now, each a whole gang or a single task.
 
-    Yields the step and the keys of the unit's tasks.
+    Yields the step and the keys of the unit's tasks. A unit waits while an open crash would be the
+    last that it is allowed.
     """
     if job.has_ended:
         return
@@ -167,12 +204,12 @@
 ) -> Iterator[tuple[StepSpec, list[TaskKey]]]:
     if step.gang:
         tasks = [job.tasks[key] for key in members]
-        if not any(task.is_done or task.is_placed for task in tasks):
+        if not any(task.is_done or task.is_placed or _may_be_hopeless(task) for task in tasks):
             yield step, members
         return
     for key in members:
         task = job.tasks[key]
-        if not task.is_done and not task.is_placed:
+        if not task.is_done and not task.is_placed and not _may_be_hopeless(task):
             yield step, [key]
 
 
@@ -242,29 +279,77 @@
     return True
 
 
-def apply_crash(job: JobProgress, key: TaskKey, run: int, is_alone: bool, at_ms: int) -> bool:
+def apply_crash(
+    job: JobProgress, key: TaskKey, run: int, evidence: CrashEvidence, at_ms: int
+) -> bool:
     """Apply the end of a run whose worker crashed at `at_ms`; return whether the job changed.
 
-    `is_alone` says that no other work was on that worker. A job is given up with a task under
-    which worker after worker crashes, since the next would crash too, unless the task lasts: it has
-    to be started again however it ends. A long run shows that the crashes before it had other
-    causes.
+    The crash stays open until `settle_crash`, unless it says nothing about the task: a task that
+    lasts has to be started again however it ends, and a run that had outlived its start beside
+    another that had not is not the likely cause. A long run shows that the crashes before it had
+    other causes.
     """
-    if not apply_end(job, key, run, EndCause.CRASHED, "", at_ms):
+    task, unit = job.tasks.get(key), failure_counter(job, key)
+    lifetime = task.lifetime if task else None
+    if not apply_end(job, key, run, EndCause.CRASHED, "", at_ms) or task is None:
         return False
+    if unit.crashed_run != run:
+        unit.crashed_run, unit.is_suspect = run, False
+    unit.is_suspect |= evidence.is_at_start
+    if not evidence.is_at_start:
+        task.crashes_at_start = task.crashes_as_only_start = 0
+        task.open_crashes = tuple(crash._replace(is_at_start=False) for crash in task.open_crashes)
+    if evidence.since_ms >= HEALTHY_RUN_MS:
+        task.crashes = 0
+    is_other_likelier = not evidence.is_at_start and evidence.is_beside_start
+    if lifetime is None or is_other_likelier or job.spec.steps[key[1]].long_running:
+        return True
+    crash = OpenCrash(lifetime, run, evidence.is_at_start, not evidence.is_beside_start)
+    task.open_crashes = (*task.open_crashes, crash)
+    job.unsettled_keys.add(key)
+    return True
+
+
+def settle_crash(
+    job: JobProgress, key: TaskKey, crash: OpenCrash, is_explained: bool, now_ms: int
+) -> None:
+    """Count an open crash of a task, unless it `is_explained` by something else.
+
+    The job is given up with a task under which worker after worker crashes, since the next would
+    crash too.
+    """
     task, unit = job.tasks[key], failure_counter(job, key)
-    ran_ms = at_ms - task.started_at_ms
-    if ran_ms >= HEALTHY_RUN_MS:
-        task.crashes = task.crashes_alone = 0
+    task.open_crashes = tuple(other for other in task.open_crashes if other != crash)
+    if not task.open_crashes:
+        job.unsettled_keys.discard(key)
+    is_last = unit.crashed_run == crash.run
+    if is_explained:
+        unit.is_suspect &= not is_last
+        return
     task.crashes += 1
-    task.crashes_alone += is_alone
-    has_another = unit.crashed_run == run and unit.is_suspect  # member that crashed in this run
-    unit.crashed_run = run
-    unit.is_suspect = has_another or ran_ms < EARLY_CRASH_MS or task.crashes > 1
-    is_hopeless = task.crashes >= MAX_CRASHES and task.crashes_alone >= MAX_CRASHES_ALONE
-    if is_hopeless and not job.spec.steps[key[1]].long_running and not job.has_ended:
-        job.state, job.ended_at_ms, job.reason = JobState.FAILED, at_ms, CRASHES_WORKERS
-    return True
+    if crash.is_at_start:
+        task.crashes_at_start += 1
+        task.crashes_as_only_start += crash.is_only_start
+        unit.is_suspect |= is_last  # though the crash of another member was explained
+    is_hopeless = _is_hopeless(task.crashes, task.crashes_at_start, task.crashes_as_only_start)
+    if is_hopeless and not job.has_ended:
+        job.state, job.ended_at_ms, job.reason = JobState.FAILED, now_ms, CRASHES_WORKERS
+
+
+def _is_hopeless(crashes: int, at_start: int, as_only_start: int) -> bool:
+    crashes_at_start = at_start >= MAX_CRASHES_AT_START
+    is_sole_cause = as_only_start >= MAX_CRASHES_AS_ONLY_START
+    return crashes >= MAX_CRASHES or (crashes_at_start and is_sole_cause)
+
+
+def _may_be_hopeless(task: TaskProgress) -> bool:
+    """Return whether the job would be given up if all open crashes of the task were counted."""
+    at_start = [crash for crash in task.open_crashes if crash.is_at_start]
+    return bool(task.open_crashes) and _is_hopeless(
+        task.crashes + len(task.open_crashes),
+        task.crashes_at_start + len(at_start),
+        task.crashes_as_only_start + sum(crash.is_only_start for crash in at_start),
+    )
 
 
 def _mark_done(job: JobProgress, key: TaskKey, step: StepSpec) -> None:
@@ -341,7 +426,7 @@
             task.failed_run,
             task.failed_on,
             task.started_at_ms,
-            *(_crash_fields(task) if task.crashes or task.crashed_run else ()),
+            *(_crash_fields(task) if _has_crashed(task) else ()),
         ]
         for key, task in job.tasks.items()
     ]
@@ -353,12 +438,23 @@
     )
 
 
-def _crash_fields(task: TaskProgress) -> tuple[int, int, int, bool]:
-    return task.crashes, task.crashes_alone, task.crashed_run, task.is_suspect
+def _has_crashed(task: TaskProgress) -> bool:
+    return bool(task.crashes or task.crashed_run or task.open_crashes)
+
+
+def _crash_fields(task: TaskProgress) -> tuple[int, int, int, bool, int, tuple[OpenCrash, ...]]:
+    return (
+        task.crashes,
+        task.crashes_at_start,
+        task.crashed_run,
+        task.is_suspect,
+        task.crashes_as_only_start,
+        task.open_crashes,
+    )
 
 
 class StoredTask(NamedTuple):
-    """A task's key and the fields of its `TaskProgress`, as stored; the last four only if set."""
+    """A task's key and the fields of its `TaskProgress`, as stored; the last six only if set."""
 
     occurrence: int
     step: int
@@ -373,9 +469,11 @@
     failed_on: list[str]
     started_at_ms: int
     crashes: int = 0
-    crashes_alone: int = 0
+    crashes_at_start: int = 0
     crashed_run: int = 0
     is_suspect: bool = False
+    crashes_as_only_start: int = 0
+    open_crashes: tuple[OpenCrash, ...] = ()
 
 
 class StoredProgress(NamedTuple):
@@ -395,6 +493,7 @@
     for occurrence, step, index, *fields in rows:
         job.tasks[(occurrence, step, index)] = TaskProgress(*fields)
     job.placed_keys.update(key for key, task in job.tasks.items() if task.is_placed)
+    job.unsettled_keys.update(key for key, task in job.tasks.items() if task.open_crashes)
     if not 0 <= opened_occurrences <= spec.occurrence_count():
         raise ValueError(f"not the progress of this job: {opened_occurrences} occurrences")
     steps = job.steps_with_tasks()
