Limit how long a suspect waits for a worker, or has one, for itself

Cause: after a second crash a suspect waited for a worker without other work for ever, and then kept it for a minute, though a task that crashes its workers does so within 15 ms of its start. 39 tasks of one job held 39 workers in turn, and a gang that needs five never found them.

Change: a suspect waits for a worker of its own until 5 s after its last start, 2 s while most capacity is idle, whatever the number of its crashes, and nothing starts beside it for 2 s. For as long again it only keeps away from workers where something has just started.

Evidence: the tests of isolation_tests.py failed before.

Replaced tests: test_suspect_is_isolated_for_a_limited_time_after_its_first_crash held that after a second crash there is no limit but a minute, which is the fault; isolation_tests.py checks the limits for 1, 2 and 5 crashes on either side of each. The test of late crashes with 5 of them has 4 now, as the users' bound is five starts.

--- a/packages/lycheeslip/lycheeslip/dispatch/occupancy.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/occupancy.py
@@ -7,7 +7,7 @@
 from lycheeslip_common.utils.clock import steady_ms, wall_ms
 from lycheeslip_common.workload.fleet import Lifetime
 from lycheeslip_common.workload.jobs import Demand, StepSpec, demand_of, format_task_name
-from lycheeslip_common.workload.progress import TaskKey
+from lycheeslip_common.workload.progress import EARLY_CRASH_MS, TaskKey
 
 from lycheeslip.dispatch.board import Board, StoredJob, WorkerView
 from lycheeslip.dispatch.departures import is_exposed
@@ -194,6 +194,7 @@
         must_run_isolated(job.progress, key, now_ms),
         job.preemptions[(*key[:2], 0) if step.gang else key],
         step.long_running,
+        now_ms - task.started_at_ms < EARLY_CRASH_MS,
     )
 
 
--- a/packages/lycheeslip/lycheeslip/dispatch/placement.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/placement.py
@@ -44,6 +44,7 @@
     demand: Demand
     avoided_workers: frozenset[str]
     is_isolated: bool
+    starts_apart: bool
     avoids_reserve: bool
     is_last_attempt: bool
     may_use_reserved: bool
@@ -111,6 +112,7 @@
         unit.demand,
         unit.avoided_workers,
         unit.is_isolated,
+        unit.starts_apart,
         unit.is_costly_to_stop and unit.may_wait,
         unit.is_last_attempt,
         unit.may_use_reserved,
--- a/packages/lycheeslip/lycheeslip/dispatch/waiting.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/waiting.py
@@ -9,7 +9,7 @@
 from lycheeslip_common.workload.progress import TaskKey, waiting_units
 
 from lycheeslip.dispatch.board import Board, StepAdvice, StoredJob
-from lycheeslip.dispatch.isolation import must_start_isolated
+from lycheeslip.dispatch.isolation import must_start_apart, must_start_isolated
 from lycheeslip.dispatch.objective import Objectives, StepTimes, waiting_since_ms
 from lycheeslip.dispatch.placement_model import (
     Advice,
@@ -66,10 +66,13 @@
             times = objectives.step_times(job, *members[0][:2])
             unit = build_unit(board, job_id, job, members, times, guaranteed)
             utilization = utilization_by_service.get(unit.service, 0.0)
+            suspicion = (job.progress, members[0], wall_ms(), utilization < IDLE_UTILIZATION)
             units.append(
                 unit._replace(
                     may_wait=_may_wait(job, unit, utilization),
                     may_use_reserved=_is_held_up(job, unit, utilization),
+                    is_isolated=must_start_isolated(*suspicion),
+                    starts_apart=must_start_apart(*suspicion),
                     claimed_nodes=claims.get(unit.key, frozenset()),
                 )
             )
@@ -153,7 +156,7 @@
     times: StepTimes,
     guaranteed: frozenset[str],
 ) -> Unit:
-    """Return the unit of these tasks of a step, without a claim or a wait for the reserve."""
+    """Return the unit of these tasks of a step, without a claim, a wait or isolation."""
     spec = job.progress.spec
     occurrence, step_number, _ = members[0]
     step = spec.steps[step_number]
@@ -184,7 +187,6 @@
         is_costly_to_stop=is_costly_to_stop(spec, step),
         saves_progress=step.checkpointing,
         advice=_advice(board, board.queue_of(spec), (job_id, occurrence, step_number)),
-        is_isolated=must_start_isolated(job.progress, members[0], wall_ms()),
         is_last_attempt=0 < first_task.failures >= spec.attempts - 1,
         prefers_fast=0 <= since_ms + times.slack_ms - wall_ms() < times.run_ms * SPEED_MARGIN,
     )
--- a/packages/lycheeslip_common/lycheeslip_common/workload/progress.py
+++ b/packages/lycheeslip_common/lycheeslip_common/workload/progress.py
@@ -43,11 +43,11 @@
 
 MAX_REMEMBERED_FAILURES = 4
 # A job is given up with a task after this many crashes just after its starts, this many of them
-# where nothing else had just started, or after this many crashes at any time. Users allow three
-# more starts once three workers have crashed under a task.
+# where nothing else had just started, or after this many crashes at any time. Users don't allow
+# the third start after three workers have crashed under a task.
 MAX_CRASHES_AT_START = 3
 MAX_CRASHES_AS_ONLY_START = 2
-MAX_CRASHES = 6
+MAX_CRASHES = 5
 CRASHES_WORKERS = "crashes_workers"
 EARLY_CRASH_MS = 1_000  # a worker crashes as it starts such a task; seen up to 15 ms later
 HEALTHY_RUN_MS = 60_000  # a task that ran for this long doesn't crash the workers that start it
