Don't let a member of a gang that is done end its job

Callers would see: a job of several steps failed though no attempt was used up, or for a third crash, after its gang was done.

Cause: one member's end makes the whole gang done, and the ends of the others come later. A worker that crashed under one of them, or a run of theirs listed as failed, was still counted.

Evidence: test_end_of_a_member_of_a_gang_that_is_done_does_not_end_the_job failed before for both kinds of end. An end of a task that is done counts neither as a failure nor as a crash now.

--- a/packages/lycheeslip_common/lycheeslip_common/workload/progress.py
+++ b/packages/lycheeslip_common/lycheeslip_common/workload/progress.py
@@ -270,7 +270,7 @@
     match cause:
         case EndCause.DONE if not step.long_running:
             _mark_done(job, key, step)
-        case EndCause.FAILED:
+        case EndCause.FAILED if not task.is_done:
             _record_failure(job, key, worker_id)
             _fail_if_exhausted(job, key, step, now_ms)
         case _:
@@ -302,7 +302,8 @@
     if evidence.since_ms >= HEALTHY_RUN_MS:
         task.crashes = 0
     is_other_likelier = not evidence.is_at_start and evidence.is_beside_start
-    if lifetime is None or is_other_likelier or job.spec.steps[key[1]].long_running:
+    is_done = task.is_done  # as another member of its gang is
+    if is_done or lifetime is None or is_other_likelier or job.spec.steps[key[1]].long_running:
         return True
     crash = OpenCrash(lifetime, run, evidence.is_at_start, not evidence.is_beside_start)
     task.open_crashes = (*task.open_crashes, crash)
@@ -316,9 +317,10 @@
     """Count an open crash of a task, unless it `is_explained` by something else.
 
     The job is given up with a task under which worker after worker crashes, since the next would
-    crash too.
+    crash too. A task that is done, as another member of its gang was, has caused none.
     """
     task, unit = job.tasks[key], failure_counter(job, key)
+    is_explained |= task.is_done
     task.open_crashes = tuple(other for other in task.open_crashes if other != crash)
     if not task.open_crashes:
         job.unsettled_keys.discard(key)
--- a/packages/lycheeslip_common/tests/workload_progress_tests.py
+++ b/packages/lycheeslip_common/tests/workload_progress_tests.py
@@ -309,6 +309,23 @@
     assert not job.tasks[(0, 0, 0)].is_suspect
 
 
+@pytest.mark.parametrize("ends", ["failed", "crashed"])
+def test_end_of_a_member_of_a_gang_that_is_done_does_not_end_the_job(ends: str):
+    job = make_job(StepSpec(2, gang=True), StepSpec(1, after=(0,)), attempts=1)
+    for _ in range(2):
+        begin(job, (0, 0, 0), (0, 0, 1))
+        crash(job, (0, 0, 1), AT_START)
+        apply_end(job, (0, 0, 0), job.tasks[(0, 0, 0)].run, EndCause.BROKEN, "", NOW_MS)
+    begin(job, (0, 0, 0), (0, 0, 1))
+    run = job.tasks[(0, 0, 0)].run
+    apply_end(job, (0, 0, 0), run, EndCause.DONE, "", NOW_MS)
+    if ends == "failed":
+        apply_end(job, (0, 0, 1), run, EndCause.FAILED, "", NOW_MS)
+    else:
+        crash(job, (0, 0, 1), AT_START)
+    assert job.state == JobState.ACTIVE
+
+
 def test_unit_waits_while_its_last_crash_may_be_explained():
     job = make_job(StepSpec(1))
     for _ in range(2):
