Limit how long a unit avoids the workers that have failed it

Callers would see: a job that could run and doesn't, beside idle workers (LOST), since runs of it have failed on these, perhaps minutes ago, and the others are busy for as long as their work takes.

Cause: the workers of a unit's failures are kept in its record without a limit in time, and left out as long as the others could hold the unit once they are empty. The same class as the isolation of suspects: evidence that holds work back for ever.

Change: while most capacity is idle they are avoided for 2 s after the unit's last run ended, and by tasks that last for 5 s in any case. On a busy service other work avoids them as before.

--- a/packages/lycheeslip/lycheeslip/dispatch/board.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/board.py
@@ -91,6 +91,8 @@
     the runs of a task that were stopped to start again elsewhere, and `preemptions` those that were
     stopped for other work, both by a gang's first task. `failed_in_run` are the ids of
     the workers on which a unit's run has failed, by the unit's first task and the run number.
+    `unit_ended_at_ms` is when a run of each unit ended last, by the unit's first task, on this
+    leader's steady clock.
     `step_samples` are the samples taken of its steps, and `estimates` their estimated run times
     with the version of the history, both by step number.
     """
@@ -109,6 +111,7 @@
     relocations: Counter[TaskKey] = field(default_factory=Counter)
     preemptions: Counter[TaskKey] = field(default_factory=Counter)
     failed_in_run: dict[tuple[TaskKey, int], set[str]] = field(default_factory=dict)
+    unit_ended_at_ms: dict[TaskKey, int] = field(default_factory=dict)
     step_samples: dict[int, StepSample] = field(default_factory=dict)
     estimates: dict[int, tuple[int, float]] = field(default_factory=dict)
 
--- a/packages/lycheeslip/lycheeslip/dispatch/ends.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/ends.py
@@ -295,6 +295,7 @@
     ) -> None:
         """Log an end that was applied and schedule what follows from it."""
         name = format_task_name(job_id, key)
+        job.unit_ended_at_ms[FoundTask(job_id, job, key).counter_key] = steady_ms()
         stop_cause = job.stopping.pop((name, run), None)
         self._run_stopper.forget(name, run)
         view = self._board.workers.get(node)
--- a/packages/lycheeslip/lycheeslip/dispatch/waiting.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/waiting.py
@@ -29,6 +29,7 @@
 
 __all__ = ["accelerator_reserve", "build_unit", "build_units", "collect_units"]
 
+MAX_LASTING_WAIT_MS = 5_000  # of tasks that last; deployments allow 6 s after their last run
 SLACK_RATIO = 0.5  # usable part of the slack to the latency objective; estimates are off by half
 MAX_WAIT_MS = 8_000  # longest wait for a worker outside the reserve while capacity is not scarce
 MAX_IDLE_WAIT_MS = 2_000  # the same while most capacity is idle; deployments allow 3 s then
@@ -71,6 +72,7 @@
                 unit._replace(
                     may_wait=_may_wait(job, unit, utilization),
                     may_use_reserved=_is_held_up(job, unit, utilization),
+                    avoided_workers=_avoided_workers(job, members[0], utilization),
                     is_isolated=must_start_isolated(*suspicion),
                     starts_apart=must_start_apart(*suspicion),
                     claimed_nodes=claims.get(unit.key, frozenset()),
@@ -114,6 +116,19 @@
     return utilization < IDLE_UTILIZATION and wall_ms() - _ready_ms(job, unit) >= MAX_IDLE_WAIT_MS
 
 
+def _avoided_workers(job: StoredJob, key: TaskKey, utilization: float) -> frozenset[str]:
+    """Return the workers where a unit has failed, which it avoids only for a limited time.
+
+    It would wait for the others for as long as they are busy, though these may work again.
+    """
+    task = job.progress.tasks[key]
+    waited_ms = steady_ms() - job.unit_ended_at_ms.get(key, job.loaded_at_ms)
+    is_lasting = job.progress.spec.steps[key[1]].long_running
+    limit_ms = MAX_IDLE_WAIT_MS if utilization < IDLE_UTILIZATION else MAX_LASTING_WAIT_MS
+    is_limited = is_lasting or utilization < IDLE_UTILIZATION
+    return frozenset(task.failed_on if waited_ms < limit_ms or not is_limited else ())
+
+
 def _may_wait(job: StoredJob, unit: Unit, utilization: float) -> bool:
     """Return whether a unit may wait longer for an unreserved worker."""
     now_ms = wall_ms()
