Date a crash and the start before it by what the worker could do

Change: the port to the worker says how long an order may take to be carried out and noticed; a start without an answer counts as just begun within that. A rejected poll is a sign of life.

Evidence: test_crash_does_not_date_from_polls_that_the_worker_rejected and test_start_that_waited_for_a_heartbeat_may_have_just_begun fail without the change.

--- a/packages/lycheeslip_agent/lycheeslip_agent/dispatch/board.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/dispatch/board.py
@@ -142,14 +142,17 @@
         remaining_ms = max(0, forecast.done_at_ms - steady_ms())
         return run._replace(remaining_ms=remaining_ms, whole_run_ms=forecast.whole_run_ms)
 
-    def record_crash(self, lifetime: Lifetime, at_ms: int) -> SeenCrash:
-        """Record that a lifetime crashed at `at_ms`; the last `MAX_REPORTED_CRASHES` are kept."""
+    def record_crash(self, lifetime: Lifetime, at_ms: int, max_order_delay_ms: int) -> SeenCrash:
+        """Record that a lifetime crashed at `at_ms`; the last `MAX_REPORTED_CRASHES` are kept.
+
+        A start without an answer may have been carried out `max_order_delay_ms` after it was sent.
+        """
         runs = [
             CrashedRun(run.task, run.run, at_ms - self._begun_at_ms(run), True)
             for run in self.running.values()
         ]
         runs += [
-            CrashedRun(task, run, at_ms - sent_at_ms, False)
+            CrashedRun(task, run, max(0, at_ms - sent_at_ms - max_order_delay_ms), False)
             for (task, run), sent_at_ms in self.start_sent_at_ms.items()
         ]
         runs.sort(key=lambda run: run.since_ms)
--- a/packages/lycheeslip_agent/lycheeslip_agent/dispatch/lists.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/dispatch/lists.py
@@ -178,7 +178,9 @@
         )
         if board.lifetime != lifetime:
             return
-        if not isinstance(outcome, RunLists) and not self._unanswered_since_ms:
+        if isinstance(outcome, Rejected):
+            self._unanswered_since_ms = 0
+        elif not isinstance(outcome, RunLists) and not self._unanswered_since_ms:
             self._unanswered_since_ms = steady_ms()
         match outcome:
             case RunLists(clock_ms, born_ms, running, ended):
@@ -252,7 +254,11 @@
         if silence_ms > self._worker.max_crash_silence_ms:
             return
         # the first call that fails tells best when, since one is nearly always under way
-        crash = board.record_crash(status.lifetime, self._unanswered_since_ms or steady_ms())
+        crash = board.record_crash(
+            status.lifetime,
+            self._unanswered_since_ms or steady_ms(),
+            self._worker.max_order_delay_ms,
+        )
         board.counters.count("worker_crashes")
         log_warning(
             "worker_crashed",
--- a/packages/lycheeslip_agent/lycheeslip_agent/dispatch/worker_port.py
+++ b/packages/lycheeslip_agent/lycheeslip_agent/dispatch/worker_port.py
@@ -88,9 +88,12 @@
     `epoch` is the leader's fencing token, and `until_ms` is on the worker's clock.
     `max_crash_silence_ms` is the longest silence of a worker that crashes until its agent learns
     that its process has ended; after a longer silence it was cut off or frozen before.
+    `max_order_delay_ms` is the longest time from the sending of an order until it is carried out,
+    and until a worker that crashes meanwhile is noticed.
     """
 
     max_crash_silence_ms: int
+    max_order_delay_ms: int
 
     async def hold(
         self, lifetime: Lifetime, until_ms: int, epoch: int, recorded: int, wait_ms: int
--- a/packages/lycheeslip_agent/tests/dispatch/lists_tests.py
+++ b/packages/lycheeslip_agent/tests/dispatch/lists_tests.py
@@ -28,6 +28,7 @@
     """Answers polls from a script of outcomes and the seconds that each takes."""
 
     max_crash_silence_ms = 400
+    max_order_delay_ms = 0
 
     def __init__(self, *script: tuple[object, float]) -> None:
         self._script = list(script)
@@ -203,3 +204,30 @@
     polling.cancel()
     (crash,) = board.report().crashes
     assert crash.ago_ms >= 300  # three refused connections
+
+
+async def test_crash_does_not_date_from_polls_that_the_worker_rejected():
+    listed = RunLists(1, 5, (RunningRun("task", 1, "", 0),), ())
+    rejections = [(Rejected("unhealthy"), 0.1)] * 2
+    worker = PolledWorker((listed, 0.0), (listed, 0.0), *rejections, (NoWorker(), 0.0))
+    board = Board("agent-1", DispatchTimes())
+    board.epoch = 1
+    worker_lists = WorkerLists(board, worker)
+    await worker_lists.handle_heartbeat(STATUS)
+    worker_lists.record_run_started("task", 1, "")
+    polling = asyncio.create_task(worker_lists.run())
+    async with asyncio.timeout(5):
+        while not board.is_worker_gone:  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+    polling.cancel()
+    ((run,),) = [crash.runs for crash in board.report().crashes]
+    assert run.since_ms >= 200
+
+
+async def test_start_that_waited_for_a_heartbeat_may_have_just_begun():
+    board, worker, worker_lists = await working_agent()
+    worker.max_order_delay_ms = 4_000
+    board.start_sent_at_ms[("unanswered", 2)] = steady_ms() - 3_500
+    await worker_lists.handle_heartbeat(STATUS._replace(lifetime=Lifetime("i-2", 9)))
+    (crash,) = board.report().crashes
+    assert [run.since_ms for run in crash.runs if run.task == "unanswered"] == [0]
