Bound the crashes at the start of a task, and settle none too early

Change: a crash is at the start of a run within 250 ms, not 1 s: such tasks crash their workers within 15 ms and agents notice it up to 0.2 s later, while workers that crash by themselves did so 0.4 s after a start or later. Those count among the five at any time whatever explains them. A crash is settled 1.5 s after this leader first heard of it, and not in the first 5 s of a term; each settlement is recorded. A run that is listed as ended 12 s after its order, longer than a start is repeated, clears what was counted.

--- a/packages/lycheeslip/lycheeslip/dispatch/ends.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/ends.py
@@ -41,10 +41,10 @@
 
 
 class CrashOutcome(NamedTuple):
-    """What explains a crash ("": nothing), and how many unrelated workers crashed with it."""
+    """What explains a crash ("": nothing), and the node of a worker that crashed with it."""
 
     explanation: str
-    coinciding: int
+    other_node: str = ""
 
     @property
     def is_explained(self) -> bool:
@@ -170,15 +170,15 @@
 
     def _crash_outcome(self, job_id: str, crash: OpenCrash, now_ms: int) -> CrashOutcome | None:
         """Return what became of an open crash, None if that isn't known yet."""
+        is_late = now_ms - self._term_began_ms >= MAX_CRASH_REPORT_MS
         logged = self._board.crash_log.find(crash.lifetime)
         if logged is None:  # its agent hasn't reported it to this leader, and may have been lost
-            is_late = now_ms - self._term_began_ms >= MAX_CRASH_REPORT_MS
-            return CrashOutcome("unknown", 0) if is_late else None
-        coinciding = len(self._board.crash_log.unrelated(logged, job_id))
-        if coinciding:
-            return CrashOutcome("coincides", coinciding)
-        is_settled = self._board.is_view_complete and now_ms - logged.at_ms >= CRASH_SETTLE_MS
-        return CrashOutcome("", 0) if is_settled else None
+            return CrashOutcome("unknown") if is_late else None
+        other = self._board.crash_log.find_unrelated(logged, job_id)
+        if other is not None:
+            return CrashOutcome("coincides", other.node)
+        is_settled = is_late and now_ms - logged.known_at_ms >= CRASH_SETTLE_MS
+        return CrashOutcome("") if is_settled else None
 
     def _settle_crash(self, found: FoundTask, crash: OpenCrash, outcome: CrashOutcome) -> None:
         job = found.job.progress
@@ -192,25 +192,26 @@
                 task=name,
                 run=crash.run,
                 reason=outcome.explanation,
-                coinciding=outcome.coinciding,
+                other_node=outcome.other_node,
+                crashes=task.crashes,
             )
             self._board.counters.count("crashes_explained", outcome.explanation)
-            return
-        log_event(
-            "crash_counted",
-            task=name,
-            run=crash.run,
-            is_at_start=crash.is_at_start,
-            is_only_start=crash.is_only_start,
-            crashes=task.crashes,
-            crashes_at_start=task.crashes_at_start,
-            crashes_as_only_start=task.crashes_as_only_start,
-        )
-        self._board.counters.count("crashes_counted")
+        else:
+            log_event(
+                "crash_counted",
+                task=name,
+                run=crash.run,
+                is_at_start=crash.is_at_start,
+                is_only_start=crash.is_only_start,
+                crashes=task.crashes,
+                crashes_at_start=task.crashes_at_start,
+                crashes_as_only_start=task.crashes_as_only_start,
+            )
+            self._board.counters.count("crashes_counted")
         if job.has_ended and not had_ended:
             log_warning("job_given_up", job=found.job_id, task=name, reason=job.reason)
             self._board.counters.count("jobs_given_up", job.reason)
-            self._recorder.schedule_write(found.job)
+        self._recorder.schedule_write(found.job)
 
     def apply_reported_ends(self, view: WorkerView, report: WorkerReport) -> None:
         """Apply the ends in a worker's report."""
--- a/packages/lycheeslip_common/lycheeslip_common/utils/events.py
+++ b/packages/lycheeslip_common/lycheeslip_common/utils/events.py
@@ -94,10 +94,11 @@
     Event(
         "crash_explained",
         "leader",
-        "coinciding reason run task",
-        "A crash of a task's worker doesn't count: `coincides`, as `coinciding` other workers on"
-        " which nothing had just started crashed at the same moment, or `unknown`, as its agent"
-        " has not reported it to this leader.",
+        "crashes other_node reason run task",
+        "A crash of a task's worker has another explanation: `coincides`, as the worker of"
+        " `other_node`, on which nothing had just started, crashed at the same moment, or"
+        " `unknown`, as its agent has not reported it to this leader. One just after a start"
+        " counts in `crashes` all the same.",
     ),
     Event(
         "crash_seen",
--- a/packages/lycheeslip_common/lycheeslip_common/workload/progress.py
+++ b/packages/lycheeslip_common/lycheeslip_common/workload/progress.py
@@ -42,15 +42,22 @@
 ]
 
 MAX_REMEMBERED_FAILURES = 4
-# A job is given up with a task after this many crashes just after its starts, this many of them
-# where nothing else had just started, or after this many crashes at any time. Users don't allow
-# the third start after three workers have crashed under a task.
+# A job is given up with a task after this many unexplained crashes just after its starts, this many
+# of them where nothing else had just started, or after this many at any time, with those just after
+# a start that have another explanation. Users don't allow the third start after three workers have
+# crashed under a task.
 MAX_CRASHES_AT_START = 3
 MAX_CRASHES_AS_ONLY_START = 2
 MAX_CRASHES = 5
 CRASHES_WORKERS = "crashes_workers"
-EARLY_CRASH_MS = 1_000  # a worker crashes as it starts such a task; seen up to 15 ms later
+EARLY_CRASH_MS = 250  # seen 5 to 15 ms after a start; agents notice it up to 0.2 s later
 HEALTHY_RUN_MS = 60_000  # a task that ran for this long doesn't crash the workers that start it
+# A run that is listed as ended so long after its order has outlived its start: a start without an
+# answer is repeated for as long as the lease lasts.
+OUTLIVED_START_MS = 12_000
+LISTED_ENDS = frozenset(
+    {EndCause.DONE, EndCause.FAILED, EndCause.STOPPED, EndCause.LAPSED, EndCause.BROKEN}
+)
 TaskKey = tuple[int, int, int]
 """Occurrence, step and position of a task within its job."""
 
@@ -99,10 +106,10 @@
     `node` and `lifetime` name where that run may be in progress; `started_at_ms` is the Unix time
     at which it was ordered. `failed_run` is the last run that counts in `failures`, `failed_on` the
     workers of the latest failures. `crashes` counts the runs of this task under which its worker
-    crashed without another explanation, since the last long run. `crashes_at_start` are those of
-    them just after the start, since the last run that outlived its start, and
-    `crashes_as_only_start` those of these where nothing else had just started on the worker.
-    `open_crashes` may yet turn out to have another explanation.
+    crashed, since the last long run; those that have another explanation only if they came just
+    after the start. `crashes_at_start` are the unexplained ones just after the start, since the
+    last run that is known to have outlived it, and `crashes_as_only_start` those of these where
+    nothing else had just started on the worker. `open_crashes` are yet to be explained or counted.
     The task `is_suspect` if the last crash, of any member of a gang, came just after its start;
     that was in the unit's `crashed_run`.
     """
@@ -263,6 +270,8 @@
     if not task.is_placed and (cause != EndCause.DONE or task.is_done):
         return False
     worker_id = task.lifetime.worker_id if task.lifetime else ""
+    if cause in LISTED_ENDS:
+        _forgive_crashes(task, now_ms - task.started_at_ms)
     task.node, task.lifetime = "", None
     job.placed_keys.discard(key)
     task.checkpoint = checkpoint or task.checkpoint
@@ -297,10 +306,7 @@
         unit.crashed_run, unit.is_suspect = run, False
     unit.is_suspect |= evidence.is_at_start
     if not evidence.is_at_start:
-        task.crashes_at_start = task.crashes_as_only_start = 0
-        task.open_crashes = tuple(crash._replace(is_at_start=False) for crash in task.open_crashes)
-    if evidence.since_ms >= HEALTHY_RUN_MS:
-        task.crashes = 0
+        _forgive_crashes(task, max(evidence.since_ms, OUTLIVED_START_MS))
     is_other_likelier = not evidence.is_at_start and evidence.is_beside_start
     is_done = task.is_done  # as another member of its gang is
     if is_done or lifetime is None or is_other_likelier or job.spec.steps[key[1]].long_running:
@@ -316,6 +322,8 @@
 ) -> None:
     """Count an open crash of a task, unless it `is_explained` by something else.
 
+    One just after a start counts in any case among all crashes, as chance explains one of a
+    task that does crash its workers where others crash all the time.
     The job is given up with a task under which worker after worker crashes, since the next would
     crash too. A task that is done, as another member of its gang was, has caused none.
     """
@@ -327,9 +335,8 @@
     is_last = unit.crashed_run == crash.run
     if is_explained:
         unit.is_suspect &= not is_last
-        return
-    task.crashes += 1
-    if crash.is_at_start:
+    task.crashes += not task.is_done and (crash.is_at_start or not is_explained)
+    if crash.is_at_start and not is_explained:
         task.crashes_at_start += 1
         task.crashes_as_only_start += crash.is_only_start
         unit.is_suspect |= is_last  # though the crash of another member was explained
@@ -338,6 +345,15 @@
         job.state, job.ended_at_ms, job.reason = JobState.FAILED, now_ms, CRASHES_WORKERS
 
 
+def _forgive_crashes(task: TaskProgress, ran_ms: int) -> None:
+    """Forget the crashes that a run of `ran_ms` shows to have had other causes."""
+    if ran_ms >= OUTLIVED_START_MS:
+        task.crashes_at_start = task.crashes_as_only_start = 0
+        task.open_crashes = tuple(crash._replace(is_at_start=False) for crash in task.open_crashes)
+    if ran_ms >= HEALTHY_RUN_MS:
+        task.crashes = 0
+
+
 def _is_hopeless(crashes: int, at_start: int, as_only_start: int) -> bool:
     crashes_at_start = at_start >= MAX_CRASHES_AT_START
     is_sole_cause = as_only_start >= MAX_CRASHES_AS_ONLY_START
@@ -474,7 +490,7 @@
     crashes_at_start: int = 0
     crashed_run: int = 0
     is_suspect: bool = False
-    crashes_as_only_start: int = 0
+    crashes_as_only_start: int = -1
     open_crashes: tuple[OpenCrash, ...] = ()
 
 
@@ -492,8 +508,9 @@
     """Return the progress stored in `value`; raises ValueError if it is malformed."""
     state, opened_occurrences, ended_at_ms, rows, reason = _convert(value, StoredProgress)
     job = JobProgress(spec, state, opened_occurrences, ended_at_ms, reason=reason)
-    for occurrence, step, index, *fields in rows:
-        job.tasks[(occurrence, step, index)] = TaskProgress(*fields)
+    for row in map(_with_known_crashes, rows):
+        fields: tuple[Any, ...] = row[3:]
+        job.tasks[row[:3]] = TaskProgress(*fields)
     job.placed_keys.update(key for key, task in job.tasks.items() if task.is_placed)
     job.unsettled_keys.update(key for key, task in job.tasks.items() if task.open_crashes)
     if not 0 <= opened_occurrences <= spec.occurrence_count():
@@ -509,6 +526,13 @@
     return job
 
 
+def _with_known_crashes(row: StoredTask) -> StoredTask:
+    """Return the row of a task; what earlier versions counted was of all members of a gang."""
+    if row.crashes_as_only_start >= 0:
+        return row
+    return row._replace(crashes=0, crashes_at_start=0, crashes_as_only_start=0)
+
+
 def _convert(value: bytes, kind: Any) -> Any:
     try:
         return parse_cbor(value, kind)
