Exclude failing workers of a service only if others of it are left

Callers would see: a job that could run and doesn't (LOST).

Cause: workers whose runs failed are left out unless those are most of the fleet, over all services together.

Evidence: test_workers_of_one_service_are_not_all_excluded failed before where other services are larger. The share is taken by service now.

--- a/packages/lycheeslip/lycheeslip/dispatch/occupancy.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/occupancy.py
@@ -1,6 +1,7 @@
 """Computes the free capacity and the placed runs of each worker for a planning round."""
 
 import math
+from collections import Counter
 from collections.abc import Mapping
 from typing import NamedTuple
 
@@ -58,16 +59,21 @@
 
 
 def _exclude_failing(board: Board, workers: list[WorkerCapacity]) -> list[WorkerCapacity]:
-    """Exclude workers whose recent runs failed, unless that would exclude most workers."""
+    """Exclude workers whose recent runs failed, unless those are most of a service."""
     now = steady_ms()
     views = {worker.node: board.workers[worker.node] for worker in workers}
-    healthy = [
+    is_failing = {
+        worker.node: views[worker.node].failures >= QUARANTINE_FAILURES
+        and now - views[worker.node].last_failure_at_ms <= QUARANTINE_MS
+        for worker in workers
+    }
+    total = Counter(worker.service for worker in workers)
+    failing = Counter(worker.service for worker in workers if is_failing[worker.node])
+    return [
         worker
         for worker in workers
-        if views[worker.node].failures < QUARANTINE_FAILURES
-        or now - views[worker.node].last_failure_at_ms > QUARANTINE_MS
+        if not is_failing[worker.node] or 2 * failing[worker.service] > total[worker.service]
     ]
-    return healthy if 2 * len(healthy) >= len(workers) else workers
 
 
 def _worker_capacity(board: Board, view: WorkerView, lifetime: Lifetime) -> WorkerCapacity:
--- a/packages/lycheeslip/tests/dispatch/occupancy_tests.py
+++ b/packages/lycheeslip/tests/dispatch/occupancy_tests.py
@@ -164,6 +164,18 @@
     assert len(build_worker_capacities(board)) == 4
 
 
+@pytest.mark.parametrize("other_services", [0, 2])
+def test_workers_of_one_service_are_not_all_excluded(other_services: int):
+    board = board_with(2 + other_services)
+    for number in range(2, 2 + other_services):
+        view = board.workers[f"n{number}"]
+        view.report = view.report._replace(service="other")
+    for node in ("n0", "n1"):
+        board.workers[node].failures = QUARANTINE_FAILURES
+        board.workers[node].last_failure_at_ms = steady_ms()
+    assert {"n0", "n1"} <= {worker.node for worker in build_worker_capacities(board)}
+
+
 def test_run_of_an_unknown_job_takes_the_whole_worker():
     board = board_with(1)
     view = board.workers["n0"]
