Measure the use of services without accelerators by their cores

Callers would see: a job that could run and doesn't (LOST), behind a gang that has reserved workers for which it waits.

Evidence: test_unit_that_was_held_up_takes_reserved_capacity_of_a_service_without_accelerators failed before for workers without accelerators.

--- a/packages/lycheeslip/lycheeslip/dispatch/waiting.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/waiting.py
@@ -142,13 +142,24 @@
 
 
 def _utilization_by_service(workers: list[WorkerCapacity]) -> dict[str, float]:
-    """Return the share of each service's accelerators that is in use."""
+    """Return the share of each service's accelerators in use, of its cores if it has none."""
     total: Counter[str] = Counter()
     free: Counter[str] = Counter()
+    total_cpu: Counter[str] = Counter()
+    free_cpu: Counter[str] = Counter()
     for worker in workers:
         total[worker.service] += worker.total.accelerators
         free[worker.service] += max(0, worker.free_accelerators)
-    return {service: 1 - free[service] / max(1, total[service]) for service in total}
+        total_cpu[worker.service] += worker.total.cpu_milli
+        free_cpu[worker.service] += max(0, worker.free_cpu_milli)
+    return {
+        service: (
+            1 - free[service] / total[service]
+            if total[service]
+            else 1 - free_cpu[service] / max(1, total_cpu[service])
+        )
+        for service in total
+    }
 
 
 def _advice(board: Board, queue: Queue | None, step: StepKey) -> Advice | None:
--- a/packages/lycheeslip/tests/dispatch/occupancy_tests.py
+++ b/packages/lycheeslip/tests/dispatch/occupancy_tests.py
@@ -176,6 +176,25 @@
     assert {"n0", "n1"} <= {worker.node for worker in build_worker_capacities(board)}
 
 
+@pytest.mark.parametrize("accelerators", [8, 0])
+def test_unit_that_was_held_up_takes_reserved_capacity_of_a_service_without_accelerators(
+    accelerators: int,
+):
+    """A gang that waits for a run to end reserves all workers of the service."""
+    board = board_with()
+    board.config = board.config._replace(accounts=())
+    for view in board.workers.values():
+        view.report = view.report._replace(accelerators=accelerators)
+    running = add_job(board, "c" * 16, accelerators=0).progress
+    begin_runs(running, {(0, 0, 0): ("n0", lifetime("n0"))}, False, wall_ms())
+    gang = {"gang": True, "task_count": 4, "cpu_milli": 64_000, "accelerators": 0}
+    add_job(board, "b" * 16, 600_000, **gang)
+    add_job(board, JOB, 60_000, accelerators=0)
+    workers = build_worker_capacities(board)
+    plan = plan_round(build_units(board, workers, {}), workers)
+    assert JOB in {unit.job_id for unit, _ in plan.starts}
+
+
 def test_run_of_an_unknown_job_takes_the_whole_worker():
     board = board_with(1)
     view = board.workers["n0"]
