Let a late crash count half

Cause: five unexplained crashes ended a job whenever they came, though users bound only tasks that crash the workers that start them, and such crashes come within 15 ms of the start.

Change: crashes within 3 s of a start still end a job with the fifth; a later one has half their weight. Both limits stay bounds.

--- a/packages/lycheeslip/lycheeslip/dispatch/ends.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/ends.py
@@ -193,7 +193,7 @@
                 run=crash.run,
                 reason=outcome.explanation,
                 other_node=outcome.other_node,
-                crashes=task.crashes,
+                crash_weight=task.crash_weight,
             )
             self._board.counters.count("crashes_explained", outcome.explanation)
         else:
@@ -203,7 +203,7 @@
                 run=crash.run,
                 is_at_start=crash.is_at_start,
                 is_only_start=crash.is_only_start,
-                crashes=task.crashes,
+                crash_weight=task.crash_weight,
                 crashes_at_start=task.crashes_at_start,
                 crashes_as_only_start=task.crashes_as_only_start,
             )
--- a/packages/lycheeslip_common/lycheeslip_common/utils/events.py
+++ b/packages/lycheeslip_common/lycheeslip_common/utils/events.py
@@ -86,19 +86,20 @@
     Event(
         "crash_counted",
         "leader",
-        "crashes crashes_as_only_start crashes_at_start is_at_start is_only_start run task",
+        "crash_weight crashes_as_only_start crashes_at_start is_at_start is_only_start run task",
         "A crash of a task's worker counts against the task, as nothing else explains it."
-        " `crashes` are all of the task, `crashes_at_start` those just after a start, and"
+        " `crash_weight` is that of all of the task, a late one counting half;"
+        " `crashes_at_start` are those just after a start, and"
         " `crashes_as_only_start` those of these where nothing else had just started.",
     ),
     Event(
         "crash_explained",
         "leader",
-        "crashes other_node reason run task",
+        "crash_weight other_node reason run task",
         "A crash of a task's worker has another explanation: `coincides`, as the worker of"
         " `other_node`, on which nothing had just started, crashed at the same moment, or"
         " `unknown`, as its agent has not reported it to this leader. One just after a start"
-        " counts in `crashes` all the same.",
+        " counts in `crash_weight` all the same.",
     ),
     Event(
         "crash_seen",
--- a/packages/lycheeslip_common/lycheeslip_common/workload/progress.py
+++ b/packages/lycheeslip_common/lycheeslip_common/workload/progress.py
@@ -22,7 +22,8 @@
     "CrashEvidence",
     "EARLY_CRASH_MS",
     "HEALTHY_RUN_MS",
-    "MAX_CRASHES",
+    "LATE_CRASH_MS",
+    "MAX_CRASH_WEIGHT",
     "OpenCrash",
     "TaskKey",
     "TaskProgress",
@@ -43,14 +44,17 @@
 
 MAX_REMEMBERED_FAILURES = 4
 # A job is given up with a task after this many unexplained crashes just after its starts, this many
-# of them where nothing else had just started, or after this many at any time, with those just after
-# a start that have another explanation. Users don't allow the third start after three workers have
-# crashed under a task.
+# of them where nothing else had just started, or after crashes of this weight at any time, with
+# those just after a start that have another explanation. Users don't allow the third start after
+# three workers have crashed under a task that does so when it starts.
 MAX_CRASHES_AT_START = 3
 MAX_CRASHES_AS_ONLY_START = 2
-MAX_CRASHES = 5
+MAX_CRASH_WEIGHT = 10
+SOON_CRASH_WEIGHT = 2  # five such crashes are the limit
+LATE_CRASH_WEIGHT = 1  # a long run on a fleet where workers crash by themselves meets several
 CRASHES_WORKERS = "crashes_workers"
 EARLY_CRASH_MS = 250  # seen 5 to 15 ms after a start; agents notice it up to 0.2 s later
+LATE_CRASH_MS = 3_000  # past this a crash says less of the start
 HEALTHY_RUN_MS = 60_000  # a task that ran for this long doesn't crash the workers that start it
 # A run that is listed as ended so long after its order has outlived its start: a start without an
 # answer is repeated for as long as the lease lasts.
@@ -89,6 +93,11 @@
         """Whether the run had just started."""
         return self.since_ms < EARLY_CRASH_MS
 
+    @property
+    def weight(self) -> int:
+        """How much the crash counts among those at any time."""
+        return SOON_CRASH_WEIGHT if self.since_ms < LATE_CRASH_MS else LATE_CRASH_WEIGHT
+
 
 class OpenCrash(NamedTuple):
     """The crash of a lifetime of a worker, in a run that may have caused it."""
@@ -97,6 +106,7 @@
     run: int
     is_at_start: bool
     is_only_start: bool
+    weight: int
 
 
 @dataclass(slots=True)
@@ -105,9 +115,9 @@
 
     `node` and `lifetime` name where that run may be in progress; `started_at_ms` is the Unix time
     at which it was ordered. `failed_run` is the last run that counts in `failures`, `failed_on` the
-    workers of the latest failures. `crashes` counts the runs of this task under which its worker
-    crashed, since the last long run; those that have another explanation only if they came just
-    after the start. `crashes_at_start` are the unexplained ones just after the start, since the
+    workers of the latest failures. `crash_weight` sums up the crashes of workers under this task,
+    since the last long run; those that have another explanation only if they came just after the
+    start. `crashes_at_start` are the unexplained ones just after the start, since the
     last run that is known to have outlived it, and `crashes_as_only_start` those of these where
     nothing else had just started on the worker. `open_crashes` are yet to be explained or counted.
     The task `is_suspect` if the last crash, of any member of a gang, came just after its start;
@@ -123,7 +133,7 @@
     failed_run: int = 0
     failed_on: list[str] = field(default_factory=list)
     started_at_ms: int = 0
-    crashes: int = 0
+    crash_weight: int = 0
     crashes_at_start: int = 0
     crashed_run: int = 0
     is_suspect: bool = False
@@ -311,7 +321,9 @@
     is_done = task.is_done  # as another member of its gang is
     if is_done or lifetime is None or is_other_likelier or job.spec.steps[key[1]].long_running:
         return True
-    crash = OpenCrash(lifetime, run, evidence.is_at_start, not evidence.is_beside_start)
+    crash = OpenCrash(
+        lifetime, run, evidence.is_at_start, not evidence.is_beside_start, evidence.weight
+    )
     task.open_crashes = (*task.open_crashes, crash)
     job.unsettled_keys.add(key)
     return True
@@ -322,8 +334,8 @@
 ) -> None:
     """Count an open crash of a task, unless it `is_explained` by something else.
 
-    One just after a start counts in any case among all crashes, as chance explains one of a
-    task that does crash its workers where others crash all the time.
+    One just after a start has its weight in any case, as chance explains one of a task that does
+    crash its workers where others crash all the time.
     The job is given up with a task under which worker after worker crashes, since the next would
     crash too. A task that is done, as another member of its gang was, has caused none.
     """
@@ -335,12 +347,13 @@
     is_last = unit.crashed_run == crash.run
     if is_explained:
         unit.is_suspect &= not is_last
-    task.crashes += not task.is_done and (crash.is_at_start or not is_explained)
+    if not task.is_done and (crash.is_at_start or not is_explained):
+        task.crash_weight += crash.weight
     if crash.is_at_start and not is_explained:
         task.crashes_at_start += 1
         task.crashes_as_only_start += crash.is_only_start
         unit.is_suspect |= is_last  # though the crash of another member was explained
-    is_hopeless = _is_hopeless(task.crashes, task.crashes_at_start, task.crashes_as_only_start)
+    is_hopeless = _is_hopeless(task.crash_weight, task.crashes_at_start, task.crashes_as_only_start)
     if is_hopeless and not job.has_ended:
         job.state, job.ended_at_ms, job.reason = JobState.FAILED, now_ms, CRASHES_WORKERS
 
@@ -351,20 +364,20 @@
         task.crashes_at_start = task.crashes_as_only_start = 0
         task.open_crashes = tuple(crash._replace(is_at_start=False) for crash in task.open_crashes)
     if ran_ms >= HEALTHY_RUN_MS:
-        task.crashes = 0
+        task.crash_weight = 0
 
 
-def _is_hopeless(crashes: int, at_start: int, as_only_start: int) -> bool:
+def _is_hopeless(weight: int, at_start: int, as_only_start: int) -> bool:
     crashes_at_start = at_start >= MAX_CRASHES_AT_START
     is_sole_cause = as_only_start >= MAX_CRASHES_AS_ONLY_START
-    return crashes >= MAX_CRASHES or (crashes_at_start and is_sole_cause)
+    return weight >= MAX_CRASH_WEIGHT or (crashes_at_start and is_sole_cause)
 
 
 def _may_be_hopeless(task: TaskProgress) -> bool:
     """Return whether the job would be given up if all open crashes of the task were counted."""
     at_start = [crash for crash in task.open_crashes if crash.is_at_start]
     return bool(task.open_crashes) and _is_hopeless(
-        task.crashes + len(task.open_crashes),
+        task.crash_weight + sum(crash.weight for crash in task.open_crashes),
         task.crashes_at_start + len(at_start),
         task.crashes_as_only_start + sum(crash.is_only_start for crash in at_start),
     )
@@ -457,12 +470,12 @@
 
 
 def _has_crashed(task: TaskProgress) -> bool:
-    return bool(task.crashes or task.crashed_run or task.open_crashes)
+    return bool(task.crash_weight or task.crashed_run or task.open_crashes)
 
 
 def _crash_fields(task: TaskProgress) -> tuple[int, int, int, bool, int, tuple[OpenCrash, ...]]:
     return (
-        task.crashes,
+        task.crash_weight,
         task.crashes_at_start,
         task.crashed_run,
         task.is_suspect,
@@ -486,7 +499,7 @@
     failed_run: int
     failed_on: list[str]
     started_at_ms: int
-    crashes: int = 0
+    crash_weight: int = 0
     crashes_at_start: int = 0
     crashed_run: int = 0
     is_suspect: bool = False
@@ -530,7 +543,7 @@
     """Return the row of a task; what earlier versions counted was of all members of a gang."""
     if row.crashes_as_only_start >= 0:
         return row
-    return row._replace(crashes=0, crashes_at_start=0, crashes_as_only_start=0)
+    return row._replace(crash_weight=0, crashes_at_start=0, crashes_as_only_start=0)
 
 
 def _convert(value: bytes, kind: Any) -> Any:
