--- a/packages/lycheeslip/lycheeslip/dispatch/ends.py
+++ b/packages/lycheeslip/lycheeslip/dispatch/ends.py
@@ -147,15 +147,15 @@
         self._settle_end(*found, run, node, EndCause.CRASHED)
 
     def settle_crashes(self, now_ms: int) -> Iterator[None]:
-        """Count the crashes for which no other explanation has come; yields between jobs.
+        """Count the crashes for which no other explanation has come; yields between such jobs.
 
         Crashes that explain others are known once the agents of all workers that crashed at the
         same moment have reported them.
         """
         for job_id, job in list(self._board.jobs.items()):
-            yield
             if not job.progress.unsettled_keys or job.progress.has_ended:
                 continue
+            yield
             settled = [
                 (outcome, FoundTask(job_id, job, key), crash)
                 for key in sorted(job.progress.unsettled_keys)
