--- a/packages/lycheeslip_agent/tests/dispatch/lists_tests.py
+++ b/packages/lycheeslip_agent/tests/dispatch/lists_tests.py
@@ -43,17 +43,21 @@
         return outcome
 
 
+async def poll_until_gone(board: Board, worker_lists: WorkerLists) -> None:
+    polling = asyncio.create_task(worker_lists.run())
+    async with asyncio.timeout(5):
+        while not board.is_worker_gone:  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+    polling.cancel()
+
+
 async def crashes_seen(worker: PolledWorker, status: WorkerStatus = STATUS) -> list[Lifetime]:
     """Poll `worker` until it is gone and return the lifetimes that count as crashed."""
     board = Board("agent-1", DispatchTimes())
     board.epoch = 1
     worker_lists = WorkerLists(board, worker)
     await worker_lists.handle_heartbeat(status)
-    polling = asyncio.create_task(worker_lists.run())
-    async with asyncio.timeout(5):
-        while not board.is_worker_gone:  # noqa: ASYNC110
-            await asyncio.sleep(0.01)
-    polling.cancel()
+    await poll_until_gone(board, worker_lists)
     return list(board.crash_by_lifetime)
 
 
@@ -197,11 +201,7 @@
     board.epoch = 1
     worker_lists = WorkerLists(board, worker)
     await worker_lists.handle_heartbeat(STATUS)
-    polling = asyncio.create_task(worker_lists.run())
-    async with asyncio.timeout(5):
-        while not board.is_worker_gone:  # noqa: ASYNC110
-            await asyncio.sleep(0.01)
-    polling.cancel()
+    await poll_until_gone(board, worker_lists)
     (crash,) = board.report().crashes
     assert crash.ago_ms >= 300  # three refused connections
 
@@ -215,11 +215,7 @@
     worker_lists = WorkerLists(board, worker)
     await worker_lists.handle_heartbeat(STATUS)
     worker_lists.record_run_started("task", 1, "")
-    polling = asyncio.create_task(worker_lists.run())
-    async with asyncio.timeout(5):
-        while not board.is_worker_gone:  # noqa: ASYNC110
-            await asyncio.sleep(0.01)
-    polling.cancel()
+    await poll_until_gone(board, worker_lists)
     ((run,),) = [crash.runs for crash in board.report().crashes]
     assert run.since_ms >= 200
 
